--- /dev/null
+++ b/Makefile
@@ -0,0 +1,108 @@
+# Builds the library, the daemon, the tool, the stand-ins, the tests and the
+# bench. SAN=1 builds with AddressSanitizer and UndefinedBehaviorSanitizer into
+# a directory of its own.
+
+CC ?= gcc
+PKGS = glib-2.0 libcurl libmicrohttpd libzmq jansson libxxhash
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -llog4c -lm
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
+CSTD = -std=gnu11 -D_GNU_SOURCE
+PREFIX ?= /usr/local
+
+ifeq ($(SAN),1)
+BUILD = build/san
+OPT = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+    -fno-omit-frame-pointer -DBW_FATAL_INVARIANTS=1
+else
+BUILD = build/release
+OPT = -O2 -g
+endif
+
+CFLAGS = $(CSTD) $(WARN) $(OPT) -Iinclude $(PKG_CFLAGS) -MMD -MP
+
+LIB_SRC := $(wildcard source/*/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libbulrushwell.a
+
+TOOL_SRC := $(wildcard tools/*.c)
+FAKE_LIB_SRC := $(wildcard fakes/lib/*.c)
+FAKE_SRC := $(wildcard fakes/*.c)
+BENCH_SRC := $(wildcard bench/*.c)
+TEST_LIB_SRC := $(wildcard tests/lib/*.c)
+TEST_SRC := $(wildcard tests/test_*.c)
+
+BINS := $(TOOL_SRC:tools/%.c=$(BUILD)/bin/%) \
+    $(FAKE_SRC:fakes/%.c=$(BUILD)/bin/%) \
+    $(BENCH_SRC:bench/%.c=$(BUILD)/bin/%)
+TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+
+TEST_LIB_OBJ := $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
+FAKE_LIB_OBJ := $(FAKE_LIB_SRC:%.c=$(BUILD)/%.o)
+
+ALL_C := $(LIB_SRC) $(TOOL_SRC) $(FAKE_LIB_SRC) $(FAKE_SRC) $(BENCH_SRC) \
+    $(TEST_LIB_SRC) $(TEST_SRC)
+ALL_H := $(wildcard include/bulrushwell/*.h source/*/*.h fakes/lib/*.h \
+    tests/lib/*.h bench/*.h)
+
+.PHONY: all tests check check-unit check-process format format-check lint \
+    clean install
+.SECONDARY:
+
+all: $(BINS)
+
+tests: $(TESTS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/bin/%: $(BUILD)/fakes/%.o $(FAKE_LIB_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/bin/%: $(BUILD)/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS) -lcmocka
+
+# Runs every test but those that KNOWN-RED.txt lists, which are printed.
+check: all tests
+	BUILD=$(BUILD) tests/run.sh
+
+format:
+	clang-format -i $(ALL_C) $(ALL_H)
+
+format-check:
+	clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
+
+lint:
+	cppcheck --quiet --std=c11 --enable=warning,portability,performance \
+	    --error-exitcode=1 --inline-suppr --suppressions-list=.cppcheck \
+	    -j 4 -D_GNU_SOURCE -Iinclude source tools fakes bench tests
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+	    $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BUILD)/bin/bulrushwelld $(BUILD)/bin/bulrushwell \
+	    $(DESTDIR)$(PREFIX)/bin
+	install -m 644 docs/man/bulrushwell.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 docs/man/bulrushwelld.8 \
+	    $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- /dev/null
+++ b/include/bulrushwell/admission.h
@@ -0,0 +1,84 @@
+#ifndef BULRUSHWELL_ADMISSION_H
+#define BULRUSHWELL_ADMISSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bulrushwell/clock.h"
+#include "bulrushwell/name.h"
+
+/**
+ * DOC: Admission
+ *
+ * Applies this node's part of each customer's rate and concurrency. A request
+ * over the concurrency waits while its deadline allows; within a customer the
+ * earliest deadline goes first. Refusals are typed and true: nothing of a
+ * refused request was sent.
+ */
+#define ADMISSION_MAX_WAITING 10000
+#define ADMISSION_MAX_CUSTOMERS 100000
+
+typedef struct {
+	enum { ADMISSION_ADMIT, ADMISSION_REFUSE } kind;
+	uint64_t tag;
+	name_t customer;
+	int error; /* REFUSE */
+} admission_action_t;
+
+typedef struct {
+	uint64_t admitted;
+	uint64_t refused_rate;
+	uint64_t refused_concurrency;
+	uint64_t refused_deadline;
+	uint32_t running;
+	uint32_t waiting;
+} admission_stats_t;
+
+typedef struct admission admission_t;
+
+admission_t *admission_create(void);
+void admission_destroy(admission_t *admission);
+
+/**
+ * admission_set_allowance() - This node's part of a customer's contract.
+ * @rate_per_s: 0 admits nothing
+ * @concurrency: 0 admits nothing
+ */
+void admission_set_allowance(admission_t *admission, const char *customer,
+    double rate_per_s, uint32_t concurrency, usec_t now);
+
+/**
+ * admission_offer() - A request arrived.
+ * @tag: given back in an action
+ * @needed: expected time from admission to answer; a request that cannot make
+ * its deadline is refused now
+ *
+ * Return: 0 when admitted now, 1 when it waits (an action follows),
+ * BW_E_RATE, BW_E_CONCURRENCY, BW_E_DEADLINE or BW_E_FULL.
+ */
+int admission_offer(admission_t *admission, const char *customer, uint64_t tag,
+    usec_t deadline, usec_t needed, usec_t now);
+
+/** admission_finish() - An admitted request ended. */
+void admission_finish(admission_t *admission, const char *customer, usec_t now);
+
+/** admission_withdraw() - The caller of a waiting request has gone. */
+void admission_withdraw(admission_t *admission, uint64_t tag);
+
+/** admission_tick() - Refuses what can no longer make its deadline. */
+void admission_tick(admission_t *admission, usec_t now);
+
+bool admission_next_action(admission_t *admission, admission_action_t *action);
+
+/** admission_demand() - Requests offered per second lately, admitted or not. */
+double admission_demand(
+    admission_t *admission, const char *customer, usec_t now);
+
+/** admission_retry_after() - When the rate allows the next request. */
+usec_t admission_retry_after(
+    admission_t *admission, const char *customer, usec_t now);
+
+void admission_get_stats(const admission_t *admission, const char *customer,
+    admission_stats_t *stats);
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/contract.h
@@ -0,0 +1,70 @@
+#ifndef BULRUSHWELL_CONTRACT_H
+#define BULRUSHWELL_CONTRACT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bulrushwell/name.h"
+#include "bulrushwell/slice.h"
+
+/**
+ * DOC: Contract of one customer
+ *
+ * The JSON object has exactly these fields:
+ * customer (name), state ("in_force" or "retired"), callers (array of
+ * {"name", "key_sha256"}), may_query (array of index names), may_reserve
+ * (array of service names), rate_per_s (number), concurrency (integer),
+ * deadline_ms (integer), repeat_window_h (integer), operation (token of the
+ * change), changed_by (who made it). The version is the platform object's.
+ */
+#define CONTRACT_MAX_CALLERS 64
+#define CONTRACT_MAX_NAMES 256
+#define CONTRACT_MIN_RATE 0.1
+#define CONTRACT_MAX_RATE 1e6
+#define CONTRACT_MAX_CONCURRENCY 100000
+#define CONTRACT_MIN_DEADLINE_MS 10
+#define CONTRACT_MAX_DEADLINE_MS 10000
+#define CONTRACT_MAX_REPEAT_WINDOW_H 720
+#define CONTRACT_MAX_TEXT 65536
+
+typedef struct contract contract_t;
+
+/**
+ * contract_parse() - Reads and checks a contract.
+ * @text: JSON
+ * @version: the version of the platform object
+ * @contract: set to a contract with one reference that the caller owns
+ * @why: on error, one sentence that names the field and the remedy
+ *
+ * Return: 0 or BW_E_INVALID.
+ */
+int contract_parse(slice_t text, uint64_t version, contract_t **contract,
+    char *why, size_t why_size);
+
+contract_t *contract_keep(contract_t *contract);
+void contract_drop(contract_t *contract);
+
+const char *contract_customer(const contract_t *contract);
+uint64_t contract_version(const contract_t *contract);
+bool contract_is_retired(const contract_t *contract);
+double contract_rate_per_s(const contract_t *contract);
+uint32_t contract_concurrency(const contract_t *contract);
+uint32_t contract_deadline_ms(const contract_t *contract);
+uint32_t contract_repeat_window_h(const contract_t *contract);
+const char *contract_operation(const contract_t *contract);
+const char *contract_changed_by(const contract_t *contract);
+bool contract_may_query(const contract_t *contract, const char *index);
+bool contract_may_reserve(const contract_t *contract, const char *service);
+
+/** contract_text() - The JSON text as it was parsed, to pass on to peers. */
+slice_t contract_text(const contract_t *contract);
+
+size_t contract_caller_count(const contract_t *contract);
+const char *contract_caller_name(const contract_t *contract, size_t i);
+
+/** contract_caller_digest() - The 32 bytes of a caller key's SHA-256. */
+const unsigned char *contract_caller_digest(
+    const contract_t *contract, size_t i);
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/event.h
@@ -0,0 +1,100 @@
+#ifndef BULRUSHWELL_EVENT_H
+#define BULRUSHWELL_EVENT_H
+
+#include <stdint.h>
+
+/**
+ * DOC: Numbered log events
+ *
+ * Every log line is an event of this list: number, name, level (log4c
+ * priority) and description. docs/EVENTS.md is the catalogue; a test compares
+ * the two. Numbers are never reused.
+ */
+#define BW_EVENT_LIST(X)                                                       \
+	X(NODE_STARTED, 100, INFO, "the node listens on its addresses")        \
+	X(NODE_READY, 101, INFO, "the node accepts callers")                   \
+	X(NODE_NOT_READY, 102, WARN, "the node refuses callers")               \
+	X(NODE_STOPPING, 103, INFO, "a planned stop began")                    \
+	X(NODE_STOPPED, 104, INFO, "the node ends")                            \
+	X(NODE_STOP_CUT, 105, ERROR, "a stop cut requests that still ran")     \
+	X(SETTINGS_REFUSED, 106, ERROR, "a setting is wrong; the node ends")   \
+	X(PLATFORM_LOST, 200, WARN, "the platform stopped answering")          \
+	X(PLATFORM_FOUND, 201, INFO, "the platform answers again")             \
+	X(PLATFORM_BAD_REPLY, 202, ERROR, "the platform sent a bad object")    \
+	X(CONTRACT_ADOPTED, 300, INFO, "a contract version is in force here")  \
+	X(CONTRACT_REFUSED, 301, ERROR, "a contract object is not valid")      \
+	X(CONTRACT_STALE, 302, INFO, "an older contract version was ignored")  \
+	X(CATALOGUE_ADOPTED, 310, INFO, "a service or index version is used")  \
+	X(CATALOGUE_REFUSED, 311, ERROR, "a service or index is not valid")    \
+	X(PEER_UP, 400, INFO, "a peer answers")                                \
+	X(PEER_SILENT, 401, WARN, "a peer stopped answering")                  \
+	X(PEER_REPLACED, 402, INFO, "a peer has a new incarnation")            \
+	X(PEER_GONE, 403, INFO, "a peer's incarnation is proven gone")         \
+	X(PEER_REJECTED, 404, WARN,                                            \
+	    "a message of an unlisted peer was dropped")                       \
+	X(PEER_BAD_MESSAGE, 405, WARN, "a peer message could not be decoded")  \
+	X(ASSIGNMENT_ADOPTED, 500, INFO, "an assignment version is in force")  \
+	X(ASSIGNMENT_PROPOSED, 501, INFO, "a change of assignment is written") \
+	X(ASSIGNMENT_REFUSED, 502, ERROR, "an assignment breaks its rules")    \
+	X(ASSIGNMENT_CONFLICT, 503, INFO, "another node changed it first")     \
+	X(TAKEOVER, 504, WARN, "the standby serves a service")                 \
+	X(HANDOVER, 505, INFO, "a stopping node gave up its share")            \
+	X(SERVER_LEAVING, 600, INFO, "a server announced that it leaves")      \
+	X(SERVER_SILENT, 601, WARN, "connections to a server went silent")     \
+	X(SERVER_LYING, 602, WARN, "a server's reply names another request")   \
+	X(SERVER_DOWN, 603, WARN, "a server fails repeatedly")                 \
+	X(SERVER_UP, 604, INFO, "a server answers again")                      \
+	X(SUSPECT_ADDED, 610, WARN, "a request ran when a server died")        \
+	X(SUSPECT_REFUSED, 611, WARN,                                          \
+	    "a request that kills servers is refused")                         \
+	X(CLAIM_CONFLICT, 700, INFO, "another node wrote the claim bucket")    \
+	X(CLAIM_UNKNOWN, 701, WARN, "a reservation's outcome is not known")    \
+	X(CLAIM_READ_BACK, 702, WARN, "a claim write's answer was lost")       \
+	X(INVARIANT_BROKEN, 900, FATAL, "an internal invariant does not hold")
+
+typedef enum {
+#define X(name, number, level, text) EVENT_##name = number,
+	BW_EVENT_LIST(X)
+#undef X
+} event_number_t;
+
+/**
+ * event_open() - Opens the log.
+ * @program: name of the log4c category
+ * @node: name that each line carries
+ */
+void event_open(const char *program, const char *node);
+
+/** event_close() - Closes the log. */
+void event_close(void);
+
+/** event_log() - Logs and counts one event. */
+void event_log(event_number_t number, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** event_count() - How often an event was logged by this process. */
+uint64_t event_count(event_number_t number);
+
+/** event_name() - The name of an event, or NULL. */
+const char *event_name(int number);
+
+/** event_list() - The numbers of all events, ended by 0. */
+const int *event_list(void);
+
+/** event_broken_invariant() - Used by INVARIANT(). */
+void event_broken_invariant(const char *file, int line, const char *condition,
+    const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+/**
+ * INVARIANT() - Checks a rule that must always hold. Always compiled in;
+ * counted and logged, and fatal when BW_FATAL_INVARIANTS is defined or the
+ * environment has BULRUSHWELL_FATAL_INVARIANTS=1.
+ */
+#define INVARIANT(condition, ...)                                         \
+	do {                                                              \
+		if (!(condition))                                         \
+			event_broken_invariant(                           \
+			    __FILE__, __LINE__, #condition, __VA_ARGS__); \
+	} while (0)
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/scheduler.h
@@ -0,0 +1,176 @@
+#ifndef BULRUSHWELL_SCHEDULER_H
+#define BULRUSHWELL_SCHEDULER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bulrushwell/body.h"
+#include "bulrushwell/catalogue.h"
+#include "bulrushwell/clock.h"
+#include "bulrushwell/id.h"
+#include "bulrushwell/suspect.h"
+#include "bulrushwell/table.h"
+
+/**
+ * DOC: Scheduler of one upstream service
+ *
+ * Runs on the serving node: queues sub-requests fairly between customers,
+ * chooses a server for each attempt, hedges, cancels, and keeps a slot charged
+ * until the server is known not to run the attempt any more.
+ */
+#define SCHEDULER_MAX_JOBS 20000
+#define SCHEDULER_HEDGE_BUDGET 0.05 /* extra attempts per first attempt */
+#define SCHEDULER_KEY_SIZE 256	    /* idempotency key with its final NUL */
+
+typedef enum {
+	JOB_SHARD,	/* idempotent: may be hedged and retried */
+	JOB_RESERVATION /* runs once: retried only when it was never sent */
+} job_kind_t;
+
+/** typedef job_t - One sub-request. The scheduler keeps its own body reference.
+ */
+typedef struct {
+	job_kind_t kind;
+	uint64_t tag; /* given back in the reply */
+	id128_t query;
+	uint32_t shard;
+	uint64_t index_version;
+	name_t index;
+	name_t customer;
+	uint32_t weight; /* of the customer in the fair queue, at least 1 */
+	usec_t deadline;
+	uint64_t fingerprint;
+	char key[SCHEDULER_KEY_SIZE]; /* JOB_RESERVATION */
+	body_t *body;
+} job_t;
+
+typedef enum {
+	ATTEMPT_OK,
+	ATTEMPT_NOT_SENT,     /* no connection was made: nothing was sent */
+	ATTEMPT_SHED,	      /* the server says it did not run it */
+	ATTEMPT_DRAINING,     /* the server says it did not run it and leaves */
+	ATTEMPT_VERSION_GONE, /* the server no longer has the index version */
+	ATTEMPT_WRONG_SHARD,  /* the server does not hold the shard */
+	ATTEMPT_MISMATCH, /* the reply names another request, shard, version */
+	ATTEMPT_DIED,	  /* the connection ended after sending */
+	ATTEMPT_TIMEOUT,  /* the deadline passed */
+	ATTEMPT_FAILED	  /* an error status or a malformed reply */
+} attempt_result_t;
+
+typedef struct {
+	attempt_result_t result;
+	int http_status;
+	bool announced_drain; /* the reply carried X-Draining */
+	bool reused;	      /* it ran on a connection used before */
+	body_t *body;	      /* borrowed */
+} attempt_outcome_t;
+
+typedef struct {
+	enum {
+		SCHEDULER_START,  /* send an attempt */
+		SCHEDULER_CANCEL, /* ask the server to cancel an attempt */
+		SCHEDULER_REPLY,  /* the job ended */
+		SCHEDULER_CRASH	  /* a server died while a request ran */
+	} kind;
+	handle_t attempt; /* START, CANCEL */
+	id128_t
+	    attempt_id;	   /* START, CANCEL: X-Request-Id, unique per attempt */
+	address_t address; /* START, CANCEL */
+	bool fresh;	   /* START: use a new connection */
+	usec_t retire_before; /* START: do not reuse connections made before */
+	const job_t *job;     /* START, REPLY: borrowed until the next call */
+	int error;	      /* REPLY: 0 or BW_E_... */
+	int http_status;      /* REPLY */
+	body_t *body;	      /* REPLY: borrowed until the next call */
+	uint64_t fingerprint; /* CRASH */
+	uint64_t crash;	      /* CRASH: see suspect_crashed() */
+} scheduler_action_t;
+
+/** typedef scheduler_stats_t - Counters since creation. */
+typedef struct {
+	uint64_t jobs;
+	uint64_t attempts;
+	uint64_t hedges;
+	uint64_t hedge_wins;
+	uint64_t retries;
+	uint64_t cancels;
+	uint64_t refused; /* jobs that ended without an attempt */
+	uint64_t mismatches;
+	uint32_t queued;      /* now */
+	uint32_t running;     /* now: attempts charged to servers */
+	uint32_t max_charged; /* most attempts charged to one server, ever */
+} scheduler_stats_t;
+
+typedef struct scheduler scheduler_t;
+
+/**
+ * scheduler_create() - A scheduler without servers.
+ * @suspects: borrowed; read for verdicts and told of crashes and answers
+ * @seed: of the generator that breaks ties, for repeatable tests
+ */
+scheduler_t *scheduler_create(
+    const char *service, suspect_list_t *suspects, uint64_t seed);
+void scheduler_destroy(scheduler_t *scheduler);
+
+/**
+ * scheduler_set_servers() - Adopts the service's servers. A server that is no
+ * longer listed, or is listed as leaving, gets no new attempts; a new
+ * incarnation starts with a clean record.
+ */
+void scheduler_set_servers(
+    scheduler_t *scheduler, const service_t *service, usec_t now);
+
+/** scheduler_server_leaving() - Evidence from health, load or the VM list. */
+void scheduler_server_leaving(
+    scheduler_t *scheduler, const char *server, usec_t now);
+
+/**
+ * scheduler_submit() - Queues a job.
+ *
+ * Return: 0, BW_E_FULL, BW_E_SUSPECT, BW_E_NOT_FOUND (no server), or
+ * BW_E_OVERLOADED when the queue makes the deadline unreachable. On error the
+ * job was not taken and no REPLY follows.
+ */
+int scheduler_submit(scheduler_t *scheduler, const job_t *job, usec_t now);
+
+/** scheduler_cancel_query() - Drops all jobs of a query without a REPLY. */
+void scheduler_cancel_query(scheduler_t *scheduler, id128_t query, usec_t now);
+
+/** scheduler_attempt_ended() - An attempt's outcome; stale handles count only.
+ */
+void scheduler_attempt_ended(scheduler_t *scheduler, handle_t attempt,
+    const attempt_outcome_t *outcome, usec_t now);
+
+/**
+ * scheduler_cancel_ended() - The answer to a cancellation.
+ * @confirmed: the server says that the attempt is not running
+ */
+void scheduler_cancel_ended(
+    scheduler_t *scheduler, handle_t attempt, bool confirmed, usec_t now);
+
+/**
+ * scheduler_run() - Makes all decisions that are due.
+ * @limit: attempts that may be charged to each server now
+ * @longest: attempts are dispatched only with at most this much time left
+ */
+void scheduler_run(
+    scheduler_t *scheduler, uint32_t limit, usec_t longest, usec_t now);
+
+bool scheduler_next_action(scheduler_t *scheduler, scheduler_action_t *action);
+
+/** scheduler_next_wakeup() - When scheduler_run() is due by time; 0: never. */
+usec_t scheduler_next_wakeup(const scheduler_t *scheduler);
+
+/** scheduler_charged() - The most attempts charged to any server now. */
+uint32_t scheduler_charged(const scheduler_t *scheduler);
+
+/** scheduler_wait_estimate() - Expected queueing time of a new job. */
+usec_t scheduler_wait_estimate(const scheduler_t *scheduler);
+
+/** scheduler_latency() - Recent attempt latencies in microseconds, borrowed. */
+const struct histogram *scheduler_latency(const scheduler_t *scheduler);
+
+void scheduler_get_stats(
+    const scheduler_t *scheduler, scheduler_stats_t *stats);
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/slice.h
@@ -0,0 +1,33 @@
+#ifndef BULRUSHWELL_SLICE_H
+#define BULRUSHWELL_SLICE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+
+/** typedef slice_t - Bytes owned by somebody else. */
+typedef struct {
+	const char *data;
+	size_t size;
+} slice_t;
+
+static inline slice_t
+slice_from(const char *text)
+{
+	return (slice_t){text, strlen(text)};
+}
+
+static inline bool
+slice_equal(slice_t a, slice_t b)
+{
+	return a.size == b.size &&
+	    (a.size == 0 || memcmp(a.data, b.data, a.size) == 0);
+}
+
+static inline bool
+slice_is(slice_t a, const char *text)
+{
+	return slice_equal(a, slice_from(text));
+}
+
+#endif
--- /dev/null
+++ b/source/base/clock.c
@@ -0,0 +1,24 @@
+#include "bulrushwell/clock.h"
+
+#include <time.h>
+
+static usec_t
+read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (usec_t)ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+usec_t
+clock_monotonic(void)
+{
+	return read_clock(CLOCK_BOOTTIME);
+}
+
+usec_t
+clock_wall(void)
+{
+	return read_clock(CLOCK_REALTIME);
+}
--- /dev/null
+++ b/source/base/codec.c
@@ -0,0 +1,169 @@
+#include "bulrushwell/codec.h"
+
+#include <string.h>
+
+#include "bulrushwell/error.h"
+
+void
+writer_init(writer_t *writer)
+{
+	msgpack_sbuffer_init(&writer->buffer);
+	msgpack_packer_init(
+	    &writer->packer, &writer->buffer, msgpack_sbuffer_write);
+}
+
+void
+writer_clear(writer_t *writer)
+{
+	msgpack_sbuffer_destroy(&writer->buffer);
+}
+
+void
+writer_array(writer_t *writer, size_t count)
+{
+	msgpack_pack_array(&writer->packer, count);
+}
+
+void
+writer_int(writer_t *writer, int64_t value)
+{
+	msgpack_pack_int64(&writer->packer, value);
+}
+
+void
+writer_uint(writer_t *writer, uint64_t value)
+{
+	msgpack_pack_uint64(&writer->packer, value);
+}
+
+void
+writer_bytes(writer_t *writer, slice_t bytes)
+{
+	msgpack_pack_bin(&writer->packer, bytes.size);
+	msgpack_pack_bin_body(&writer->packer, bytes.data, bytes.size);
+}
+
+void
+writer_text(writer_t *writer, const char *text)
+{
+	writer_bytes(writer, slice_from(text));
+}
+
+void
+writer_id(writer_t *writer, id128_t id)
+{
+	writer_uint(writer, id.hi);
+	writer_uint(writer, id.lo);
+}
+
+void
+reader_init(reader_t *reader, const msgpack_object *array)
+{
+	*reader = (reader_t){0};
+	if (array->type != MSGPACK_OBJECT_ARRAY) {
+		reader->error = BW_E_PROTOCOL;
+		return;
+	}
+	reader->items = array->via.array.ptr;
+	reader->count = array->via.array.size;
+}
+
+static const msgpack_object *
+next_item(reader_t *reader)
+{
+	if (reader->error != 0)
+		return NULL;
+	if (reader->next == reader->count) {
+		reader->error = BW_E_PROTOCOL;
+		return NULL;
+	}
+	return &reader->items[reader->next++];
+}
+
+int64_t
+reader_int(reader_t *reader)
+{
+	const msgpack_object *item = next_item(reader);
+
+	if (item == NULL)
+		return 0;
+	if (item->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return item->via.i64;
+	if (item->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    item->via.u64 <= INT64_MAX)
+		return (int64_t)item->via.u64;
+	reader->error = BW_E_PROTOCOL;
+	return 0;
+}
+
+uint64_t
+reader_uint(reader_t *reader)
+{
+	const msgpack_object *item = next_item(reader);
+
+	if (item == NULL)
+		return 0;
+	if (item->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return item->via.u64;
+	reader->error = BW_E_PROTOCOL;
+	return 0;
+}
+
+slice_t
+reader_bytes(reader_t *reader)
+{
+	const msgpack_object *item = next_item(reader);
+
+	if (item != NULL && item->type == MSGPACK_OBJECT_BIN)
+		return (slice_t){item->via.bin.ptr, item->via.bin.size};
+	if (item != NULL)
+		reader->error = BW_E_PROTOCOL;
+	return (slice_t){"", 0};
+}
+
+id128_t
+reader_id(reader_t *reader)
+{
+	id128_t id;
+
+	id.hi = reader_uint(reader);
+	id.lo = reader_uint(reader);
+	return id;
+}
+
+reader_t
+reader_array(reader_t *reader, uint32_t max)
+{
+	const msgpack_object *item = next_item(reader);
+	reader_t nested = {0};
+
+	if (item != NULL)
+		reader_init(&nested, item);
+	if (item == NULL || nested.error != 0 || nested.count > max) {
+		reader->error = BW_E_PROTOCOL;
+		return (reader_t){.error = BW_E_PROTOCOL};
+	}
+	return nested;
+}
+
+int
+reader_error(const reader_t *reader)
+{
+	return reader->error;
+}
+
+void
+reader_text(reader_t *reader, char *text, size_t size)
+{
+	slice_t bytes = reader_bytes(reader);
+
+	text[0] = '\0';
+	if (reader->error != 0)
+		return;
+	if (bytes.size >= size || memchr(bytes.data, '\0', bytes.size)) {
+		reader->error = BW_E_PROTOCOL;
+		return;
+	}
+	memcpy(text, bytes.data, bytes.size);
+	text[bytes.size] = '\0';
+}
