--- a/Makefile
+++ b/Makefile
@@ -56,27 +56,33 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -c -o $@ $<
+	@echo "CC $@"
+	@$(CC) $(CFLAGS) -c -o $@ $<
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
-	ar rcs $@ $^
+	@echo "AR $@"
+	@ar rcs $@ $^
 
 $(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+	@echo "LD $@"
+	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/bin/%: $(BUILD)/fakes/%.o $(FAKE_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+	@echo "LD $@"
+	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/bin/%: $(BUILD)/bench/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
+	@echo "LD $@"
+	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(OPT) -o $@ $^ $(PKG_LIBS) -lcmocka
+	@echo "LD $@"
+	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS) -lcmocka
 
 # Runs every test but those that KNOWN-RED.txt lists, which are printed.
 check: all tests
@@ -86,7 +92,7 @@
 	clang-format -i $(ALL_C) $(ALL_H)
 
 format-check:
-	clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
+	@clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
 
 lint:
 	cppcheck --quiet --std=c11 --enable=warning,portability,performance \
--- a/include/bulrushwell/membership.h
+++ b/include/bulrushwell/membership.h
@@ -2,6 +2,7 @@
 #define BULRUSHWELL_MEMBERSHIP_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "bulrushwell/clock.h"
--- /dev/null
+++ b/include/bulrushwell/settings.h
@@ -0,0 +1,61 @@
+#ifndef BULRUSHWELL_SETTINGS_H
+#define BULRUSHWELL_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "bulrushwell/name.h"
+
+/**
+ * DOC: Settings of the daemon
+ *
+ * Flags, or environment variables named BULRUSHWELL_ and the flag in upper
+ * case with '_' for '-'. A flag wins over the environment. Settings say who
+ * and where the process is; none tunes it.
+ *
+ * --node NAME, --vm NAME, --cell NAME, --data-centre NAME,
+ * --caller-address IP:PORT, --operator-address IP:PORT (default
+ * 127.0.0.1:9100), --peer-address IP:PORT, --platform IP:PORT,
+ * --peers NODE@IP:PORT,... (may be empty), --peer-key-file PATH (40 characters
+ * of Z85, the secret shared by all nodes; none: peers are not authenticated,
+ * allowed only when every peer address is a loopback one), --check (test the
+ * settings and end), --version.
+ */
+#define SETTINGS_MAX_PEERS 64
+#define SETTINGS_PEER_KEY_SIZE 41
+
+typedef struct {
+	name_t node;
+	address_t address;
+} settings_peer_t;
+
+typedef struct {
+	name_t node;
+	name_t vm;
+	name_t cell;
+	name_t data_centre;
+	address_t caller_address;
+	address_t operator_address;
+	address_t peer_address;
+	address_t platform;
+	size_t peer_count;
+	settings_peer_t peers[SETTINGS_MAX_PEERS];
+	char peer_key[SETTINGS_PEER_KEY_SIZE]; /* empty: none */
+	bool check_only;
+	bool version_only;
+} settings_t;
+
+/**
+ * settings_load() - Reads and checks flags and environment.
+ * @why: on error, names the setting and the remedy; never holds a secret
+ *
+ * Refuses unknown flags, unknown BULRUSHWELL_ variables, missing, malformed,
+ * and contradictory settings (two addresses that are the same, a peer that is
+ * the node itself, a peer named twice).
+ *
+ * Return: 0 or BW_E_SETTINGS.
+ */
+int settings_load(
+    int argc, char **argv, settings_t *settings, char *why, size_t why_size);
+
+#endif
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Runs all test programs of $BUILD and prints the number of tests that passed
+# and failed. Unit tests run side by side; process tests (test_process_*) run
+# a few at a time because each starts a small tier.
+set -u
+cd "$(dirname "$0")/.."
+build=${BUILD:-build/release}
+logs=$build/test-logs
+rm -rf "$logs"
+mkdir -p "$logs"
+export BUILD=$build
+run_one() {
+	name=$(basename "$1")
+	timeout 900 "$1" > "$2/$name.log" 2>&1
+	echo $? > "$2/$name.rc"
+}
+export -f run_one
+printf '%s\n' "$build"/tests/test_* | grep -v '\.[od]$' |
+    grep -v /test_process_ |
+    xargs -r -P 6 -I{} bash -c 'run_one "$0" "$1"' {} "$logs"
+printf '%s\n' "$build"/tests/test_process_* | grep -v '\.[od]$' |
+    grep -v '\*' |
+    xargs -r -P 3 -I{} bash -c 'run_one "$0" "$1"' {} "$logs"
+passed=0
+failed=0
+for rc in "$logs"/*.rc; do
+	log=${rc%.rc}.log
+	name=$(basename "$log" .log)
+	p=$(sed -n 's/.*\[  PASSED  \] \([0-9]*\) test(s).*/\1/p' "$log" |
+	    tail -n 1)
+	f=$(grep -c '^\[  FAILED  \] [a-z_0-9]*$' "$log")
+	status=$(cat "$rc")
+	[ "$status" != 0 ] && [ "$f" = 0 ] && f=1
+	grep 'KNOWN RED' "$log"
+	if [ "$status" != 0 ]; then
+		echo "--- $name failed (exit $status); its log:"
+		tail -n 60 "$log"
+	fi
+	echo "$name: ${p:-0} passed, $f failed"
+	passed=$((passed + ${p:-0}))
+	failed=$((failed + f))
+done
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ] && [ "$passed" != 0 ]
