--- /dev/null
+++ b/include/bulrushwell/http_server.h
@@ -0,0 +1,74 @@
+#ifndef BULRUSHWELL_HTTP_SERVER_H
+#define BULRUSHWELL_HTTP_SERVER_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bulrushwell/body.h"
+
+/**
+ * DOC: HTTP server on libmicrohttpd and libev
+ *
+ * Runs in the loop's thread. An exchange stays open until it is answered; a
+ * slow answer blocks nobody else.
+ */
+#define HTTP_SERVER_MAX_BODY 1048576
+#define HTTP_SERVER_MAX_CONNECTIONS 8192
+
+typedef struct http_server http_server_t;
+typedef struct http_exchange http_exchange_t;
+
+/**
+ * typedef http_handler_t - Called once per complete request. It answers now
+ * or later with http_exchange_answer().
+ */
+typedef void (*http_handler_t)(void *context, http_exchange_t *exchange);
+
+/** typedef http_abandon_t - The caller closed before it was answered. */
+typedef void (*http_abandon_t)(void *exchange_context);
+
+/**
+ * http_server_create() - Listens on a numeric "IP:PORT".
+ *
+ * Return: NULL when the address cannot be used.
+ */
+http_server_t *http_server_create(struct ev_loop *loop, const char *address,
+    http_handler_t handler, void *context);
+
+/** http_server_close_listener() - Accepts no further connections. */
+void http_server_close_listener(http_server_t *server);
+
+/** http_server_set_closing() - Answers carry "Connection: close". */
+void http_server_set_closing(http_server_t *server);
+
+/** http_server_open_exchanges() - Requests that are not fully answered. */
+uint32_t http_server_open_exchanges(const http_server_t *server);
+
+void http_server_destroy(http_server_t *server);
+
+const char *http_exchange_method(const http_exchange_t *exchange);
+const char *http_exchange_path(const http_exchange_t *exchange);
+
+/** http_exchange_header() - The value of a request header, or NULL. */
+const char *http_exchange_header(
+    const http_exchange_t *exchange, const char *name);
+slice_t http_exchange_body(const http_exchange_t *exchange);
+
+/** http_exchange_is_too_large() - The body was over HTTP_SERVER_MAX_BODY. */
+bool http_exchange_is_too_large(const http_exchange_t *exchange);
+
+/** http_exchange_on_abandon() - Called at most once, never after the answer. */
+void http_exchange_on_abandon(
+    http_exchange_t *exchange, http_abandon_t abandon, void *context);
+
+/**
+ * http_exchange_answer() - Sends the answer; the exchange must not be used
+ * afterwards.
+ * @retry_after_ms: for a Retry-After header, rounded up to seconds; 0: none
+ */
+void http_exchange_answer(http_exchange_t *exchange, int status,
+    const char *content_type, slice_t body, int64_t retry_after_ms);
+
+#endif
--- /dev/null
+++ b/source/node/blackboard.c
@@ -0,0 +1,104 @@
+#include "blackboard.h"
+
+#include <string.h>
+
+#include "bulrushwell/id.h"
+
+/* Milliseconds since 1970 in the high bits, so that a later start compares
+ * higher; random low bits tell starts of the same millisecond apart. */
+static uint64_t
+make_incarnation(void)
+{
+	uint64_t ms = (uint64_t)(clock_wall() / USEC_PER_MS);
+
+	return ms << 20 | (id64_random() & 0xfffff);
+}
+
+void
+blackboard_init(blackboard_t *board, const settings_t *settings)
+{
+	memset(board, 0, sizeof(*board));
+	board->settings = *settings;
+	board->incarnation = make_incarnation();
+	board->contracts = contract_store_create();
+	board->catalogue = catalogue_create();
+	board->membership = membership_create(settings->node, settings->vm,
+	    board->incarnation, clock_monotonic());
+	board->ledger = ledger_create();
+	board->allowance = allowance_create();
+	board->admission = admission_create();
+	board->suspects = suspect_list_create();
+}
+
+void
+blackboard_clear(blackboard_t *board)
+{
+	contract_store_destroy(board->contracts);
+	catalogue_destroy(board->catalogue);
+	assignment_destroy(board->assignment);
+	membership_destroy(board->membership);
+	ledger_destroy(board->ledger);
+	allowance_destroy(board->allowance);
+	admission_destroy(board->admission);
+	suspect_list_destroy(board->suspects);
+}
+
+usec_t
+blackboard_longest(const blackboard_t *board, usec_t now)
+{
+	return contract_store_longest_deadline(board->contracts, now);
+}
+
+bool
+blackboard_is_self(const blackboard_t *board, const holder_t *holder)
+{
+	return holder->incarnation == board->incarnation &&
+	    strcmp(holder->node, board->settings.node) == 0;
+}
+
+bool
+blackboard_is_isolated(const blackboard_t *board, usec_t now)
+{
+	return membership_is_isolated(board->membership, now);
+}
+
+static bool
+is_usable(
+    const blackboard_t *board, const holder_t *holder, bool accept_stopping)
+{
+	const peer_t *peer;
+
+	if (holder->slots == 0)
+		return false;
+	if (blackboard_is_self(board, holder))
+		return accept_stopping || board->state != NODE_STATE_STOPPING;
+	peer = membership_find(board->membership, holder->node);
+	if (peer == NULL || !peer->live ||
+	    peer->incarnation != holder->incarnation)
+		return false;
+	return accept_stopping || peer->state != NODE_STATE_STOPPING;
+}
+
+const char *
+blackboard_route(
+    const blackboard_t *board, const char *service, const char *except)
+{
+	const assigned_service_t *entry;
+
+	if (board->assignment == NULL)
+		return NULL;
+	entry = assignment_find_service(board->assignment, service);
+	if (entry == NULL)
+		return NULL;
+	for (int accept = 0; accept < 2; accept++) {
+		for (uint32_t i = 0; i < entry->holder_count; i++) {
+			const holder_t *holder = &entry->holders[i];
+
+			if (except != NULL && strcmp(except, holder->node) == 0)
+				continue;
+			if (is_usable(board, holder, accept == 1))
+				return holder->node;
+		}
+	}
+	return NULL;
+}
--- /dev/null
+++ b/source/node/blackboard.h
@@ -0,0 +1,60 @@
+#ifndef NODE_BLACKBOARD_H
+#define NODE_BLACKBOARD_H
+
+#include <stdbool.h>
+
+#include "bulrushwell/admission.h"
+#include "bulrushwell/allowance.h"
+#include "bulrushwell/assignment.h"
+#include "bulrushwell/catalogue.h"
+#include "bulrushwell/contract_store.h"
+#include "bulrushwell/ledger.h"
+#include "bulrushwell/membership.h"
+#include "bulrushwell/settings.h"
+#include "bulrushwell/suspect.h"
+
+/**
+ * typedef blackboard_t - State that the controllers of a node share. Each
+ * entry names the controller that writes it; all others only read.
+ */
+typedef struct {
+	settings_t settings;	     /* main */
+	uint64_t incarnation;	     /* node */
+	node_state_t state;	     /* stop controller */
+	contract_store_t *contracts; /* configuration controller */
+	catalogue_t *catalogue;	     /* configuration controller */
+	uint64_t config_digest;	     /* configuration controller */
+	bool config_known;	     /* configuration controller */
+	assignment_t *assignment;    /* configuration controller; NULL: none */
+	membership_t *membership;    /* peer controller */
+	ledger_t *ledger;	     /* assignment and peer controllers */
+	allowance_t *allowance;	     /* assignment and peer controllers */
+	admission_t *admission;	     /* limits controller */
+	suspect_list_t *suspects;    /* serving controller */
+	usec_t platform_heard_at;    /* platform events; 0: never */
+	bool platform_reachable;     /* platform events */
+} blackboard_t;
+
+void blackboard_init(blackboard_t *board, const settings_t *settings);
+void blackboard_clear(blackboard_t *board);
+
+/** blackboard_longest() - The longest deadline in force. */
+usec_t blackboard_longest(const blackboard_t *board, usec_t now);
+
+/** blackboard_is_self() - Whether a holder is this incarnation. */
+bool blackboard_is_self(const blackboard_t *board, const holder_t *holder);
+
+/** blackboard_is_isolated() - Neither platform nor peers have been heard. */
+bool blackboard_is_isolated(const blackboard_t *board, usec_t now);
+
+/**
+ * blackboard_route() - The node that serves a service now.
+ * @except: a node to leave out, or NULL
+ *
+ * The first live holder that is not stopping, else the first live one; NULL
+ * when there is none.
+ */
+const char *blackboard_route(
+    const blackboard_t *board, const char *service, const char *except);
+
+#endif
--- /dev/null
+++ b/source/node/node.c
@@ -0,0 +1,327 @@
+#include "node_private.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#define WAKEUP_MIN_MS 1 /* bounds the rate of timer wakeups */
+
+/* Logs when the answer to the balancer's readiness check changes. */
+static void
+note_readiness(node_t *node, usec_t now)
+{
+	bool ready = status_is_ready(node, now);
+
+	if (ready == node->was_ready)
+		return;
+	node->was_ready = ready;
+	event_log(ready ? EVENT_NODE_READY : EVENT_NODE_NOT_READY, "%s",
+	    blackboard_is_isolated(&node->board, now)
+		? "neither the platform nor a peer answers"
+		: "");
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	node_t *node = timer->data;
+	usec_t now = clock_monotonic();
+
+	if (node->board.state == NODE_STATE_STARTING &&
+	    node->board.config_known)
+		node->board.state = NODE_STATE_READY;
+	peer_tick(node, now);
+	assign_tick(node, now);
+	limits_tick(node, now);
+	stop_tick(node, now);
+	note_readiness(node, now);
+}
+
+static void
+on_wakeup(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	/* The work is done by node_settle() before the loop blocks again. */
+}
+
+static void
+take_earlier(usec_t *earliest, usec_t when)
+{
+	if (when != 0 && (*earliest == 0 || when < *earliest))
+		*earliest = when;
+}
+
+static void
+arm_wakeup(node_t *node)
+{
+	usec_t earliest = 0, now = clock_monotonic(), delay;
+
+	take_earlier(&earliest, serve_next_wakeup(node));
+	take_earlier(&earliest, query_next_deadline(node->queries));
+	take_earlier(&earliest, claim_next_wakeup(node->claims));
+	ev_timer_stop(node->loop, &node->wakeup);
+	if (earliest == 0)
+		return;
+	delay = MAX(earliest - now, MS(WAKEUP_MIN_MS));
+	ev_timer_set(&node->wakeup, (double)delay / USEC_PER_SEC, 0.0);
+	ev_timer_start(node->loop, &node->wakeup);
+}
+
+void
+node_settle(node_t *node)
+{
+	usec_t now = clock_monotonic();
+
+	query_tick(node->queries, now);
+	request_tick(node, now);
+	request_drain_admission(node);
+	query_drain(node);
+	reserve_drain(node, now);
+	serve_settle(node, now);
+	query_drain(node);
+	reserve_drain(node, now);
+	serve_flush(node);
+	request_drain_admission(node);
+	query_drain(node);
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+	node_t *node = prepare->data;
+
+	node_settle(node);
+	arm_wakeup(node);
+}
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	stop_begin(watcher->data);
+}
+
+static void
+on_platform_object(void *context, const platform_object_t *object)
+{
+	config_offer_platform_object(context, object);
+}
+
+static void
+on_platform_vms(void *context, const vm_entry_t *vms, size_t count)
+{
+	node_t *node = context;
+
+	membership_set_vms(
+	    node->board.membership, vms, count, clock_monotonic());
+}
+
+static void
+on_platform_heard(void *context)
+{
+	node_t *node = context;
+	usec_t now = clock_monotonic();
+
+	node->board.platform_heard_at = now;
+	membership_platform_heard(node->board.membership, now);
+	if (!node->board.platform_reachable)
+		event_log(
+		    EVENT_PLATFORM_FOUND, "%s", node->board.settings.platform);
+	node->board.platform_reachable = true;
+}
+
+static void
+on_platform_failed(void *context)
+{
+	node_t *node = context;
+
+	if (node->board.platform_reachable)
+		event_log(
+		    EVENT_PLATFORM_LOST, "%s", node->board.settings.platform);
+	node->board.platform_reachable = false;
+}
+
+static void
+on_registered(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	/* Another answer than OK is repaired by the next synchronisation. */
+}
+
+/* Writes this node's object, so that others learn its address. */
+static void
+on_node_object(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	node_t *node = context;
+	const settings_t *settings = &node->board.settings;
+	char object[512];
+
+	if (result != PLATFORM_OK && result != PLATFORM_ABSENT)
+		return;
+	snprintf(object, sizeof(object),
+	    "{\"node\":\"%s\",\"vm\":\"%s\",\"data_centre\":\"%s\","
+	    "\"address\":\"%s\",\"incarnation\":\"%llu\"}",
+	    settings->node, settings->vm, settings->data_centre,
+	    settings->peer_address,
+	    (unsigned long long)node->board.incarnation);
+	platform_write(node->platform, "node", settings->node,
+	    result == PLATFORM_OK ? version : 0, slice_from(object),
+	    on_registered, node);
+}
+
+static void
+on_platform_synced(void *context)
+{
+	node_t *node = context;
+
+	if (!node->board.config_known)
+		platform_read(node->platform, "node", node->board.settings.node,
+		    on_node_object, node);
+	node->board.config_known = true;
+}
+
+static bool
+open_servers(node_t *node, char *why, size_t why_size)
+{
+	const settings_t *settings = &node->board.settings;
+
+	node->callers = http_server_create(
+	    node->loop, settings->caller_address, request_handle, node);
+	if (node->callers == NULL) {
+		snprintf(why, why_size,
+		    "cannot listen on --caller-address %s; choose a free "
+		    "address of this VM",
+		    settings->caller_address);
+		return false;
+	}
+	node->operators = http_server_create(
+	    node->loop, settings->operator_address, status_handle, node);
+	if (node->operators == NULL) {
+		snprintf(why, why_size,
+		    "cannot listen on --operator-address %s; choose a free "
+		    "address of this VM",
+		    settings->operator_address);
+		return false;
+	}
+	node->peers = peer_socket_create(node->loop, settings->peer_address,
+	    settings->peer_key, peer_receive, node);
+	if (node->peers == NULL) {
+		snprintf(why, why_size,
+		    "cannot bind --peer-address %s; choose a free address of "
+		    "this VM and check the key in --peer-key-file",
+		    settings->peer_address);
+		return false;
+	}
+	return true;
+}
+
+static void
+start_watchers(node_t *node)
+{
+	ev_timer_init(&node->tick, on_tick, 0.0, NODE_TICK_MS / 1000.0);
+	node->tick.data = node;
+	ev_timer_start(node->loop, &node->tick);
+	ev_init(&node->wakeup, on_wakeup);
+	ev_prepare_init(&node->settle, on_prepare);
+	ev_set_priority(&node->settle, EV_MAXPRI);
+	node->settle.data = node;
+	ev_prepare_start(node->loop, &node->settle);
+	ev_signal_init(&node->sigterm, on_signal, SIGTERM);
+	node->sigterm.data = node;
+	ev_signal_start(node->loop, &node->sigterm);
+	ev_signal_init(&node->sigint, on_signal, SIGINT);
+	node->sigint.data = node;
+	ev_signal_start(node->loop, &node->sigint);
+}
+
+node_t *
+node_create(const settings_t *settings, char *why, size_t why_size)
+{
+	node_t *node = g_new0(node_t, 1);
+	query_router_t router = query_make_router(node);
+	platform_events_t events = {
+	    .context = node,
+	    .object = on_platform_object,
+	    .vms = on_platform_vms,
+	    .heard = on_platform_heard,
+	    .failed = on_platform_failed,
+	    .synced = on_platform_synced,
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	node->loop = ev_default_loop(EVFLAG_AUTO);
+	blackboard_init(&node->board, settings);
+	node->http = http_client_create(node->loop);
+	node->requests = table_create(sizeof(request_t), NODE_MAX_REQUESTS);
+	node->queries = query_set_create(&router);
+	node->forwarded =
+	    g_hash_table_new_full(id128_hash, id128_key_equal, g_free, g_free);
+	node->index_wait =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->customers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->claims = claim_table_create();
+	config_create(node);
+	serve_create(node);
+	if (!open_servers(node, why, why_size)) {
+		node_destroy(node);
+		return NULL;
+	}
+	peer_create(node);
+	node->platform =
+	    platform_client_create(node->loop, node->http, settings->platform,
+		"contract,service,index,assignment,node", &events);
+	start_watchers(node);
+	event_log(EVENT_NODE_STARTED,
+	    "incarnation %llu, callers %s, operators %s, peers %s",
+	    (unsigned long long)node->board.incarnation,
+	    settings->caller_address, settings->operator_address,
+	    settings->peer_address);
+	return node;
+}
+
+int
+node_run(node_t *node)
+{
+	ev_run(node->loop, 0);
+	event_log(EVENT_NODE_STOPPED, "%s",
+	    node->stop_cut ? "requests were cut" : "no request was cut");
+	return node->stop_cut ? 1 : 0;
+}
+
+static void
+free_customer(gpointer key, gpointer value, gpointer context)
+{
+	customer_stats_t *stats = value;
+
+	histogram_destroy(stats->query_latency);
+	histogram_destroy(stats->reservation_latency);
+	g_free(stats);
+}
+
+void
+node_destroy(node_t *node)
+{
+	if (node == NULL)
+		return;
+	ev_timer_stop(node->loop, &node->tick);
+	ev_timer_stop(node->loop, &node->wakeup);
+	ev_prepare_stop(node->loop, &node->settle);
+	ev_signal_stop(node->loop, &node->sigterm);
+	ev_signal_stop(node->loop, &node->sigint);
+	platform_client_destroy(node->platform);
+	http_server_destroy(node->callers);
+	http_server_destroy(node->operators);
+	peer_socket_destroy(node->peers);
+	http_client_destroy(node->http);
+	query_set_destroy(node->queries);
+	claim_table_destroy(node->claims);
+	serve_destroy(node);
+	config_destroy(node);
+	g_hash_table_foreach(node->customers, free_customer, NULL);
+	g_hash_table_destroy(node->customers);
+	g_hash_table_destroy(node->forwarded);
+	g_hash_table_destroy(node->index_wait);
+	table_destroy(node->requests);
+	table_destroy(node->reservations);
+	blackboard_clear(&node->board);
+	g_free(node);
+}
--- /dev/null
+++ b/source/node/node_assign.c
@@ -0,0 +1,336 @@
+#include "node_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What a plan is made from; arrays live until the plan is made. */
+typedef struct {
+	planner_input_t input;
+	GArray *nodes;
+	GArray *services;
+	GArray *releasable;
+} plan_basis_t;
+
+/* One conditional update of the assignment that runs. */
+typedef struct {
+	node_t *node;
+	char *text;
+} pending_write_t;
+
+static void
+add_self(node_t *node, GArray *nodes)
+{
+	const settings_t *settings = &node->board.settings;
+	planner_node_t self = {.incarnation = node->board.incarnation,
+	    .live = true,
+	    .ready = node->board.state == NODE_STATE_READY};
+
+	g_strlcpy(self.node, settings->node, sizeof(self.node));
+	g_strlcpy(
+	    self.data_centre, settings->data_centre, sizeof(self.data_centre));
+	g_array_append_val(nodes, self);
+}
+
+static void
+add_peers(node_t *node, GArray *nodes)
+{
+	const membership_t *membership = node->board.membership;
+
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const peer_t *peer = membership_at(membership, i);
+		planner_node_t entry = {.incarnation = peer->incarnation,
+		    .live = peer->live,
+		    .ready = peer->state == NODE_STATE_READY,
+		    .gone = peer->gone};
+
+		g_strlcpy(entry.node, peer->node, sizeof(entry.node));
+		g_strlcpy(entry.data_centre, peer->data_centre,
+		    sizeof(entry.data_centre));
+		g_array_append_val(nodes, entry);
+	}
+}
+
+static void
+add_services(node_t *node, GArray *services)
+{
+	const catalogue_t *catalogue = node->board.catalogue;
+
+	for (size_t i = 0; i < catalogue_service_count(catalogue); i++) {
+		const service_t *service = catalogue_service_at(catalogue, i);
+		planner_service_t entry = {.slots = service->slots,
+		    .connections = service->connections};
+
+		g_strlcpy(
+		    entry.service, service->service, sizeof(entry.service));
+		g_array_append_val(services, entry);
+	}
+}
+
+static uint32_t
+charged_attempts(node_t *node, const char *service)
+{
+	const served_t *served = g_hash_table_lookup(node->served, service);
+
+	return served != NULL ? scheduler_charged(served->scheduler) : 0;
+}
+
+/* Stops using a share and lists it as soon as it may be given up. */
+static void
+offer_release(node_t *node, GArray *releasable, const char *service, usec_t now)
+{
+	name_t name = "";
+
+	ledger_close_share(node->board.ledger, service);
+	if (!ledger_may_release(node->board.ledger, service,
+		charged_attempts(node, service), now))
+		return;
+	g_strlcpy(name, service, sizeof(name));
+	g_array_append_val(releasable, name);
+}
+
+static bool
+holds(const node_t *node, assigned_service_t *service)
+{
+	return assignment_find_holder(service, node->board.settings.node,
+		   node->board.incarnation) != NULL;
+}
+
+/* While stopping, peers must have moved to another holder first: a share is
+ * offered only when some other live holder can take over, or none exists. */
+static void
+add_releasable(node_t *node, plan_basis_t *basis, usec_t now)
+{
+	assignment_t *assignment = node->board.assignment;
+	const char *excess;
+
+	if (assignment == NULL)
+		return;
+	if (node->board.state == NODE_STATE_STOPPING) {
+		for (uint32_t i = 0; i < assignment->service_count; i++) {
+			assigned_service_t *entry = &assignment->services[i];
+
+			if (holds(node, entry) &&
+			    !blackboard_is_self(
+				&node->board, &entry->holders[0]))
+				offer_release(node, basis->releasable,
+				    entry->service, now);
+		}
+		return;
+	}
+	excess = planner_excess_service(assignment, &basis->input);
+	if (excess != NULL)
+		offer_release(node, basis->releasable, excess, now);
+}
+
+static uint32_t
+own_units(const node_t *node)
+{
+	if (node->board.assignment == NULL)
+		return 0;
+	return assignment_units(node->board.assignment,
+	    node->board.settings.node, node->board.incarnation);
+}
+
+/* Units are closed first and released when nothing of them can be in use. */
+static uint32_t
+units_to_release(node_t *node, const plan_basis_t *basis, usec_t now)
+{
+	uint32_t excess = node->board.state == NODE_STATE_STOPPING
+	    ? own_units(node)
+	    : planner_excess_units(node->board.assignment, &basis->input);
+	usec_t wait = MS(LOAN_MS) + blackboard_longest(&node->board, now) +
+	    MS(DRIFT_MARGIN_MS);
+
+	if (node->board.assignment == NULL || excess == 0 ||
+	    (node->board.state == NODE_STATE_STOPPING &&
+		table_count(node->requests) > 0)) {
+		node->units_closed_at = 0;
+		return 0;
+	}
+	if (node->units_closed_at == 0 || node->units_closing != excess) {
+		allowance_close_units(node->board.allowance, excess);
+		node->units_closing = excess;
+		node->units_closed_at = now;
+	}
+	return now - node->units_closed_at >= wait ? excess : 0;
+}
+
+static void
+basis_init(node_t *node, plan_basis_t *basis, usec_t now)
+{
+	planner_input_t *input = &basis->input;
+
+	memset(basis, 0, sizeof(*basis));
+	basis->nodes = g_array_new(FALSE, TRUE, sizeof(planner_node_t));
+	basis->services = g_array_new(FALSE, TRUE, sizeof(planner_service_t));
+	basis->releasable = g_array_new(FALSE, TRUE, sizeof(name_t));
+	g_strlcpy(input->cell, node->board.settings.cell, NAME_SIZE);
+	g_strlcpy(input->self, node->board.settings.node, NAME_SIZE);
+	input->self_incarnation = node->board.incarnation;
+	input->stopping = node->board.state == NODE_STATE_STOPPING;
+	add_self(node, basis->nodes);
+	add_peers(node, basis->nodes);
+	add_services(node, basis->services);
+	input->nodes = (planner_node_t *)(void *)basis->nodes->data;
+	input->node_count = basis->nodes->len;
+	input->services = (planner_service_t *)(void *)basis->services->data;
+	input->service_count = basis->services->len;
+	add_releasable(node, basis, now);
+	input->releasable = (const name_t *)(void *)basis->releasable->data;
+	input->releasable_count = basis->releasable->len;
+	input->release_units = units_to_release(node, basis, now);
+}
+
+static void
+basis_clear(plan_basis_t *basis)
+{
+	g_array_free(basis->nodes, TRUE);
+	g_array_free(basis->services, TRUE);
+	g_array_free(basis->releasable, TRUE);
+}
+
+static void
+on_read_back(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	node_t *node = context;
+
+	node->write_running = false;
+	if (result == PLATFORM_OK)
+		config_adopt(node, CONFIG_ASSIGNMENT, node->board.settings.cell,
+		    version, text);
+}
+
+static void
+on_written(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	pending_write_t *write = context;
+	node_t *node = write->node;
+
+	switch (result) {
+	case PLATFORM_OK:
+		node->write_running = false;
+		config_adopt(node, CONFIG_ASSIGNMENT, node->board.settings.cell,
+		    version, slice_from(write->text));
+		break;
+	case PLATFORM_CONFLICT:
+	case PLATFORM_LOST:
+		/* Whoever wrote it, the stored version is adopted and the
+		 * next plan starts from there. */
+		event_log(EVENT_ASSIGNMENT_CONFLICT, "%s",
+		    result == PLATFORM_LOST ? "the answer was lost"
+					    : "another version is stored");
+		platform_read(node->platform, "assignment",
+		    node->board.settings.cell, on_read_back, node);
+		break;
+	case PLATFORM_REFUSED:
+	case PLATFORM_ABSENT:
+		node->write_running = false;
+		break;
+	}
+	node->wanted_since = 0;
+	free(write->text);
+	g_free(write);
+}
+
+static void
+write_plan(node_t *node, assignment_t *plan)
+{
+	pending_write_t *write = g_new0(pending_write_t, 1);
+	uint64_t expected = node->board.assignment != NULL
+	    ? node->board.assignment->version
+	    : 0;
+
+	id128_format(id128_random(), plan->token);
+	write->node = node;
+	write->text = assignment_print(plan);
+	node->write_running = true;
+	event_log(EVENT_ASSIGNMENT_PROPOSED, "after version %llu, token %s",
+	    (unsigned long long)expected, plan->token);
+	platform_write(node->platform, "assignment", node->board.settings.cell,
+	    expected, slice_from(write->text), on_written, write);
+}
+
+void
+assign_tick(node_t *node, usec_t now)
+{
+	plan_basis_t basis;
+	assignment_t *plan;
+
+	if (!node->board.config_known || node->write_running ||
+	    node->board.state == NODE_STATE_STARTING)
+		return;
+	basis_init(node, &basis, now);
+	plan = planner_plan(node->board.assignment, &basis.input);
+	if (plan == NULL)
+		node->wanted_since = 0;
+	else if (node->wanted_since == 0)
+		node->wanted_since = now;
+	if (plan != NULL && node->board.platform_reachable &&
+	    now - node->wanted_since >= planner_delay(&basis.input))
+		write_plan(node, plan);
+	assignment_destroy(plan);
+	basis_clear(&basis);
+}
+
+static void
+adopt_shares(node_t *node, usec_t longest, usec_t now)
+{
+	assignment_t *assignment = node->board.assignment;
+
+	for (uint32_t i = 0; i < assignment->service_count; i++) {
+		assigned_service_t *entry = &assignment->services[i];
+		const holder_t *holder = assignment_find_holder(
+		    entry, node->board.settings.node, node->board.incarnation);
+
+		ledger_set_share(node->board.ledger, entry->service,
+		    holder != NULL ? holder->slots : 0, longest, now);
+		if (holder != NULL)
+			serve_find(node, entry->service);
+	}
+}
+
+static void
+adopt_units(node_t *node, usec_t longest, usec_t now)
+{
+	const assignment_t *assignment = node->board.assignment;
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < assignment->member_count; i++) {
+		const assigned_member_t *member = &assignment->members[i];
+
+		if (member->incarnation == node->board.incarnation &&
+		    strcmp(member->node, node->board.settings.node) == 0) {
+			allowance_set_units(node->board.allowance, first,
+			    member->units, longest, now);
+			return;
+		}
+		first += member->units;
+	}
+	allowance_set_units(node->board.allowance, 0, 0, longest, now);
+}
+
+void
+assign_adopted(node_t *node, usec_t now)
+{
+	usec_t longest = blackboard_longest(&node->board, now);
+
+	adopt_shares(node, longest, now);
+	adopt_units(node, longest, now);
+	node->wanted_since = 0;
+	node->units_closed_at = 0;
+}
+
+bool
+assign_is_released(node_t *node)
+{
+	assignment_t *assignment = node->board.assignment;
+
+	if (assignment == NULL)
+		return true;
+	for (uint32_t i = 0; i < assignment->service_count; i++)
+		if (holds(node, &assignment->services[i]))
+			return false;
+	return own_units(node) == 0;
+}
--- /dev/null
+++ b/source/node/node_attempt.c
@@ -0,0 +1,288 @@
+#include "node_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_UPSTREAM_BODY 4194304
+
+/* One attempt on the wire. */
+typedef struct {
+	served_t *served;
+	handle_t handle;  /* in the node's table */
+	handle_t attempt; /* the scheduler's */
+	job_kind_t kind;
+	char id[ID128_TEXT];
+	uint64_t version;
+	uint32_t shard;
+	usec_t deadline;
+} attempt_t;
+
+/* One cancellation on the wire. */
+typedef struct {
+	served_t *served;
+	handle_t attempt;
+} cancellation_t;
+
+table_t *
+attempt_table_create(uint32_t capacity)
+{
+	return table_create(sizeof(attempt_t), capacity);
+}
+
+static bool
+has_number(const http_response_t *response, const char *name, uint64_t wanted)
+{
+	const char *text = http_response_header(response, name);
+	char expected[24];
+
+	snprintf(
+	    expected, sizeof(expected), "%llu", (unsigned long long)wanted);
+	return text != NULL && strcmp(text, expected) == 0;
+}
+
+static bool
+names_attempt(const attempt_t *attempt, const http_response_t *response)
+{
+	const char *id = http_response_header(response, "X-Request-Id");
+
+	if (id == NULL || strcmp(id, attempt->id) != 0)
+		return false;
+	if (attempt->kind == JOB_RESERVATION)
+		return true;
+	return has_number(response, "X-Index-Version", attempt->version) &&
+	    has_number(response, "X-Shard", attempt->shard);
+}
+
+static attempt_result_t
+read_refusal(const http_response_t *response)
+{
+	static const struct {
+		const char *word;
+		attempt_result_t result;
+	} words[] = {
+	    {"shed", ATTEMPT_SHED},
+	    {"draining", ATTEMPT_DRAINING},
+	    {"version-gone", ATTEMPT_VERSION_GONE},
+	    {"wrong-shard", ATTEMPT_WRONG_SHARD},
+	    {"deadline", ATTEMPT_TIMEOUT},
+	};
+	const char *word = http_response_header(response, "X-Error");
+
+	for (size_t i = 0; word != NULL && i < G_N_ELEMENTS(words); i++)
+		if (strcmp(word, words[i].word) == 0)
+			return words[i].result;
+	return ATTEMPT_FAILED;
+}
+
+static attempt_result_t
+read_answer(const attempt_t *attempt, const http_response_t *response)
+{
+	int status = http_response_status(response);
+	bool answered = status >= 200 && status < 300;
+
+	/* A reservation that the service turned down has run: 4xx is its
+	 * outcome. */
+	if (attempt->kind == JOB_RESERVATION && status >= 400 && status < 500 &&
+	    http_response_header(response, "X-Error") == NULL)
+		answered = true;
+	if (!answered)
+		return read_refusal(response);
+	return names_attempt(attempt, response) ? ATTEMPT_OK : ATTEMPT_MISMATCH;
+}
+
+static attempt_result_t
+read_result(const attempt_t *attempt, http_result_t result,
+    const http_response_t *response)
+{
+	switch (result) {
+	case HTTP_ANSWERED:
+		return read_answer(attempt, response);
+	case HTTP_NOT_SENT:
+		return ATTEMPT_NOT_SENT;
+	case HTTP_DIED:
+		return ATTEMPT_DIED;
+	case HTTP_TIMEOUT:
+		return ATTEMPT_TIMEOUT;
+	case HTTP_TOO_LARGE:
+	case HTTP_MALFORMED:
+		return ATTEMPT_FAILED;
+	}
+	return ATTEMPT_FAILED;
+}
+
+static void
+on_attempt_done(
+    void *context, http_result_t result, const http_response_t *response)
+{
+	attempt_t *attempt = context;
+	served_t *served = attempt->served;
+	slice_t bytes = http_response_body(response);
+	attempt_outcome_t outcome = {
+	    .result = read_result(attempt, result, response),
+	    .http_status = http_response_status(response),
+	    .announced_drain =
+		http_response_header(response, "X-Draining") != NULL,
+	    .reused = http_response_reused(response),
+	};
+
+	if (outcome.result == ATTEMPT_MISMATCH)
+		event_log(EVENT_SERVER_LYING,
+		    "a server of %s answered another request", served->service);
+	if (outcome.result == ATTEMPT_OK)
+		outcome.body = body_create(bytes.data, bytes.size);
+	scheduler_attempt_ended(
+	    served->scheduler, attempt->attempt, &outcome, clock_monotonic());
+	body_drop(outcome.body);
+	table_remove(served->node->attempts, attempt->handle);
+}
+
+static void
+fail_unsent(served_t *served, handle_t attempt)
+{
+	attempt_outcome_t outcome = {.result = ATTEMPT_NOT_SENT};
+
+	scheduler_attempt_ended(
+	    served->scheduler, attempt, &outcome, clock_monotonic());
+}
+
+/* Text of the headers that one attempt sends. */
+typedef struct {
+	char id[64];
+	char index[NAME_SIZE + 16];
+	char version[48];
+	char deadline[48];
+	char customer[NAME_SIZE + 16];
+	char key[SCHEDULER_KEY_SIZE + 24];
+} header_texts_t;
+
+static void
+add_header(http_request_t *request, const char *text)
+{
+	request->headers[request->header_count++] = text;
+}
+
+static void
+write_headers(header_texts_t *texts, const attempt_t *attempt, const job_t *job,
+    usec_t now, http_request_t *request)
+{
+	usec_t wall = clock_wall() + attempt->deadline - now;
+
+	snprintf(texts->id, sizeof(texts->id), "X-Request-Id: %s", attempt->id);
+	snprintf(texts->deadline, sizeof(texts->deadline), "X-Deadline: %lld",
+	    (long long)(wall / USEC_PER_MS));
+	snprintf(texts->customer, sizeof(texts->customer), "X-Customer: %s",
+	    job->customer);
+	add_header(request, "Content-Type: application/octet-stream");
+	add_header(request, texts->id);
+	add_header(request, texts->deadline);
+	add_header(request, texts->customer);
+	switch (job->kind) {
+	case JOB_SHARD:
+		snprintf(texts->index, sizeof(texts->index), "X-Index: %s",
+		    job->index);
+		snprintf(texts->version, sizeof(texts->version),
+		    "X-Index-Version: %llu",
+		    (unsigned long long)job->index_version);
+		add_header(request, texts->index);
+		add_header(request, texts->version);
+		return;
+	case JOB_RESERVATION:
+		snprintf(texts->key, sizeof(texts->key), "Idempotency-Key: %s",
+		    job->key);
+		add_header(request, texts->key);
+		return;
+	}
+}
+
+static void
+fill_attempt(
+    attempt_t *attempt, served_t *served, const scheduler_action_t *action)
+{
+	attempt->served = served;
+	attempt->attempt = action->attempt;
+	attempt->kind = action->job->kind;
+	attempt->version = action->job->index_version;
+	attempt->shard = action->job->shard;
+	attempt->deadline = action->deadline;
+	id128_format(action->attempt_id, attempt->id);
+}
+
+void
+attempt_start(served_t *served, const scheduler_action_t *action, usec_t now)
+{
+	node_t *node = served->node;
+	attempt_t *attempt;
+	handle_t handle =
+	    table_insert(node->attempts, (void **)(void *)&attempt);
+	header_texts_t texts;
+	char path[64] = "/reserve";
+	http_request_t request = {
+	    .method = "POST",
+	    .address = action->address,
+	    .path = path,
+	    .body = action->job->body,
+	    .max_response = MAX_UPSTREAM_BODY,
+	    .fresh = action->fresh,
+	    /* A pool grows by each fresh connection that it keeps. */
+	    .close = action->fresh && action->job->kind == JOB_RESERVATION,
+	    .done = on_attempt_done,
+	};
+
+	if (handle == HANDLE_NONE) {
+		fail_unsent(served, action->attempt);
+		return;
+	}
+	attempt->handle = handle;
+	fill_attempt(attempt, served, action);
+	if (action->job->kind == JOB_SHARD)
+		snprintf(path, sizeof(path), "/shard/%u", action->job->shard);
+	write_headers(&texts, attempt, action->job, now, &request);
+	request.timeout = MAX(attempt->deadline - now, 0) + MS(DRIFT_MARGIN_MS);
+	if (action->retire_before != 0)
+		request.max_connection_age = now - action->retire_before;
+	request.context = attempt;
+	if (http_client_send(node->http, &request) == HANDLE_NONE) {
+		table_remove(node->attempts, handle);
+		fail_unsent(served, action->attempt);
+	}
+}
+
+static void
+on_cancel_done(
+    void *context, http_result_t result, const http_response_t *response)
+{
+	cancellation_t *cancellation = context;
+	bool confirmed =
+	    result == HTTP_ANSWERED && http_response_status(response) == 200;
+
+	scheduler_cancel_ended(cancellation->served->scheduler,
+	    cancellation->attempt, confirmed, clock_monotonic());
+	g_free(cancellation);
+}
+
+void
+attempt_cancel(served_t *served, const scheduler_action_t *action, usec_t now)
+{
+	cancellation_t *cancellation = g_new0(cancellation_t, 1);
+	char header[64], id[ID128_TEXT];
+	http_request_t request = {
+	    .method = "POST",
+	    .address = action->address,
+	    .path = "/cancel",
+	    .headers = {header},
+	    .header_count = 1,
+	    .timeout = blackboard_longest(&served->node->board, now) +
+		MS(DRIFT_MARGIN_MS),
+	    .max_response = MAX_UPSTREAM_BODY,
+	    .done = on_cancel_done,
+	    .context = cancellation,
+	};
+
+	id128_format(action->attempt_id, id);
+	snprintf(header, sizeof(header), "X-Request-Id: %s", id);
+	cancellation->served = served;
+	cancellation->attempt = action->attempt;
+	if (http_client_send(served->node->http, &request) == HANDLE_NONE)
+		g_free(cancellation);
+}
--- /dev/null
+++ b/source/node/node_limits.c
@@ -0,0 +1,141 @@
+#include "node_private.h"
+
+#include <string.h>
+
+#define WISH_FACTOR 1.25 /* room above the demand seen, for its growth */
+
+customer_stats_t *
+limits_customer(node_t *node, const char *customer)
+{
+	customer_stats_t *stats =
+	    g_hash_table_lookup(node->customers, customer);
+
+	if (stats == NULL) {
+		stats = g_new0(customer_stats_t, 1);
+		stats->query_latency = histogram_create();
+		stats->reservation_latency = histogram_create();
+		g_hash_table_insert(node->customers, g_strdup(customer), stats);
+	}
+	return stats;
+}
+
+static void
+apply_allowance(node_t *node, const char *customer, usec_t now)
+{
+	admission_set_allowance(node->board.admission, customer,
+	    allowance_rate(node->board.allowance, customer, now),
+	    allowance_concurrency(node->board.allowance, customer, now), now);
+}
+
+void
+limits_contract_changed(node_t *node, const contract_t *contract, usec_t now)
+{
+	const char *customer = contract_customer(contract);
+	bool retired = contract_is_retired(contract);
+
+	allowance_set_contract(node->board.allowance, customer,
+	    retired ? 0 : contract_rate_per_s(contract),
+	    retired ? 0 : contract_concurrency(contract), now);
+	apply_allowance(node, customer, now);
+}
+
+void
+limits_tick(node_t *node, usec_t now)
+{
+	const contract_store_t *store = node->board.contracts;
+
+	for (size_t i = 0; i < contract_store_count(store); i++)
+		apply_allowance(
+		    node, contract_customer(contract_store_at(store, i)), now);
+	admission_tick(node->board.admission, now);
+}
+
+static size_t
+live_peers(const node_t *node)
+{
+	const membership_t *membership = node->board.membership;
+	size_t live = 0;
+
+	for (size_t i = 0; i < membership_count(membership); i++)
+		live += membership_at(membership, i)->live ? 1 : 0;
+	return live;
+}
+
+/* What this node lacks of one customer's allowance. */
+static bool
+make_wish(node_t *node, const contract_t *contract, allowance_loan_t *wish,
+    usec_t now)
+{
+	const char *customer = contract_customer(contract);
+	admission_stats_t stats;
+	double rate, needed;
+	uint32_t concurrency;
+
+	admission_get_stats(node->board.admission, customer, &stats);
+	rate = allowance_rate(node->board.allowance, customer, now);
+	concurrency =
+	    allowance_concurrency(node->board.allowance, customer, now);
+	needed = WISH_FACTOR *
+	    admission_demand(node->board.admission, customer, now);
+	memset(wish, 0, sizeof(*wish));
+	strcpy(wish->customer, customer);
+	if (needed > rate)
+		wish->rate_per_s = needed - rate;
+	if (stats.running + stats.waiting + 1 > concurrency && needed > 0)
+		wish->concurrency =
+		    stats.running + stats.waiting + 1 - concurrency;
+	return wish->rate_per_s > 0 || wish->concurrency > 0;
+}
+
+uint32_t
+limits_list_wishes(node_t *node, allowance_loan_t **wishes, usec_t now)
+{
+	const contract_store_t *store = node->board.contracts;
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(allowance_loan_t));
+	size_t peers = live_peers(node);
+	uint32_t count;
+
+	for (size_t i = 0; i < contract_store_count(store); i++) {
+		allowance_loan_t wish;
+
+		if (list->len == MESSAGE_MAX_LIST ||
+		    !make_wish(node, contract_store_at(store, i), &wish, now))
+			continue;
+		if (peers > 1)
+			wish.rate_per_s /= (double)peers;
+		g_array_append_val(list, wish);
+	}
+	count = list->len;
+	*wishes = (allowance_loan_t *)(void *)g_array_free(list, FALSE);
+	return count;
+}
+
+uint32_t
+limits_lend(node_t *node, const heartbeat_t *heartbeat,
+    allowance_loan_t **loans, usec_t now)
+{
+	usec_t longest =
+	    MAX(heartbeat->longest, blackboard_longest(&node->board, now));
+	uint32_t count = 0;
+
+	*loans = g_new0(allowance_loan_t, heartbeat->wish_count);
+	for (uint32_t i = 0; i < heartbeat->wish_count; i++) {
+		const allowance_loan_t *wish = &heartbeat->wishes[i];
+		allowance_loan_t *loan = &(*loans)[count];
+		admission_stats_t stats;
+		double own;
+
+		admission_get_stats(
+		    node->board.admission, wish->customer, &stats);
+		own = WISH_FACTOR *
+		    admission_demand(
+			node->board.admission, wish->customer, now);
+		allowance_lend(node->board.allowance, wish, own,
+		    stats.running + stats.waiting, longest, now, loan);
+		if (loan->rate_per_s > 0 || loan->concurrency > 0) {
+			apply_allowance(node, wish->customer, now);
+			count++;
+		}
+	}
+	return count;
+}
--- /dev/null
+++ b/source/node/node_request.c
@@ -0,0 +1,372 @@
+#include "node_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bulrushwell/json_text.h"
+
+#define QUERY_PREFIX "/v1/query/"
+#define RESERVE_PREFIX "/v1/reserve/"
+#define BEARER "Bearer "
+
+/* A request that waits longer than this for its own deadline to be handled is
+ * answered by request_tick(). */
+#define ANSWER_GRACE_MS 20
+
+void
+request_answer_error(http_exchange_t *exchange, int error, const char *detail,
+    int64_t retry_after_ms)
+{
+	GString *out = g_string_new("{\"error\":{\"kind\":");
+
+	json_text_append(out, slice_from(error_kind(error)));
+	g_string_append_printf(out,
+	    ",\"code\":%d,\"not_run\":%s,\"message\":", error,
+	    error_is_not_run(error) ? "true" : "false");
+	json_text_append(
+	    out, slice_from(detail != NULL ? detail : error_kind(error)));
+	g_string_append(out, ",\"remedy\":");
+	json_text_append(out, slice_from(error_remedy(error)));
+	g_string_append_printf(
+	    out, ",\"retry_after_ms\":%lld}}", (long long)retry_after_ms);
+	http_exchange_answer(exchange, error_http_status(error),
+	    "application/json", (slice_t){out->str, out->len}, retry_after_ms);
+	g_string_free(out, TRUE);
+}
+
+void
+request_end(request_t *request)
+{
+	node_t *node = request->node;
+
+	if (request->admitted)
+		admission_finish(node->board.admission,
+		    contract_customer(request->contract), clock_monotonic());
+	else
+		admission_withdraw(node->board.admission, request->handle);
+	g_hash_table_remove(node->forwarded, &request->id);
+	contract_drop(request->contract);
+	body_drop(request->body);
+	table_remove(node->requests, request->handle);
+}
+
+void
+request_refuse(request_t *request, int error, const char *detail)
+{
+	node_t *node = request->node;
+	const char *customer = contract_customer(request->contract);
+	customer_stats_t *stats = limits_customer(node, customer);
+	usec_t now = clock_monotonic();
+	usec_t wait = 0;
+
+	if (error_is_not_run(error))
+		stats->refused++;
+	else
+		stats->unknown++;
+	INVARIANT(!error_is_not_run(error) || !request->sent ||
+		request->kind == REQUEST_RESERVATION,
+	    "a query that was sent is refused as not run");
+	if (error == BW_E_RATE)
+		wait =
+		    admission_retry_after(node->board.admission, customer, now);
+	else if (error == BW_E_SUSPECT)
+		wait = suspect_retry_after(
+		    node->board.suspects, request->fingerprint, now);
+	if (request->exchange != NULL)
+		request_answer_error(
+		    request->exchange, error, detail, wait / USEC_PER_MS);
+	request_end(request);
+}
+
+static void
+start_admitted(request_t *request, usec_t now)
+{
+	request->admitted = true;
+	switch (request->kind) {
+	case REQUEST_QUERY:
+		query_start(request, now);
+		return;
+	case REQUEST_RESERVATION:
+		reserve_start(request, now);
+		return;
+	}
+}
+
+void
+request_drain_admission(node_t *node)
+{
+	admission_action_t action;
+
+	while (admission_next_action(node->board.admission, &action)) {
+		request_t *request = table_get(node->requests, action.tag);
+
+		if (request == NULL) {
+			if (action.kind == ADMISSION_ADMIT)
+				admission_finish(node->board.admission,
+				    action.customer, clock_monotonic());
+			continue;
+		}
+		if (action.kind == ADMISSION_ADMIT)
+			start_admitted(request, clock_monotonic());
+		else
+			request_refuse(request, action.error, NULL);
+	}
+}
+
+static void
+on_abandon(void *context)
+{
+	request_t *request = context;
+
+	request->exchange = NULL;
+	if (request->kind == REQUEST_RESERVATION && request->admitted)
+		return; /* it goes on to its stored outcome */
+	if (request->query != HANDLE_NONE)
+		query_remove(request->node->queries, request->query);
+	request_end(request);
+}
+
+/* Answers reservations that their serving node did not answer in time. */
+void
+request_tick(node_t *node, usec_t now)
+{
+	handle_t handle = HANDLE_NONE;
+
+	if (table_count(node->requests) == 0)
+		return;
+	while ((handle = table_next(node->requests, handle)) != HANDLE_NONE) {
+		request_t *request = table_get(node->requests, handle);
+
+		if (request->kind != REQUEST_RESERVATION ||
+		    !request->admitted ||
+		    now < request->deadline + MS(ANSWER_GRACE_MS))
+			continue;
+		request_refuse(request,
+		    request->sent ? BW_E_OUTCOME_UNKNOWN : BW_E_DEADLINE,
+		    "no answer by the deadline");
+	}
+}
+
+static int
+read_deadline(http_exchange_t *exchange, const contract_t *contract, usec_t now,
+    usec_t *deadline)
+{
+	const char *text = http_exchange_header(exchange, "X-Deadline-Ms");
+	long limit = (long)contract_deadline_ms(contract);
+	char *end;
+	long value;
+
+	if (text != NULL) {
+		value = strtol(text, &end, 10);
+		if (end == text || *end != '\0' || value < 1)
+			return BW_E_INVALID;
+		limit = MIN(limit, value);
+	}
+	*deadline = now + MS(limit);
+	return 0;
+}
+
+static contract_t *
+authenticate(node_t *node, http_exchange_t *exchange)
+{
+	const char *header = http_exchange_header(exchange, "Authorization");
+	const char *caller;
+
+	if (header == NULL || strncmp(header, BEARER, strlen(BEARER)) != 0)
+		return NULL;
+	return contract_store_authenticate(node->board.contracts,
+	    slice_from(header + strlen(BEARER)), &caller);
+}
+
+static int
+check_state(node_t *node, usec_t now)
+{
+	if (blackboard_is_isolated(&node->board, now))
+		return BW_E_ISOLATED;
+	if (!node->board.config_known)
+		return BW_E_NOT_READY;
+	return 0;
+}
+
+/* Fills kind and target from the path. */
+static int
+read_target(request_t *request, const char *path)
+{
+	size_t prefix;
+
+	if (g_str_has_prefix(path, QUERY_PREFIX)) {
+		request->kind = REQUEST_QUERY;
+		prefix = strlen(QUERY_PREFIX);
+	} else if (g_str_has_prefix(path, RESERVE_PREFIX)) {
+		request->kind = REQUEST_RESERVATION;
+		prefix = strlen(RESERVE_PREFIX);
+	} else {
+		return BW_E_NOT_FOUND;
+	}
+	if (name_set(request->target, path + prefix) != 0)
+		return BW_E_INVALID;
+	return 0;
+}
+
+static int
+check_target(request_t *request)
+{
+	const catalogue_t *catalogue = request->node->board.catalogue;
+
+	switch (request->kind) {
+	case REQUEST_QUERY:
+		if (!contract_may_query(request->contract, request->target))
+			return BW_E_FORBIDDEN;
+		return catalogue_pin(catalogue, request->target) != NULL
+		    ? 0
+		    : BW_E_NOT_FOUND;
+	case REQUEST_RESERVATION:
+		if (!contract_may_reserve(request->contract, request->target))
+			return BW_E_FORBIDDEN;
+		return catalogue_find_service(catalogue, request->target) !=
+			NULL
+		    ? 0
+		    : BW_E_NOT_FOUND;
+	}
+	return BW_E_NOT_FOUND;
+}
+
+static int
+check_key(request_t *request, usec_t wall)
+{
+	const char *key =
+	    http_exchange_header(request->exchange, "Idempotency-Key");
+	int64_t made, age;
+
+	if (request->kind != REQUEST_RESERVATION)
+		return 0;
+	if (key == NULL || strlen(key) > CLAIM_MAX_KEY)
+		return BW_E_INVALID;
+	strcpy(request->key, key);
+	if (claim_check_key(key, &made) != 0)
+		return BW_E_INVALID;
+	age = wall / USEC_PER_SEC - made;
+	if (age < -CLAIM_FUTURE_S)
+		return BW_E_INVALID;
+	if (age > (int64_t)contract_repeat_window_h(request->contract) * 3600)
+		return BW_E_KEY_EXPIRED;
+	return 0;
+}
+
+static const char *
+explain(const request_t *request, int error)
+{
+	if (error == BW_E_INVALID && request->kind == REQUEST_RESERVATION)
+		return "the header Idempotency-Key must be UNIXSECONDS-TEXT, "
+		       "at most 128 characters, and X-Deadline-Ms a positive "
+		       "number";
+	if (error == BW_E_INVALID)
+		return "X-Deadline-Ms must be a positive number of "
+		       "milliseconds";
+	return NULL;
+}
+
+static void
+offer(request_t *request, usec_t now)
+{
+	node_t *node = request->node;
+	handle_t handle = request->handle;
+	usec_t needed = request->kind == REQUEST_QUERY
+	    ? query_expected_wait(node, request->target, now)
+	    : 0;
+	int result = admission_offer(node->board.admission,
+	    contract_customer(request->contract), handle, request->deadline,
+	    needed, now);
+
+	if (result < 0)
+		request_refuse(request, result, NULL);
+	else if (result == 0)
+		start_admitted(request, now);
+}
+
+static int
+check_request(request_t *request, usec_t now)
+{
+	node_t *node = request->node;
+	int error = check_target(request);
+
+	if (error == 0)
+		error = check_key(request, clock_wall());
+	if (error == 0)
+		error = read_deadline(request->exchange, request->contract, now,
+		    &request->deadline);
+	if (error == 0 &&
+	    suspect_verdict(node->board.suspects, request->fingerprint, now) ==
+		SUSPECT_REFUSED) {
+		event_log(EVENT_SUSPECT_REFUSED, "customer %s, %s",
+		    contract_customer(request->contract), request->target);
+		error = BW_E_SUSPECT;
+	}
+	return error;
+}
+
+static void
+accept_request(
+    node_t *node, http_exchange_t *exchange, const request_t *draft, usec_t now)
+{
+	slice_t body = http_exchange_body(exchange);
+	request_t *request;
+	handle_t handle =
+	    table_insert(node->requests, (void **)(void *)&request);
+	int error;
+
+	if (handle == HANDLE_NONE) {
+		request_answer_error(exchange, BW_E_FULL, NULL, 1000);
+		return;
+	}
+	*request = *draft;
+	request->node = node;
+	request->handle = handle;
+	request->exchange = exchange;
+	request->id = id128_random();
+	request->started = now;
+	request->body = body_create(body.data, body.size);
+	contract_keep(request->contract);
+	request->fingerprint = suspect_fingerprint(
+	    contract_customer(request->contract),
+	    http_exchange_method(exchange), http_exchange_path(exchange), body);
+	http_exchange_on_abandon(exchange, on_abandon, request);
+	error = check_request(request, now);
+	if (error != 0)
+		request_refuse(request, error, explain(request, error));
+	else
+		offer(request, now);
+}
+
+void
+request_handle(void *context, http_exchange_t *exchange)
+{
+	node_t *node = context;
+	usec_t now = clock_monotonic();
+	request_t draft = {0};
+	int error = check_state(node, now);
+
+	node->last_request_at = now;
+	if (error == 0 && http_exchange_is_too_large(exchange))
+		error = BW_E_TOO_LARGE;
+	if (error == 0)
+		error = read_target(&draft, http_exchange_path(exchange));
+	if (error == 0 && strcmp(http_exchange_method(exchange), "POST") != 0)
+		error = BW_E_INVALID;
+	if (error != 0) {
+		request_answer_error(exchange, error,
+		    error == BW_E_INVALID || error == BW_E_NOT_FOUND
+			? "use POST /v1/query/INDEX or POST "
+			  "/v1/reserve/SERVICE"
+			: NULL,
+		    0);
+		return;
+	}
+	draft.contract = authenticate(node, exchange);
+	if (draft.contract == NULL) {
+		request_answer_error(exchange, BW_E_UNAUTHORISED, NULL, 0);
+		return;
+	}
+	accept_request(node, exchange, &draft, now);
+}
--- /dev/null
+++ b/source/node/node_stop.c
@@ -0,0 +1,80 @@
+#include "node_private.h"
+
+/* The balancer learns of the failed readiness with a delay. The node goes on
+ * accepting until no request has come for QUIET_MS, at most for BALANCER_MS. */
+#define QUIET_MS 1000
+#define BALANCER_MS 10000
+
+/* Beyond the longest deadline: writes of the platform and late outcomes. */
+#define FINISH_MS 8000
+
+void
+stop_begin(node_t *node)
+{
+	usec_t now = clock_monotonic();
+
+	if (node->board.state == NODE_STATE_STOPPING) {
+		node->stop_cut =
+		    !serve_is_idle(node) || table_count(node->requests) > 0;
+		if (node->stop_cut)
+			event_log(EVENT_NODE_STOP_CUT,
+			    "a second signal ended the stop; %u requests ran",
+			    table_count(node->requests));
+		ev_break(node->loop, EVBREAK_ALL);
+		return;
+	}
+	node->board.state = NODE_STATE_STOPPING;
+	node->stop_at = now;
+	node->last_request_at = now;
+	http_server_set_closing(node->callers);
+	event_log(EVENT_NODE_STOPPING, "%u requests run",
+	    table_count(node->requests));
+}
+
+static bool
+is_quiet(const node_t *node, usec_t now)
+{
+	return now - node->last_request_at >= MS(QUIET_MS) ||
+	    now - node->stop_at >= MS(BALANCER_MS);
+}
+
+static bool
+is_finished(node_t *node)
+{
+	return http_server_open_exchanges(node->callers) == 0 &&
+	    table_count(node->requests) == 0 && serve_is_idle(node) &&
+	    claim_is_idle(node->claims) && !node->write_running;
+}
+
+/* Without the platform the shares cannot be given up; they stay reserved until
+ * the platform or the VM list settles it. */
+static bool
+is_handed_over(node_t *node)
+{
+	return assign_is_released(node) || !node->board.platform_reachable;
+}
+
+void
+stop_tick(node_t *node, usec_t now)
+{
+	usec_t limit;
+
+	if (node->board.state != NODE_STATE_STOPPING || !is_quiet(node, now))
+		return;
+	http_server_close_listener(node->callers);
+	limit = MS(BALANCER_MS) + blackboard_longest(&node->board, now) +
+	    MS(FINISH_MS);
+	if (is_finished(node) && is_handed_over(node)) {
+		event_log(EVENT_HANDOVER, "%s",
+		    assign_is_released(node) ? "all shares are given up"
+					     : "the platform is down");
+		ev_break(node->loop, EVBREAK_ALL);
+	} else if (now - node->stop_at >= limit) {
+		node->stop_cut = !is_finished(node);
+		if (node->stop_cut)
+			event_log(EVENT_NODE_STOP_CUT,
+			    "the time for a stop is over; %u requests ran",
+			    table_count(node->requests));
+		ev_break(node->loop, EVBREAK_ALL);
+	}
+}
