--- /dev/null
+++ b/source/contract/contract_store.c
@@ -0,0 +1,376 @@
+#include "bulrushwell/contract_store.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "bulrushwell/error.h"
+
+#define DIGEST_SIZE 32
+
+/* A version that was replaced, while requests admitted under it may run. */
+typedef struct {
+	usec_t until;
+	uint32_t deadline_ms;
+} replaced_t;
+
+struct contract_store {
+	GHashTable *by_customer; /* customer -> GSequenceIter */
+	GSequence *by_name;
+	GHashTable *by_key; /* digest -> GPtrArray of contracts in force */
+	uint32_t deadlines[CONTRACT_MAX_DEADLINE_MS + 1]; /* in force, by ms */
+	uint32_t longest_ms;
+	GQueue replaced; /* deadlines fall strictly from head to tail */
+	uint64_t digest;
+};
+
+static guint
+digest_hash(gconstpointer key)
+{
+	guint hash;
+
+	memcpy(&hash, key, sizeof(hash));
+	return hash;
+}
+
+/* Looks at every byte, so that the time taken does not tell how many agree. */
+static gboolean
+digest_equal(gconstpointer a, gconstpointer b)
+{
+	const unsigned char *left = a, *right = b;
+	unsigned char difference = 0;
+
+	for (size_t i = 0; i < DIGEST_SIZE; i++)
+		difference |= left[i] ^ right[i];
+	return difference == 0;
+}
+
+static void
+drop_contract(void *contract)
+{
+	contract_drop(contract);
+}
+
+static void
+free_list(void *list)
+{
+	g_ptr_array_unref(list);
+}
+
+contract_store_t *
+contract_store_create(void)
+{
+	contract_store_t *store = g_new0(contract_store_t, 1);
+
+	store->by_customer = g_hash_table_new(g_str_hash, g_str_equal);
+	store->by_name = g_sequence_new(drop_contract);
+	store->by_key =
+	    g_hash_table_new_full(digest_hash, digest_equal, g_free, free_list);
+	g_queue_init(&store->replaced);
+	return store;
+}
+
+void
+contract_store_destroy(contract_store_t *store)
+{
+	if (store == NULL)
+		return;
+	g_hash_table_destroy(store->by_customer);
+	g_hash_table_destroy(store->by_key);
+	g_sequence_free(store->by_name);
+	g_queue_clear_full(&store->replaced, g_free);
+	g_free(store);
+}
+
+static int
+compare_customers(gconstpointer a, gconstpointer b, gpointer data)
+{
+	return strcmp(contract_customer(a), contract_customer(b));
+}
+
+static int
+compare_listed(gconstpointer a, gconstpointer b)
+{
+	const contract_t *const *left = a, *const *right = b;
+
+	return strcmp(contract_customer(*left), contract_customer(*right));
+}
+
+static void
+index_keys(contract_store_t *store, contract_t *contract)
+{
+	for (size_t i = 0; i < contract_caller_count(contract); i++) {
+		const unsigned char *digest =
+		    contract_caller_digest(contract, i);
+		GPtrArray *list = g_hash_table_lookup(store->by_key, digest);
+
+		if (list == NULL) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(store->by_key,
+			    g_memdup2(digest, DIGEST_SIZE), list);
+		}
+		g_ptr_array_add(list, contract);
+		g_ptr_array_sort(list, compare_listed);
+	}
+}
+
+static void
+unindex_keys(contract_store_t *store, contract_t *contract)
+{
+	for (size_t i = 0; i < contract_caller_count(contract); i++) {
+		const unsigned char *digest =
+		    contract_caller_digest(contract, i);
+		GPtrArray *list = g_hash_table_lookup(store->by_key, digest);
+
+		if (list == NULL)
+			continue;
+		g_ptr_array_remove(list, contract);
+		if (list->len == 0)
+			g_hash_table_remove(store->by_key, digest);
+	}
+}
+
+/* An earlier entry with a deadline that is not longer ends sooner and is
+ * covered by the new one, so the queue holds one entry per deadline at most. */
+static void
+remember_replaced(contract_store_t *store, uint32_t deadline_ms, usec_t now)
+{
+	replaced_t *last, *entry;
+
+	while ((last = g_queue_peek_tail(&store->replaced)) != NULL &&
+	    last->deadline_ms <= deadline_ms)
+		g_free(g_queue_pop_tail(&store->replaced));
+	while ((last = g_queue_peek_head(&store->replaced)) != NULL &&
+	    last->until < now)
+		g_free(g_queue_pop_head(&store->replaced));
+	entry = g_new0(replaced_t, 1);
+	entry->until = now + MS(CONTRACT_MAX_DEADLINE_MS);
+	entry->deadline_ms = deadline_ms;
+	g_queue_push_tail(&store->replaced, entry);
+}
+
+static void
+count_deadline(contract_store_t *store, uint32_t deadline_ms)
+{
+	store->deadlines[deadline_ms]++;
+	if (deadline_ms > store->longest_ms)
+		store->longest_ms = deadline_ms;
+}
+
+static void
+uncount_deadline(contract_store_t *store, uint32_t deadline_ms)
+{
+	store->deadlines[deadline_ms]--;
+	while (
+	    store->longest_ms > 0 && store->deadlines[store->longest_ms] == 0)
+		store->longest_ms--;
+}
+
+static uint64_t
+hash_version(const contract_t *contract)
+{
+	const char *customer = contract_customer(contract);
+
+	return XXH3_64bits_withSeed(
+	    customer, strlen(customer), contract_version(contract));
+}
+
+static void
+put_in_force(contract_store_t *store, contract_t *contract)
+{
+	store->digest += hash_version(contract);
+	if (contract_is_retired(contract))
+		return;
+	index_keys(store, contract);
+	count_deadline(store, contract_deadline_ms(contract));
+}
+
+static void
+take_out_of_force(contract_store_t *store, contract_t *contract, usec_t now)
+{
+	store->digest -= hash_version(contract);
+	if (contract_is_retired(contract))
+		return;
+	unindex_keys(store, contract);
+	remember_replaced(store, contract_deadline_ms(contract), now);
+	uncount_deadline(store, contract_deadline_ms(contract));
+}
+
+static void
+insert_contract(contract_store_t *store, contract_t *contract)
+{
+	GSequenceIter *place = g_sequence_insert_sorted(
+	    store->by_name, contract, compare_customers, NULL);
+
+	g_hash_table_insert(
+	    store->by_customer, (char *)contract_customer(contract), place);
+	put_in_force(store, contract);
+}
+
+static void
+replace_contract(contract_store_t *store, GSequenceIter *place,
+    contract_t *contract, usec_t now)
+{
+	contract_t *old = contract_keep(g_sequence_get(place));
+
+	take_out_of_force(store, old, now);
+	g_sequence_set(place, contract);
+	/* The table borrows its key from the contract, so the key changes. */
+	g_hash_table_replace(
+	    store->by_customer, (char *)contract_customer(contract), place);
+	put_in_force(store, contract);
+	contract_drop(old);
+}
+
+static int
+check_successor(const contract_t *old, const contract_t *next,
+    const char *customer, char *why, size_t why_size)
+{
+	if (strcmp(contract_customer(next), customer) != 0) {
+		snprintf(why, why_size,
+		    "the field 'customer' is '%s' but the object is named "
+		    "otherwise; give both the same name",
+		    contract_customer(next));
+		return BW_E_INVALID;
+	}
+	if (old != NULL && contract_is_retired(old) &&
+	    !contract_is_retired(next)) {
+		snprintf(why, why_size,
+		    "the field 'state' would bring the retired contract of "
+		    "'%s' back; retire it again and create a contract under "
+		    "another customer name",
+		    customer);
+		return BW_E_INVALID;
+	}
+	return 0;
+}
+
+static int
+check_offer(
+    const contract_store_t *store, const contract_t *old, uint64_t version)
+{
+	if (old != NULL)
+		return version > contract_version(old) ? 0 : BW_E_STALE;
+	return contract_store_count(store) < CONTRACT_STORE_MAX ? 0 : BW_E_FULL;
+}
+
+int
+contract_store_adopt(contract_store_t *store, const char *customer,
+    slice_t text, uint64_t version, usec_t now, char *why, size_t why_size)
+{
+	GSequenceIter *place =
+	    g_hash_table_lookup(store->by_customer, customer);
+	contract_t *old = place != NULL ? g_sequence_get(place) : NULL;
+	contract_t *next;
+	int error;
+
+	if (version == 0) {
+		snprintf(why, why_size,
+		    "the version is 0; offer a version that the platform "
+		    "stored");
+		return BW_E_INVALID;
+	}
+	error = check_offer(store, old, version);
+	if (error == 0)
+		error = contract_parse(text, version, &next, why, why_size);
+	if (error != 0)
+		return error;
+	error = check_successor(old, next, customer, why, why_size);
+	if (error != 0) {
+		contract_drop(next);
+		return error;
+	}
+	if (place != NULL)
+		replace_contract(store, place, next, now);
+	else
+		insert_contract(store, next);
+	return 0;
+}
+
+contract_t *
+contract_store_find(const contract_store_t *store, const char *customer)
+{
+	GSequenceIter *place =
+	    g_hash_table_lookup(store->by_customer, customer);
+
+	return place != NULL ? g_sequence_get(place) : NULL;
+}
+
+static const char *
+find_caller(const contract_t *contract, const unsigned char *digest)
+{
+	const char *name = NULL;
+
+	for (size_t i = 0; i < contract_caller_count(contract); i++)
+		if (digest_equal(contract_caller_digest(contract, i), digest))
+			name = contract_caller_name(contract, i);
+	return name;
+}
+
+/*
+ * The table is searched by the SHA-256 of the key, of which a caller cannot
+ * choose single bytes, so the bucket reached tells nothing about other keys.
+ * A key that several contracts list counts for the first by name, which every
+ * node chooses alike in whatever order it adopted them.
+ */
+contract_t *
+contract_store_authenticate(
+    const contract_store_t *store, slice_t key, const char **caller)
+{
+	unsigned char digest[DIGEST_SIZE];
+	gsize size = sizeof(digest);
+	GChecksum *checksum;
+	GPtrArray *list;
+	contract_t *contract;
+
+	*caller = NULL;
+	if (key.size == 0)
+		return NULL;
+	checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	g_checksum_update(checksum, (const guchar *)key.data, (gssize)key.size);
+	g_checksum_get_digest(checksum, digest, &size);
+	g_checksum_free(checksum);
+	list = g_hash_table_lookup(store->by_key, digest);
+	if (list == NULL)
+		return NULL;
+	contract = g_ptr_array_index(list, 0);
+	*caller = find_caller(contract, digest);
+	return contract;
+}
+
+uint64_t
+contract_store_digest(const contract_store_t *store)
+{
+	return store->digest;
+}
+
+size_t
+contract_store_count(const contract_store_t *store)
+{
+	return g_hash_table_size(store->by_customer);
+}
+
+contract_t *
+contract_store_at(const contract_store_t *store, size_t position)
+{
+	if (position >= contract_store_count(store))
+		return NULL;
+	return g_sequence_get(
+	    g_sequence_get_iter_at_pos(store->by_name, (gint)position));
+}
+
+usec_t
+contract_store_longest_deadline(const contract_store_t *store, usec_t now)
+{
+	uint32_t longest = store->longest_ms;
+
+	for (GList *link = store->replaced.head; link != NULL;
+	     link = link->next) {
+		const replaced_t *entry = link->data;
+
+		if (entry->until >= now && entry->deadline_ms > longest)
+			longest = entry->deadline_ms;
+	}
+	return MS(longest);
+}
