--- a/source/node/settings.c
+++ b/source/node/settings.c
@@ -130,6 +130,27 @@
 	    length, error->message);
 }
 
+/* GLib accepts "--check=no" as "--check" and drops the value. */
+static int
+check_switches(loader_t *loader, int argc, char **argv)
+{
+	for (int i = 1; i < argc; i++)
+		for (int j = 0; j < SET_COUNT; j++) {
+			const char *flag = setting_table[j].flag;
+			size_t length = strlen(flag);
+
+			if (setting_table[j].is_switch &&
+			    strncmp(argv[i], "--", 2) == 0 &&
+			    strncmp(argv[i] + 2, flag, length) == 0 &&
+			    argv[i][length + 2] == '=')
+				return refuse(loader,
+				    "the flag --%s takes no value; write --%s "
+				    "alone",
+				    flag, flag);
+		}
+	return 0;
+}
+
 static int
 read_flags(loader_t *loader, int argc, char **argv)
 {
@@ -503,7 +524,9 @@
 
 	loader.why_size = why_size;
 	memset(settings, 0, sizeof(*settings));
-	result = read_flags(&loader, argc, argv);
+	result = check_switches(&loader, argc, argv);
+	if (result == 0)
+		result = read_flags(&loader, argc, argv);
 	if (result == 0)
 		result = read_environment(&loader);
 	settings->check_only = is_on(&loader, SET_CHECK);
