--- a/source/assignment/assignment_json.c
+++ b/source/assignment/assignment_json.c
@@ -26,14 +26,14 @@
 		return;
 	parse->error = BW_E_INVALID;
 	if (parse->why_size > 0)
-		snprintf(
-		    parse->why, parse->why_size, "%s: %s", key, expected);
+		snprintf(parse->why, parse->why_size, "%s: %s", key, expected);
 }
 
 /* Refuses anything but an object with exactly @count keys; the reads that
  * follow refuse a missing key, so an unknown one cannot hide. */
 static void
-check_object(parse_t *parse, const json_t *object, const char *key, size_t count)
+check_object(
+    parse_t *parse, const json_t *object, const char *key, size_t count)
 {
 	if (!json_is_object(object))
 		refuse(parse, key, "expected an object");
@@ -166,13 +166,12 @@
 	members = read_list(parse, root, "members", ASSIGNMENT_MAX_MEMBERS,
 	    &assignment->member_count);
 	for (uint32_t i = 0; i < assignment->member_count; i++)
-		read_member(parse, json_array_get(members, i),
-		    &assignment->members[i]);
-	services = read_list(
-	    parse, root, "services", ASSIGNMENT_MAX_SERVICES, &count);
+		read_member(
+		    parse, json_array_get(members, i), &assignment->members[i]);
+	services =
+	    read_list(parse, root, "services", ASSIGNMENT_MAX_SERVICES, &count);
 	if (count > 0)
-		assignment->services =
-		    g_new0(assigned_service_t, count);
+		assignment->services = g_new0(assigned_service_t, count);
 	assignment->service_count = count;
 	for (uint32_t i = 0; i < count; i++)
 		read_service(parse, json_array_get(services, i),
@@ -185,8 +184,8 @@
 {
 	parse_t parse = {why, why_size, 0};
 	json_error_t error;
-	json_t *root = json_loadb(
-	    text.data, text.size, JSON_REJECT_DUPLICATES, &error);
+	json_t *root =
+	    json_loadb(text.data, text.size, JSON_REJECT_DUPLICATES, &error);
 	assignment_t *parsed = assignment_create("");
 
 	*assignment = NULL;
@@ -257,9 +256,9 @@
 	for (uint32_t i = 0; i < assignment->service_count; i++)
 		json_array_append_new(
 		    services, print_service(&assignment->services[i]));
-	root = json_pack("{s:s, s:s, s:o, s:o}", "cell", assignment->cell,
-	    "token", assignment->token, "members", members, "services",
-	    services);
+	root =
+	    json_pack("{s:s, s:s, s:o, s:o}", "cell", assignment->cell, "token",
+		assignment->token, "members", members, "services", services);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
--- a/source/assignment/ledger.c
+++ b/source/assignment/ledger.c
@@ -22,12 +22,12 @@
 
 typedef struct {
 	name_t service;
-	uint32_t share;	   /* as adopted */
-	uint32_t usable;   /* part of the share that may be used or lent */
-	usec_t usable_at;  /* when all of the share is usable; 0: it is */
-	bool closed;	   /* ahead of giving the share up */
-	GArray *grants;	   /* grant_t: lent to others */
-	GArray *loans;	   /* loan_t: received from others */
+	uint32_t share;	  /* as adopted */
+	uint32_t usable;  /* part of the share that may be used or lent */
+	usec_t usable_at; /* when all of the share is usable; 0: it is */
+	bool closed;	  /* ahead of giving the share up */
+	GArray *grants;	  /* grant_t: lent to others */
+	GArray *loans;	  /* loan_t: received from others */
 } entry_t;
 
 struct ledger {
@@ -49,8 +49,8 @@
 {
 	ledger_t *ledger = g_new0(ledger_t, 1);
 
-	ledger->entries = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, destroy_entry);
+	ledger->entries =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, destroy_entry);
 	return ledger;
 }
 
@@ -153,8 +153,8 @@
 		grant_t *grant = &g_array_index(entry->grants, grant_t, i);
 
 		if (is_first_of_borrower(entry, i))
-			total += lent_to(
-			    entry, grant->borrower, grant->incarnation);
+			total +=
+			    lent_to(entry, grant->borrower, grant->incarnation);
 	}
 	return total;
 }
@@ -212,7 +212,8 @@
 		grant_t *other = &g_array_index(entry->grants, grant_t, i);
 
 		if (is_borrower(other, grant->borrower, grant->incarnation) &&
-		    other->slots <= grant->slots && other->until <= grant->until)
+		    other->slots <= grant->slots &&
+		    other->until <= grant->until)
 			g_array_remove_index_fast(entry->grants, i);
 	}
 	g_array_append_val(entry->grants, *grant);
@@ -230,8 +231,7 @@
 	if (entry == NULL || queued > 0)
 		return 0;
 	update_entry(entry, now);
-	others =
-	    lent_in_total(entry) - lent_to(entry, borrower, incarnation);
+	others = lent_in_total(entry) - lent_to(entry, borrower, incarnation);
 	taken = charged + others;
 	if (entry->usable <= taken)
 		return 0;
@@ -302,10 +302,10 @@
 	entry_t *entry;
 	usec_t next = 0;
 
-#define CONSIDER(at)                                         \
-	do {                                                 \
+#define CONSIDER(at)                                          \
+	do {                                                  \
 		if ((at) > now && (next == 0 || (at) < next)) \
-			next = (at);                         \
+			next = (at);                          \
 	} while (0)
 	g_hash_table_iter_init(&iter, ledger->entries);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&entry)) {
