--- a/include/bulrushwell/scheduler.h
+++ b/include/bulrushwell/scheduler.h
@@ -76,6 +76,7 @@
 	id128_t
 	    attempt_id;	   /* START, CANCEL: X-Request-Id, unique per attempt */
 	address_t address; /* START, CANCEL */
+	usec_t deadline;   /* START: of the attempt, at most the job's */
 	bool fresh;	   /* START: use a new connection */
 	usec_t retire_before; /* START: do not reuse connections made before */
 	const job_t *job;     /* START, REPLY: borrowed until the next call */
@@ -92,10 +93,12 @@
 	uint64_t attempts;
 	uint64_t hedges;
 	uint64_t hedge_wins;
+	uint64_t doubles; /* second attempts for silent connections */
 	uint64_t retries;
 	uint64_t cancels;
 	uint64_t refused; /* jobs that ended without an attempt */
 	uint64_t mismatches;
+	uint64_t stale;	      /* reports about attempts that had ended */
 	uint32_t queued;      /* now */
 	uint32_t running;     /* now: attempts charged to servers */
 	uint32_t max_charged; /* most attempts charged to one server, ever */
--- a/include/bulrushwell/suspect.h
+++ b/include/bulrushwell/suspect.h
@@ -44,8 +44,11 @@
 bool suspect_crashed(
     suspect_list_t *list, uint64_t fingerprint, uint64_t crash, usec_t now);
 
-/** suspect_answered() - The request ran alone and was answered. */
-void suspect_answered(suspect_list_t *list, uint64_t fingerprint);
+/**
+ * suspect_answered() - The request ran alone and was answered. It stays refused
+ * when a second crash was reported meanwhile.
+ */
+void suspect_answered(suspect_list_t *list, uint64_t fingerprint, usec_t now);
 
 suspect_verdict_t suspect_verdict(
     const suspect_list_t *list, uint64_t fingerprint, usec_t now);
--- /dev/null
+++ b/source/routing/scheduler_attempts.c
@@ -0,0 +1,210 @@
+#include <glib.h>
+#include <xxhash.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "scheduler_private.h"
+
+/* Unique without a system call: the query's random id makes it unique among
+ * queries, the rest among the attempts of one query. */
+static id128_t
+make_attempt_id(scheduler_t *scheduler, const job_t *job)
+{
+	const uint64_t parts[] = {job->query.hi, job->query.lo, scheduler->seed,
+	    ++scheduler->attempt_number, job->shard, job->tag};
+	XXH128_hash_t hash = XXH3_128bits(parts, sizeof(parts));
+
+	return (id128_t){hash.high64, hash.low64};
+}
+
+static void
+charge_server(scheduler_t *scheduler, attempt_t *attempt, server_t *server)
+{
+	INVARIANT(server->charged < scheduler->limit,
+	    "server %s has %u of %u attempts", server->name, server->charged,
+	    scheduler->limit);
+	INVARIANT(server_is_live(server), "server %s is leaving", server->name);
+	INVARIANT(!server->alone && (!attempt->alone || server->charged == 0),
+	    "server %s runs a suspect beside others", server->name);
+	attempt->server = server;
+	attempt->next = server->attempts;
+	attempt->link = &server->attempts;
+	if (attempt->next != NULL)
+		attempt->next->link = &attempt->next;
+	server->attempts = attempt;
+	server->charged++;
+	server->alone = attempt->alone;
+	scheduler->stats.running++;
+	scheduler->stats.max_charged =
+	    MAX(scheduler->stats.max_charged, server->charged);
+	heap_push(&scheduler->charges, &attempt->charge,
+	    attempt->deadline + DRIFT_MARGIN);
+}
+
+static void
+count_start(scheduler_t *scheduler, job_entry_t *entry, start_options_t options)
+{
+	scheduler->stats.attempts++;
+	if (options.hedge)
+		scheduler->stats.hedges++;
+	entry->possibly_run++;
+	INVARIANT(entry->job.kind == JOB_SHARD || entry->possibly_run == 1,
+	    "a reservation may run twice");
+}
+
+attempt_t *
+scheduler_start_attempt(scheduler_t *scheduler, job_entry_t *entry,
+    server_t *server, start_options_t options, usec_t now)
+{
+	attempt_t *attempt;
+	handle_t handle;
+
+	INVARIANT(entry->running_count < JOB_MAX_RUNNING, "too many attempts");
+	handle = table_insert(scheduler->attempts, (void **)&attempt);
+	if (handle == HANDLE_NONE)
+		return NULL;
+	attempt->handle = handle;
+	attempt->id = make_attempt_id(scheduler, &entry->job);
+	attempt->job = entry->handle;
+	attempt->fingerprint = entry->job.fingerprint;
+	attempt->started = now;
+	attempt->deadline = MIN(entry->job.deadline, now + scheduler->longest);
+	attempt->hedge = options.hedge;
+	attempt->alone = options.alone;
+	attempt->fresh = options.fresh || options.alone || entry->use_fresh ||
+	    entry->job.kind == JOB_RESERVATION;
+	charge_server(scheduler, attempt, server);
+	entry->running[entry->running_count++] = handle;
+	server_mask_add(&entry->tried, server);
+	count_start(scheduler, entry, options);
+	if (entry->job.kind == JOB_SHARD && !options.alone)
+		scheduler_arm_check(scheduler, attempt);
+	scheduler_push_action(scheduler, SCHEDULER_START, handle);
+	return attempt;
+}
+
+attempt_t *
+scheduler_begin_try(scheduler_t *scheduler, job_entry_t *entry,
+    server_t *server, start_options_t options, usec_t now)
+{
+	attempt_t *attempt =
+	    scheduler_start_attempt(scheduler, entry, server, options, now);
+
+	if (attempt == NULL)
+		return NULL;
+	if (++entry->tries == 1)
+		scheduler_earn_hedge(scheduler);
+	else
+		scheduler->stats.retries++;
+	return attempt;
+}
+
+void
+scheduler_release_attempt(
+    scheduler_t *scheduler, attempt_t *attempt, usec_t now)
+{
+	server_t *server = attempt->server;
+
+	INVARIANT(server->charged > 0, "server %s", server->name);
+	*attempt->link = attempt->next;
+	if (attempt->next != NULL)
+		attempt->next->link = attempt->link;
+	server->charged--;
+	if (attempt->alone)
+		server->alone = false;
+	scheduler->stats.running--;
+	heap_remove(&scheduler->charges, &attempt->charge);
+	heap_remove(&scheduler->checks, &attempt->check);
+	if (attempt->delivered)
+		latency_record_hold(
+		    &scheduler->latency, now - attempt->started);
+	table_remove(scheduler->attempts, attempt->handle);
+}
+
+/* An attempt that was never given out is simply forgotten. */
+static void
+withdraw_attempt(scheduler_t *scheduler, attempt_t *attempt, usec_t now)
+{
+	job_entry_t *entry = table_get(scheduler->jobs, attempt->job);
+
+	if (entry != NULL)
+		entry->possibly_run--;
+	scheduler_release_attempt(scheduler, attempt, now);
+}
+
+void
+scheduler_cancel_attempt(scheduler_t *scheduler, attempt_t *attempt, usec_t now)
+{
+	if (!attempt->delivered) {
+		withdraw_attempt(scheduler, attempt, now);
+		return;
+	}
+	if (attempt->state != RUN_ACTIVE)
+		return;
+	scheduler_note_unanswered(scheduler, attempt, now);
+	attempt->state = RUN_CANCELLED;
+	heap_remove(&scheduler->checks, &attempt->check);
+	scheduler->stats.cancels++;
+	scheduler_push_action(scheduler, SCHEDULER_CANCEL, attempt->handle);
+}
+
+void
+scheduler_cut_attempt(scheduler_t *scheduler, attempt_t *attempt)
+{
+	if (attempt->state == RUN_ACTIVE) {
+		scheduler->stats.cancels++;
+		scheduler_push_action(
+		    scheduler, SCHEDULER_CANCEL, attempt->handle);
+	}
+	attempt->state = RUN_CUT;
+	heap_remove(&scheduler->checks, &attempt->check);
+}
+
+void
+scheduler_cancel_ended(
+    scheduler_t *scheduler, handle_t handle, bool confirmed, usec_t now)
+{
+	attempt_t *attempt = table_get(scheduler->attempts, handle);
+
+	if (attempt == NULL || attempt->state == RUN_ACTIVE) {
+		scheduler->stats.stale++;
+		return;
+	}
+	if (confirmed)
+		scheduler_release_attempt(scheduler, attempt, now);
+}
+
+/* No outcome was reported for an attempt whose deadline lies before that of
+ * its job. */
+static void
+end_unreported(scheduler_t *scheduler, job_entry_t *entry, usec_t now)
+{
+	if (entry->running_count > 0)
+		return;
+	if (entry->job.kind == JOB_RESERVATION)
+		scheduler_end_job(scheduler, entry, BW_E_OUTCOME_UNKNOWN, now);
+	else
+		scheduler_end_job(scheduler, entry, BW_E_TIMEOUT, now);
+}
+
+void
+scheduler_expire_charges(scheduler_t *scheduler, usec_t now)
+{
+	heap_node_t *node;
+
+	while ((node = heap_top(&scheduler->charges)) != NULL &&
+	    node->key <= now) {
+		attempt_t *attempt = HEAP_ENTRY(node, attempt_t, charge);
+		job_entry_t *entry = NULL;
+
+		if (attempt->state == RUN_ACTIVE) {
+			entry = scheduler_find_job(scheduler, attempt->job);
+			scheduler_note_unanswered(scheduler, attempt, now);
+		}
+		if (entry != NULL)
+			scheduler_detach_attempt(entry, attempt);
+		scheduler_release_attempt(scheduler, attempt, now);
+		if (entry != NULL)
+			end_unreported(scheduler, entry, now);
+	}
+}
--- /dev/null
+++ b/source/routing/scheduler_latency.c
@@ -0,0 +1,103 @@
+#include <glib.h>
+
+#include "scheduler_private.h"
+
+#define WINDOW 512
+#define REFRESH_SAMPLES 16 /* a quantile scans the whole histogram */
+#define MEAN_WEIGHT 16	   /* a new value counts 1/16 */
+
+void
+latency_init(latency_t *latency)
+{
+	latency->window = histogram_create();
+	latency->next_window = histogram_create();
+}
+
+void
+latency_clear(latency_t *latency)
+{
+	histogram_destroy(latency->window);
+	histogram_destroy(latency->next_window);
+}
+
+bool
+latency_is_known(const latency_t *latency)
+{
+	return histogram_count(latency->window) >= SCHEDULER_MIN_SAMPLES;
+}
+
+static void
+refresh_quantiles(latency_t *latency)
+{
+	uint64_t count = histogram_count(latency->window);
+
+	latency->fresh_samples++;
+	if (count < SCHEDULER_MIN_SAMPLES ||
+	    (latency->p99 != 0 && latency->fresh_samples < REFRESH_SAMPLES))
+		return;
+	latency->fresh_samples = 0;
+	latency->p95 = histogram_quantile(latency->window, 0.95);
+	latency->p99 = histogram_quantile(latency->window, 0.99);
+}
+
+static usec_t
+smooth(usec_t mean, usec_t value)
+{
+	return mean == 0 ? value : mean + (value - mean) / MEAN_WEIGHT;
+}
+
+void
+latency_record(latency_t *latency, usec_t value)
+{
+	value = MAX(value, 1);
+	histogram_record(latency->window, value);
+	histogram_record(latency->next_window, value);
+	if (histogram_count(latency->next_window) >= WINDOW) {
+		histogram_destroy(latency->window);
+		latency->window = latency->next_window;
+		latency->next_window = histogram_create();
+	}
+	latency->mean = smooth(latency->mean, value);
+	refresh_quantiles(latency);
+}
+
+void
+latency_record_hold(latency_t *latency, usec_t value)
+{
+	latency->mean_hold = smooth(latency->mean_hold, MAX(value, 1));
+}
+
+usec_t
+scheduler_estimate_wait(const scheduler_t *scheduler, uint32_t ahead)
+{
+	uint64_t capacity = 0, running = 0;
+
+	for (uint32_t i = 0; i < scheduler->live_count; i++) {
+		const server_t *server = scheduler->live[i];
+		uint32_t most = server_capacity(server, scheduler->limit);
+
+		capacity += most;
+		running += MIN(server->charged, most);
+	}
+	ahead += scheduler->waiting + scheduler->alone.count;
+	if (ahead == 0 && running < capacity)
+		return 0;
+	/* Without a limit there is no estimate: a loan may come at any time. */
+	if (capacity == 0)
+		return 0;
+	return (usec_t)((ahead + 1) * (uint64_t)scheduler->latency.mean_hold /
+	    capacity);
+}
+
+usec_t
+scheduler_wait_estimate(const scheduler_t *scheduler)
+{
+	return scheduler_estimate_wait(
+	    scheduler, fair_queue_count(scheduler->queue));
+}
+
+const struct histogram *
+scheduler_latency(const scheduler_t *scheduler)
+{
+	return scheduler->latency.window;
+}
--- /dev/null
+++ b/source/routing/server.c
@@ -0,0 +1,188 @@
+#include "server.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "bulrushwell/event.h"
+
+#define LATENCY_WEIGHT 8 /* a new value counts 1/8 */
+#define DOWN_AFTER 3	 /* refusals in a row that are logged as an outage */
+
+server_t *
+server_create(const server_spec_t *spec, uint32_t index)
+{
+	server_t *server = g_new0(server_t, 1);
+
+	server->index = index;
+	g_strlcpy(server->name, spec->server, sizeof(server->name));
+	g_strlcpy(server->incarnation, spec->incarnation,
+	    sizeof(server->incarnation));
+	return server;
+}
+
+void
+server_destroy(server_t *server)
+{
+	if (server == NULL)
+		return;
+	heap_clear(&server->waiting);
+	g_free(server);
+}
+
+bool
+server_is_live(const server_t *server)
+{
+	return server->listed && !server->leaving;
+}
+
+bool
+server_is_resting(const server_t *server, usec_t now)
+{
+	return now < server->rest_until;
+}
+
+uint32_t
+server_capacity(const server_t *server, uint32_t limit)
+{
+	if (!server->answered || server->refusals > 0)
+		return MIN(limit, 1);
+	return limit;
+}
+
+bool
+server_has_room(const server_t *server, uint32_t limit, usec_t now)
+{
+	return server_is_live(server) && !server->alone &&
+	    !server_is_resting(server, now) &&
+	    server->charged < server_capacity(server, limit);
+}
+
+/* Four steps for each power of two, so that servers whose latency differs by
+ * less than about a fifth tie and share the work. */
+static int
+latency_step(const server_t *server, usec_t now)
+{
+	uint64_t latency = (uint64_t)MAX(server->latency, 4);
+	int exponent;
+
+	if (server->latency == 0 ||
+	    now - server->latency_at > SERVER_LATENCY_AGE)
+		return 0;
+	exponent = 63 - __builtin_clzll(latency);
+	return 4 * exponent + (int)(latency >> (exponent - 2) & 3);
+}
+
+static int
+is_failing(const server_t *server, usec_t now)
+{
+	return server->failures >= SERVER_FAILING &&
+	    now - server->failed_at < SERVER_FAILING_TIME;
+}
+
+int
+server_compare(const server_t *a, const server_t *b, usec_t now)
+{
+	int order = is_failing(a, now) - is_failing(b, now);
+
+	if (order != 0)
+		return order;
+	if (a->charged != b->charged)
+		return a->charged < b->charged ? -1 : 1;
+	return latency_step(a, now) - latency_step(b, now);
+}
+
+void
+server_record_latency(server_t *server, usec_t latency, usec_t now)
+{
+	if (server->latency == 0 ||
+	    now - server->latency_at > SERVER_LATENCY_AGE)
+		server->latency = latency;
+	else
+		server->latency += (latency - server->latency) / LATENCY_WEIGHT;
+	server->latency_at = now;
+}
+
+void
+server_record_answer(server_t *server, bool good, usec_t now)
+{
+	if (server->refusals >= DOWN_AFTER)
+		event_log(EVENT_SERVER_UP, "server %s", server->name);
+	server->answered = true;
+	server->refusals = 0;
+	server->rest_until = 0;
+	if (good)
+		server->failures = 0;
+}
+
+bool
+server_record_refusal(server_t *server, usec_t started, usec_t now)
+{
+	usec_t rest = SERVER_FIRST_REST;
+
+	if (server->refusals > 0 && started < server->rest_from)
+		return false;
+	for (uint32_t i = 0; i < server->refusals && rest < SERVER_LONGEST_REST;
+	     i++)
+		rest *= 2;
+	server->rest_from = now;
+	server->rest_until = now + MIN(rest, SERVER_LONGEST_REST);
+	if (++server->refusals == DOWN_AFTER)
+		event_log(EVENT_SERVER_DOWN, "server %s refused %d attempts",
+		    server->name, DOWN_AFTER);
+	return true;
+}
+
+void
+server_record_failure(server_t *server, usec_t now)
+{
+	server->failures++;
+	server->failed_at = now;
+}
+
+void
+server_record_mismatch(server_t *server, usec_t now)
+{
+	server_record_failure(server, now);
+	server->mismatches++;
+	/* Only powers of two, so that a broken server cannot flood the log. */
+	if ((server->mismatches & (server->mismatches - 1)) == 0)
+		event_log(EVENT_SERVER_LYING, "server %s, %llu replies so far",
+		    server->name, (unsigned long long)server->mismatches);
+}
+
+bool
+server_mark_leaving(server_t *server, const char *evidence)
+{
+	if (server->leaving)
+		return false;
+	server->leaving = true;
+	event_log(EVENT_SERVER_LEAVING, "server %s incarnation %s by %s",
+	    server->name, server->incarnation, evidence);
+	return true;
+}
+
+bool
+server_mark_silent(server_t *server, usec_t started, usec_t now)
+{
+	if (started < server->retire_before)
+		return false;
+	server->retire_before = now;
+	event_log(EVENT_SERVER_SILENT, "server %s", server->name);
+	return true;
+}
+
+uint64_t
+server_crash(server_t *server, usec_t now)
+{
+	uint64_t hash;
+
+	if (server->crashes == 0 ||
+	    now - server->crash_at > SERVER_CRASH_WINDOW) {
+		server->crashes++;
+		server->crash_at = now;
+	}
+	hash = XXH64(server->name, strlen(server->name), server->crashes);
+	hash = XXH64(server->incarnation, strlen(server->incarnation), hash);
+	return hash != 0 ? hash : 1;
+}
--- /dev/null
+++ b/source/routing/suspect.c
@@ -0,0 +1,140 @@
+#include "bulrushwell/suspect.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define KNOWN_CRASHES 4 /* crash ids remembered for each suspect */
+
+typedef struct {
+	uint64_t fingerprint;
+	uint64_t crashes[KNOWN_CRASHES];
+	uint32_t crash_count;
+	usec_t refused_until;
+	GList link; /* in the order of the last crash */
+} suspect_t;
+
+struct suspect_list {
+	GHashTable *by_fingerprint;
+	GQueue by_age; /* the oldest first */
+};
+
+suspect_list_t *
+suspect_list_create(void)
+{
+	suspect_list_t *list = g_new0(suspect_list_t, 1);
+
+	list->by_fingerprint =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	g_queue_init(&list->by_age);
+	return list;
+}
+
+void
+suspect_list_destroy(suspect_list_t *list)
+{
+	if (list == NULL)
+		return;
+	g_hash_table_destroy(list->by_fingerprint);
+	g_free(list);
+}
+
+/* Each part seeds the hash of the next, so that moving a byte from one part to
+ * its neighbour changes the result. */
+uint64_t
+suspect_fingerprint(
+    const char *customer, const char *method, const char *path, slice_t body)
+{
+	uint64_t hash = XXH64(customer, strlen(customer), 0);
+
+	hash = XXH64(method, strlen(method), hash);
+	hash = XXH64(path, strlen(path), hash);
+	return XXH64(body.data, body.size, hash);
+}
+
+static suspect_t *
+find_suspect(const suspect_list_t *list, uint64_t fingerprint)
+{
+	return g_hash_table_lookup(list->by_fingerprint, &fingerprint);
+}
+
+static void
+remove_suspect(suspect_list_t *list, suspect_t *suspect)
+{
+	g_queue_unlink(&list->by_age, &suspect->link);
+	g_hash_table_remove(list->by_fingerprint, &suspect->fingerprint);
+}
+
+static suspect_t *
+add_suspect(suspect_list_t *list, uint64_t fingerprint)
+{
+	suspect_t *suspect = g_new0(suspect_t, 1);
+
+	if (g_hash_table_size(list->by_fingerprint) >= SUSPECT_MAX)
+		remove_suspect(list, g_queue_peek_head(&list->by_age));
+	suspect->fingerprint = fingerprint;
+	suspect->link.data = suspect;
+	g_hash_table_insert(
+	    list->by_fingerprint, &suspect->fingerprint, suspect);
+	g_queue_push_tail_link(&list->by_age, &suspect->link);
+	return suspect;
+}
+
+static bool
+knows_crash(const suspect_t *suspect, uint64_t crash)
+{
+	uint32_t known = MIN(suspect->crash_count, KNOWN_CRASHES);
+
+	for (uint32_t i = 0; i < known; i++)
+		if (suspect->crashes[i] == crash)
+			return true;
+	return false;
+}
+
+bool
+suspect_crashed(
+    suspect_list_t *list, uint64_t fingerprint, uint64_t crash, usec_t now)
+{
+	suspect_t *suspect = find_suspect(list, fingerprint);
+
+	if (suspect == NULL)
+		suspect = add_suspect(list, fingerprint);
+	else if (knows_crash(suspect, crash))
+		return false;
+	suspect->crashes[suspect->crash_count++ % KNOWN_CRASHES] = crash;
+	if (suspect->crash_count >= 2)
+		suspect->refused_until = now + SECONDS(SUSPECT_REFUSE_S);
+	g_queue_unlink(&list->by_age, &suspect->link);
+	g_queue_push_tail_link(&list->by_age, &suspect->link);
+	return true;
+}
+
+void
+suspect_answered(suspect_list_t *list, uint64_t fingerprint, usec_t now)
+{
+	suspect_t *suspect = find_suspect(list, fingerprint);
+
+	if (suspect != NULL && now >= suspect->refused_until)
+		remove_suspect(list, suspect);
+}
+
+suspect_verdict_t
+suspect_verdict(const suspect_list_t *list, uint64_t fingerprint, usec_t now)
+{
+	const suspect_t *suspect = find_suspect(list, fingerprint);
+
+	if (suspect == NULL)
+		return SUSPECT_CLEAR;
+	return now < suspect->refused_until ? SUSPECT_REFUSED : SUSPECT_ALONE;
+}
+
+usec_t
+suspect_retry_after(
+    const suspect_list_t *list, uint64_t fingerprint, usec_t now)
+{
+	const suspect_t *suspect = find_suspect(list, fingerprint);
+
+	if (suspect == NULL || now >= suspect->refused_until)
+		return 0;
+	return suspect->refused_until;
+}
