Add the catalogue, the query coordinator, admission and allowances

The four decision modules had interfaces but no code. They are pure: inputs are events and a time, outputs are actions. The headers are adjusted where a contract could not be met: units are named one by one, a loan names its borrower.

--- a/include/bulrushwell/admission.h
+++ b/include/bulrushwell/admission.h
@@ -14,10 +14,19 @@
  * over the concurrency waits while its deadline allows; within a customer the
  * earliest deadline goes first. Refusals are typed and true: nothing of a
  * refused request was sent.
+ *
+ * The rate is a token bucket whose burst is a tenth of a second of the rate,
+ * at least one. A waiting request has a token reserved, and takes it when it
+ * is admitted. A bucket begins empty, is cut to the burst when the rate falls,
+ * and earns the smaller of the old and the new rate up to a change, so moving
+ * an allowance between nodes never creates tokens.
  */
 #define ADMISSION_MAX_WAITING 10000
 #define ADMISSION_MAX_CUSTOMERS 100000
 
+/** ADMISSION_BURST_SECONDS - The burst is the rate over this time. */
+#define ADMISSION_BURST_SECONDS 0.1
+
 typedef struct {
 	enum { ADMISSION_ADMIT, ADMISSION_REFUSE } kind;
 	uint64_t tag;
@@ -40,7 +49,8 @@
 void admission_destroy(admission_t *admission);
 
 /**
- * admission_set_allowance() - This node's part of a customer's contract.
+ * admission_set_allowance() - This node's part of a customer's contract. Loans
+ * end by themselves, so it is called before each offer, finish and tick.
  * @rate_per_s: 0 admits nothing
  * @concurrency: 0 admits nothing
  */
@@ -54,7 +64,8 @@
  * its deadline is refused now
  *
  * Return: 0 when admitted now, 1 when it waits (an action follows),
- * BW_E_RATE, BW_E_CONCURRENCY, BW_E_DEADLINE or BW_E_FULL.
+ * BW_E_RATE, BW_E_CONCURRENCY, BW_E_DEADLINE, BW_E_FULL, or BW_E_CONFLICT
+ * for the tag of a request that waits already.
  */
 int admission_offer(admission_t *admission, const char *customer, uint64_t tag,
     usec_t deadline, usec_t needed, usec_t now);
@@ -62,7 +73,10 @@
 /** admission_finish() - An admitted request ended. */
 void admission_finish(admission_t *admission, const char *customer, usec_t now);
 
-/** admission_withdraw() - The caller of a waiting request has gone. */
+/**
+ * admission_withdraw() - The caller of a waiting request has gone. A request
+ * whose ADMIT was already given is finished instead.
+ */
 void admission_withdraw(admission_t *admission, uint64_t tag);
 
 /** admission_tick() - Refuses what can no longer make its deadline. */
@@ -70,11 +84,17 @@
 
 bool admission_next_action(admission_t *admission, admission_action_t *action);
 
-/** admission_demand() - Requests offered per second lately, admitted or not. */
+/**
+ * admission_demand() - Requests offered per second lately, admitted or not:
+ * a rate that decays by 1/e in a second.
+ */
 double admission_demand(
     admission_t *admission, const char *customer, usec_t now);
 
-/** admission_retry_after() - When the rate allows the next request. */
+/**
+ * admission_retry_after() - How long until the rate allows the next request;
+ * a second when the node has no part of the rate.
+ */
 usec_t admission_retry_after(
     admission_t *admission, const char *customer, usec_t now);
 
--- a/include/bulrushwell/allowance.h
+++ b/include/bulrushwell/allowance.h
@@ -16,6 +16,12 @@
  * with demand, until a time that the borrower measures from when it asked; the
  * lender does without until later. The sum over all nodes never exceeds the
  * contract.
+ *
+ * A rate is divided and lent in whole quanta, each of which allows a burst of
+ * at least one request: the contract's burst, max(1, floor(rate / 10)), is the
+ * number of quanta. So the bursts of all nodes together are no more than the
+ * contract's. A contract of less than 20 requests a second is one quantum,
+ * held or borrowed by one node at a time.
  */
 typedef struct allowance allowance_t;
 
@@ -28,18 +34,31 @@
 void allowance_set_contract(allowance_t *allowance, const char *customer,
     double rate_per_s, uint32_t concurrency, usec_t now);
 
+/** allowance_unit_range() - The units @first .. @first + @count - 1 as bits. */
+uint64_t allowance_unit_range(uint32_t first, uint32_t count);
+
 /**
- * allowance_set_units() - Units that this node owns. More units are usable
- * after the same wait as a larger share in ledger_set_share().
- * @first: the number of units owned by members before this one in the
- * assignment, so that integer parts add up
+ * allowance_set_units() - Units that this node owns, one bit each.
+ * @longest: the longest deadline in force
+ *
+ * A unit that the node did not own before is usable after the time for which
+ * its former owner's loans and requests may last: its rate after LOAN_MS +
+ * DRIFT_MARGIN_MS, its concurrency after @longest more. A unit that is no
+ * longer owned is not used from now on.
  */
-void allowance_set_units(allowance_t *allowance, uint32_t first, uint32_t units,
-    usec_t longest, usec_t now);
+void allowance_set_units(
+    allowance_t *allowance, uint64_t units, usec_t longest, usec_t now);
 
-/** allowance_close_units() - Stops using @units units ahead of releasing. */
-void allowance_close_units(allowance_t *allowance, uint32_t units);
+/**
+ * allowance_close_units() - Stops using and lending @units ahead of releasing
+ * them. Replaces the units closed before: 0 opens all that are still owned.
+ */
+void allowance_close_units(allowance_t *allowance, uint64_t units);
 
+/**
+ * allowance_rate(), allowance_concurrency() - What this node may use now. Loans
+ * and holds end by time, so they are read right before each admission.
+ */
 double allowance_rate(allowance_t *allowance, const char *customer, usec_t now);
 uint32_t allowance_concurrency(
     allowance_t *allowance, const char *customer, usec_t now);
@@ -52,16 +71,30 @@
 } allowance_loan_t;
 
 /**
- * allowance_lend() - Answers a peer's wish.
+ * allowance_lend() - Answers a peer's wish. A new loan to the same incarnation
+ * replaces the one before.
+ * @borrower: the peer and its incarnation
  * @wish: what the peer lacks
  * @own_rate: what this node needs itself
- * @own_running: requests of the customer that run here
+ * @own_requests: requests of the customer that run or wait here
+ * @longest: the longest deadline that the borrower stated
  * @loan: set to what is lent, possibly nothing
+ *
+ * The lender's own admission applies the smaller allowance before the loan is
+ * sent.
  */
-void allowance_lend(allowance_t *allowance, const allowance_loan_t *wish,
-    double own_rate, uint32_t own_running, usec_t longest, usec_t now,
-    allowance_loan_t *loan);
+void allowance_lend(allowance_t *allowance, const char *borrower,
+    uint64_t incarnation, const allowance_loan_t *wish, double own_rate,
+    uint32_t own_requests, usec_t longest, usec_t now, allowance_loan_t *loan);
 
+/**
+ * allowance_receive_loan() - A peer's answer, usable until @asked_at + LOAN_MS.
+ * @asked_at: when this node sent the heartbeat that asked
+ *
+ * A loan that was asked for earlier than the lender's last one is ignored. The
+ * customer's admission is set to what allowance_rate() gives before as well as
+ * after this call, so that a loan that ended unnoticed earns nothing.
+ */
 void allowance_receive_loan(allowance_t *allowance, const char *lender,
     const allowance_loan_t *loan, usec_t asked_at, usec_t now);
 
--- a/include/bulrushwell/catalogue.h
+++ b/include/bulrushwell/catalogue.h
@@ -2,6 +2,7 @@
 #define BULRUSHWELL_CATALOGUE_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "bulrushwell/name.h"
@@ -14,13 +15,17 @@
  * "address", "incarnation", "data_centre", "state": "live"|"leaving"}]}
  *
  * index: {"index", "current", "versions": [{"version", "shards":
- * [SERVICE, ...]}]}; a shard's number is its position.
+ * [SERVICE, ...]}]}; a shard's number is its position. A published version is
+ * immutable: an object that lists it again with other shards is refused.
  */
 #define CATALOGUE_MAX_SERVERS 64
 #define CATALOGUE_MAX_SHARDS 4096
 #define CATALOGUE_MAX_VERSIONS 16
 #define CATALOGUE_MAX_SERVICES 4096
 #define CATALOGUE_MAX_INDEXES 1024
+#define CATALOGUE_MAX_SLOTS 10000
+#define CATALOGUE_MAX_CONNECTIONS 100000
+#define CATALOGUE_MAX_TEXT 1048576 /* the largest value of the platform */
 
 typedef struct {
 	name_t server;
@@ -47,6 +52,9 @@
 const char *shard_map_index(const shard_map_t *map);
 uint64_t shard_map_version(const shard_map_t *map);
 uint32_t shard_map_count(const shard_map_t *map);
+
+/** shard_map_service() - NULL when there is no such shard. Shards of the same
+ * service give the same pointer. */
 const char *shard_map_service(const shard_map_t *map, uint32_t shard);
 
 typedef struct catalogue catalogue_t;
--- a/include/bulrushwell/query.h
+++ b/include/bulrushwell/query.h
@@ -55,7 +55,7 @@
 
 /** typedef query_answer_t - Borrowed until the query is removed. */
 typedef struct {
-	id128_t id;
+	id128_t id; /* as given to query_begin() */
 	const char *index;
 	uint64_t version;
 	uint32_t total;
@@ -91,7 +91,7 @@
  * query_begin() - Pins @map and sends every shard.
  * @context: given back by query_context()
  *
- * Return: 0 or BW_E_FULL.
+ * Return: 0, BW_E_FULL, or BW_E_CONFLICT when a query with this id runs.
  */
 int query_begin(query_set_t *set, id128_t id, shard_map_t *map, usec_t deadline,
     usec_t now, void *context, handle_t *query);
@@ -100,17 +100,23 @@
 
 /**
  * query_reply() - One shard's outcome from a serving node.
+ * @node: who replied; only a node that was sent the shard is heard
+ * @version: the version that the reply states; for an error, the version that
+ * the request named
  * @error: 0 with @body, or BW_E_...
  *
  * A reply that matches no running query, shard or version is counted and
- * ignored.
+ * ignored. A node that answers that it does not serve the service
+ * (BW_E_NOT_SERVED, BW_E_STOPPING, BW_E_ISOLATED, BW_E_NOT_READY) has its shard
+ * sent to another one.
  */
 void query_reply(query_set_t *set, id128_t id, const char *node, uint32_t shard,
     uint64_t version, int error, body_t *body, usec_t now);
 
 /**
- * query_send_failed() - A SEND could not be handed to the peer; its shards go
- * to another node or are missing.
+ * query_send_failed() - The last SEND to @node could not be handed over; its
+ * shards go to another node or are missing. Called before the next action is
+ * taken.
  */
 void query_send_failed(
     query_set_t *set, id128_t id, const char *node, usec_t now);
@@ -120,14 +126,16 @@
 
 /**
  * query_index_changed() - Offers the current version of an index. A query
- * whose version is gone is retried whole on it, when enough time is left.
+ * whose version is gone is retried whole on a higher one, at most twice and
+ * while a quarter of its time is left. Until then it waits for a higher
+ * version instead of ending without the shards that are gone.
  */
 void query_index_changed(query_set_t *set, shard_map_t *current, usec_t now);
 
-/** query_tick() - Ends queries at their deadlines. */
+/** query_tick() - Ends queries that are due. */
 void query_tick(query_set_t *set, usec_t now);
 
-/** query_next_deadline() - The earliest deadline; 0 when none runs. */
+/** query_next_deadline() - When query_tick() is due; 0 when none runs. */
 usec_t query_next_deadline(const query_set_t *set);
 
 /** query_remove() - After FINISH, or when the caller has gone (cancels). */
--- /dev/null
+++ b/source/admission/admission.c
@@ -0,0 +1,448 @@
+#include "bulrushwell/admission.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+
+/* Time constant of the demand: long enough that a caller with a few requests a
+ * second keeps its loan, short enough that the loan ends soon after. */
+#define DEMAND_SECONDS 1.0
+
+/* Below this demand an entry without allowance is forgotten when the table is
+ * full. */
+#define DEMAND_NONE 0.001
+
+/* A longer wait is not worth announcing, and would not fit every client. */
+#define RETRY_MAX_SECONDS 3600.0
+
+/* Sums of many small additions to a bucket may fall short of one by this. */
+#define TOKEN_EPSILON 1e-9
+
+typedef struct {
+	name_t name;
+	double rate;
+	uint32_t concurrency;
+	double tokens;
+	usec_t filled_at;
+	double demand;
+	usec_t demand_at;
+	GSequence *waiting; /* waiter_t by deadline */
+	guint position;	    /* in admission->blocked, when requests wait */
+	admission_stats_t stats;
+} customer_t;
+
+typedef struct {
+	uint64_t tag;
+	customer_t *customer;
+	usec_t deadline;
+	usec_t latest_start; /* admitted later, it would miss its deadline */
+	GSequenceIter *turn;
+	GSequenceIter *limit;
+} waiter_t;
+
+struct admission {
+	GHashTable *customers; /* name -> customer_t */
+	GHashTable *waiters;   /* tag -> waiter_t */
+	GSequence *limits;     /* waiter_t by latest_start */
+	GPtrArray *blocked;    /* customers with waiting requests */
+	GQueue actions;	       /* admission_action_t */
+};
+
+static void
+free_customer(void *data)
+{
+	customer_t *customer = data;
+
+	if (customer->waiting != NULL)
+		g_sequence_free(customer->waiting);
+	g_free(customer);
+}
+
+admission_t *
+admission_create(void)
+{
+	admission_t *admission = g_new0(admission_t, 1);
+
+	admission->customers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_customer);
+	admission->waiters =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	admission->limits = g_sequence_new(NULL);
+	admission->blocked = g_ptr_array_new();
+	g_queue_init(&admission->actions);
+	return admission;
+}
+
+void
+admission_destroy(admission_t *admission)
+{
+	if (admission == NULL)
+		return;
+	g_queue_clear_full(&admission->actions, g_free);
+	g_ptr_array_free(admission->blocked, TRUE);
+	g_sequence_free(admission->limits);
+	g_hash_table_destroy(admission->waiters);
+	g_hash_table_destroy(admission->customers);
+	g_free(admission);
+}
+
+static int
+compare_deadline(const void *a, const void *b, void *data)
+{
+	const waiter_t *first = a, *second = b;
+
+	return (first->deadline > second->deadline) -
+	    (first->deadline < second->deadline);
+}
+
+static int
+compare_latest_start(const void *a, const void *b, void *data)
+{
+	const waiter_t *first = a, *second = b;
+
+	return (first->latest_start > second->latest_start) -
+	    (first->latest_start < second->latest_start);
+}
+
+static double
+demand_at(const customer_t *customer, usec_t now)
+{
+	double seconds =
+	    (double)(now - customer->demand_at) / (double)USEC_PER_SEC;
+
+	return customer->demand * exp(-fmax(seconds, 0) / DEMAND_SECONDS);
+}
+
+static gboolean
+is_idle(void *key, void *value, void *data)
+{
+	const customer_t *customer = value;
+	usec_t now = *(const usec_t *)data;
+
+	return customer->rate <= 0 && customer->concurrency == 0 &&
+	    customer->stats.running == 0 && customer->stats.waiting == 0 &&
+	    demand_at(customer, now) < DEMAND_NONE;
+}
+
+/* The entry of a customer, made when there is none; NULL when the table is
+ * full. */
+static customer_t *
+get_customer(admission_t *admission, const char *name, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+
+	if (customer != NULL)
+		return customer;
+	if (g_hash_table_size(admission->customers) >= ADMISSION_MAX_CUSTOMERS)
+		g_hash_table_foreach_remove(
+		    admission->customers, is_idle, &now);
+	if (g_hash_table_size(admission->customers) >= ADMISSION_MAX_CUSTOMERS)
+		return NULL;
+	customer = g_new0(customer_t, 1);
+	g_strlcpy(customer->name, name, sizeof(customer->name));
+	customer->filled_at = now;
+	customer->demand_at = now;
+	g_hash_table_insert(admission->customers, customer->name, customer);
+	return customer;
+}
+
+static double
+burst_of(double rate)
+{
+	return rate > 0 ? fmax(1, rate * ADMISSION_BURST_SECONDS) : 0;
+}
+
+static void
+fill_bucket(customer_t *customer, double rate, usec_t now)
+{
+	double seconds =
+	    (double)(now - customer->filled_at) / (double)USEC_PER_SEC;
+
+	if (seconds <= 0)
+		return;
+	customer->tokens =
+	    fmin(burst_of(customer->rate), customer->tokens + rate * seconds);
+	customer->filled_at = now;
+}
+
+static bool
+has_token(const customer_t *customer, uint32_t reserved)
+{
+	return customer->tokens + TOKEN_EPSILON >= 1.0 + reserved;
+}
+
+static void
+admit(customer_t *customer)
+{
+	customer->tokens = fmax(0, customer->tokens - 1);
+	customer->stats.admitted++;
+	customer->stats.running++;
+	INVARIANT(customer->stats.running <= customer->concurrency,
+	    "%s runs %u requests with a part of %u", customer->name,
+	    customer->stats.running, customer->concurrency);
+}
+
+static void
+push_action(admission_t *admission, const waiter_t *waiter, int error)
+{
+	admission_action_t *action = g_new0(admission_action_t, 1);
+
+	action->kind = error == 0 ? ADMISSION_ADMIT : ADMISSION_REFUSE;
+	action->tag = waiter->tag;
+	memcpy(action->customer, waiter->customer->name, sizeof(name_t));
+	action->error = error;
+	g_queue_push_tail(&admission->actions, action);
+}
+
+static void
+unblock(admission_t *admission, const customer_t *customer)
+{
+	guint position = customer->position;
+
+	g_ptr_array_remove_index_fast(admission->blocked, position);
+	if (position < admission->blocked->len) {
+		customer_t *moved =
+		    g_ptr_array_index(admission->blocked, position);
+
+		moved->position = position;
+	}
+}
+
+static void
+remove_waiter(admission_t *admission, waiter_t *waiter)
+{
+	customer_t *customer = waiter->customer;
+
+	g_sequence_remove(waiter->turn);
+	g_sequence_remove(waiter->limit);
+	g_hash_table_remove(admission->waiters, &waiter->tag);
+	if (--customer->stats.waiting == 0)
+		unblock(admission, customer);
+}
+
+static void
+add_waiter(admission_t *admission, customer_t *customer, uint64_t tag,
+    usec_t deadline, usec_t latest_start)
+{
+	waiter_t *waiter = g_new0(waiter_t, 1);
+
+	if (customer->waiting == NULL)
+		customer->waiting = g_sequence_new(NULL);
+	waiter->tag = tag;
+	waiter->customer = customer;
+	waiter->deadline = deadline;
+	waiter->latest_start = latest_start;
+	waiter->turn = g_sequence_insert_sorted(
+	    customer->waiting, waiter, compare_deadline, NULL);
+	waiter->limit = g_sequence_insert_sorted(
+	    admission->limits, waiter, compare_latest_start, NULL);
+	g_hash_table_insert(admission->waiters, &waiter->tag, waiter);
+	if (customer->stats.waiting++ == 0) {
+		customer->position = admission->blocked->len;
+		g_ptr_array_add(admission->blocked, customer);
+	}
+}
+
+/* What keeps a waiting request back: the rate only when a place is free. */
+static int
+count_late(customer_t *customer)
+{
+	if (customer->stats.running < customer->concurrency) {
+		customer->stats.refused_rate++;
+		return BW_E_RATE;
+	}
+	customer->stats.refused_concurrency++;
+	return BW_E_CONCURRENCY;
+}
+
+static void
+refuse_late(admission_t *admission, usec_t now)
+{
+	while (!g_sequence_is_empty(admission->limits)) {
+		waiter_t *waiter = g_sequence_get(
+		    g_sequence_get_begin_iter(admission->limits));
+
+		if (waiter->latest_start >= now)
+			break;
+		push_action(admission, waiter, count_late(waiter->customer));
+		remove_waiter(admission, waiter);
+	}
+}
+
+static void
+admit_waiting(admission_t *admission, customer_t *customer)
+{
+	while (customer->stats.waiting > 0 && has_token(customer, 0) &&
+	    customer->stats.running < customer->concurrency) {
+		waiter_t *waiter = g_sequence_get(
+		    g_sequence_get_begin_iter(customer->waiting));
+
+		admit(customer);
+		push_action(admission, waiter, 0);
+		remove_waiter(admission, waiter);
+	}
+}
+
+/* Refuses before it admits, so that no place goes to a late request. */
+static void
+advance(admission_t *admission, customer_t *customer, usec_t now)
+{
+	refuse_late(admission, now);
+	fill_bucket(customer, customer->rate, now);
+	admit_waiting(admission, customer);
+}
+
+void
+admission_set_allowance(admission_t *admission, const char *name,
+    double rate_per_s, uint32_t concurrency, usec_t now)
+{
+	customer_t *customer = get_customer(admission, name, now);
+
+	if (customer == NULL)
+		return;
+	fill_bucket(customer, fmin(customer->rate, rate_per_s), now);
+	customer->rate = rate_per_s;
+	customer->concurrency = concurrency;
+	customer->tokens = fmin(customer->tokens, burst_of(rate_per_s));
+	advance(admission, customer, now);
+}
+
+/* Whether a request that goes behind those with earlier deadlines can still
+ * make its own: each round of @concurrency requests takes @needed. */
+static bool
+can_wait(const customer_t *customer, usec_t deadline, usec_t needed, usec_t now)
+{
+	uint32_t places = customer->concurrency > 0 ? customer->concurrency : 1;
+	const waiter_t key = {.deadline = deadline};
+	usec_t ahead = 0;
+
+	if (customer->waiting != NULL)
+		ahead = g_sequence_iter_get_position(g_sequence_search(
+		    customer->waiting, (void *)&key, compare_deadline, NULL));
+	return now + (ahead / places + 1) * needed <= deadline;
+}
+
+static void
+count_demand(customer_t *customer, usec_t now)
+{
+	customer->demand = demand_at(customer, now) + 1 / DEMAND_SECONDS;
+	customer->demand_at = now;
+}
+
+static int
+refuse(uint64_t *counter, int error)
+{
+	(*counter)++;
+	return error;
+}
+
+int
+admission_offer(admission_t *admission, const char *name, uint64_t tag,
+    usec_t deadline, usec_t needed, usec_t now)
+{
+	customer_t *customer = get_customer(admission, name, now);
+	admission_stats_t *stats;
+
+	if (customer == NULL)
+		return BW_E_FULL;
+	if (g_hash_table_contains(admission->waiters, &tag))
+		return BW_E_CONFLICT;
+	stats = &customer->stats;
+	count_demand(customer, now);
+	advance(admission, customer, now);
+	if (now + needed > deadline)
+		return refuse(&stats->refused_deadline, BW_E_DEADLINE);
+	if (!has_token(customer, stats->waiting))
+		return refuse(&stats->refused_rate, BW_E_RATE);
+	if (stats->running < customer->concurrency) {
+		admit(customer);
+		return 0;
+	}
+	if (!can_wait(customer, deadline, needed, now))
+		return refuse(&stats->refused_concurrency, BW_E_CONCURRENCY);
+	if (g_hash_table_size(admission->waiters) >= ADMISSION_MAX_WAITING)
+		return BW_E_FULL;
+	add_waiter(admission, customer, tag, deadline, deadline - needed);
+	return 1;
+}
+
+void
+admission_finish(admission_t *admission, const char *name, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+
+	INVARIANT(customer != NULL && customer->stats.running > 0,
+	    "a request of %s ended that was not admitted", name);
+	if (customer == NULL || customer->stats.running == 0)
+		return;
+	customer->stats.running--;
+	advance(admission, customer, now);
+}
+
+void
+admission_withdraw(admission_t *admission, uint64_t tag)
+{
+	waiter_t *waiter = g_hash_table_lookup(admission->waiters, &tag);
+
+	if (waiter != NULL)
+		remove_waiter(admission, waiter);
+}
+
+void
+admission_tick(admission_t *admission, usec_t now)
+{
+	refuse_late(admission, now);
+	for (guint i = admission->blocked->len; i > 0; i--)
+		advance(admission, g_ptr_array_index(admission->blocked, i - 1),
+		    now);
+}
+
+bool
+admission_next_action(admission_t *admission, admission_action_t *action)
+{
+	admission_action_t *next = g_queue_pop_head(&admission->actions);
+
+	if (next == NULL)
+		return false;
+	*action = *next;
+	g_free(next);
+	return true;
+}
+
+double
+admission_demand(admission_t *admission, const char *name, usec_t now)
+{
+	const customer_t *customer =
+	    g_hash_table_lookup(admission->customers, name);
+
+	return customer != NULL ? demand_at(customer, now) : 0;
+}
+
+usec_t
+admission_retry_after(admission_t *admission, const char *name, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+	double missing;
+
+	if (customer == NULL || customer->rate <= 0)
+		return SECONDS(1);
+	fill_bucket(customer, customer->rate, now);
+	if (has_token(customer, customer->stats.waiting))
+		return 0;
+	missing = 1 + customer->stats.waiting - customer->tokens;
+	return (usec_t)ceil(fmin(missing / customer->rate, RETRY_MAX_SECONDS) *
+	    (double)USEC_PER_SEC);
+}
+
+void
+admission_get_stats(
+    const admission_t *admission, const char *name, admission_stats_t *stats)
+{
+	const customer_t *customer =
+	    g_hash_table_lookup(admission->customers, name);
+
+	*stats = customer != NULL ? customer->stats : (admission_stats_t){0};
+}
--- /dev/null
+++ b/source/query/query_fanout.c
@@ -0,0 +1,306 @@
+#include "query_state.h"
+
+#include <string.h>
+
+#include "bulrushwell/event.h"
+
+void
+fanout_start(query_t *query, shard_map_t *map)
+{
+	query->map = shard_map_keep(map);
+	query->total = shard_map_count(map);
+	query->pending = query->total;
+	query->gone = 0;
+	query->shards = g_new0(shard_t, query->total);
+	for (uint32_t i = 0; i < query->total; i++)
+		query->shards[i].node = NODE_NONE;
+	query->nodes = g_array_new(FALSE, TRUE, sizeof(asked_node_t));
+}
+
+void
+fanout_clear(query_t *query)
+{
+	for (uint32_t i = 0; i < query->total; i++)
+		body_drop(query->shards[i].body);
+	g_free(query->shards);
+	query->shards = NULL;
+	g_array_free(query->nodes, TRUE);
+	query->nodes = NULL;
+	shard_map_drop(query->map);
+	query->map = NULL;
+}
+
+static asked_node_t *
+node_at(const query_t *query, uint8_t position)
+{
+	return &g_array_index(query->nodes, asked_node_t, position);
+}
+
+uint8_t
+fanout_find_node(const query_t *query, const char *node)
+{
+	for (guint i = 0; i < query->nodes->len; i++)
+		if (strcmp(node_at(query, (uint8_t)i)->node, node) == 0)
+			return (uint8_t)i;
+	return NODE_NONE;
+}
+
+static uint8_t
+add_node(query_t *query, const char *name)
+{
+	uint8_t position = fanout_find_node(query, name);
+	asked_node_t node = {0};
+
+	if (position != NODE_NONE || query->nodes->len == QUERY_MAX_NODES)
+		return position;
+	g_strlcpy(node.node, name, sizeof(node.node));
+	g_array_append_val(query->nodes, node);
+	return (uint8_t)(query->nodes->len - 1);
+}
+
+static action_entry_t *
+push_action(query_set_t *set, const query_t *query, int kind)
+{
+	action_entry_t *entry = g_new0(action_entry_t, 1);
+
+	entry->action.kind = kind;
+	entry->action.query = query->handle;
+	entry->action.id = query->wire_id;
+	entry->action.deadline = query->deadline;
+	g_queue_push_tail(&set->actions, entry);
+	return entry;
+}
+
+void
+fanout_free_action(action_entry_t *entry)
+{
+	if (entry == NULL)
+		return;
+	if (entry->shards != NULL)
+		g_array_free(entry->shards, TRUE);
+	shard_map_drop(entry->map);
+	g_free(entry);
+}
+
+static action_entry_t *
+open_send(query_set_t *set, query_t *query, uint8_t position)
+{
+	asked_node_t *node = node_at(query, position);
+	action_entry_t *entry = node->open;
+
+	if (entry != NULL)
+		return entry;
+	entry = push_action(set, query, QUERY_SEND);
+	memcpy(entry->action.node, node->node, sizeof(node->node));
+	entry->map = shard_map_keep(query->map);
+	entry->shards = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	entry->send = ++query->send_count;
+	entry->node = position;
+	node->open = entry;
+	return entry;
+}
+
+static uint8_t
+route_service(
+    query_set_t *set, query_t *query, const char *service, const char *except)
+{
+	const char *node =
+	    set->router.find_node(set->router.context, service, except);
+
+	if (node == NULL || (except != NULL && strcmp(node, except) == 0))
+		return NODE_NONE;
+	return add_node(query, node);
+}
+
+void
+fanout_send(query_set_t *set, query_t *query, const char *except)
+{
+	const char *service = NULL;
+	uint8_t position = NODE_NONE;
+
+	for (uint32_t i = 0; i < query->total; i++) {
+		shard_t *shard = &query->shards[i];
+		const char *wanted = shard_map_service(query->map, i);
+		action_entry_t *entry;
+
+		if (shard->state != SHARD_PENDING || shard->node != NODE_NONE)
+			continue;
+		if (service != wanted)
+			position = route_service(set, query, wanted, except);
+		service = wanted;
+		if (position == NODE_NONE) {
+			fanout_set_missing(query, shard, MISSING_NOT_SERVED);
+			continue;
+		}
+		entry = open_send(set, query, position);
+		g_array_append_val(entry->shards, i);
+		shard->node = position;
+		shard->send = entry->send;
+		shard->sends++;
+	}
+}
+
+void
+fanout_take_back(query_t *query, shard_t *shard)
+{
+	shard->node = NODE_NONE;
+	shard->send = 0;
+	if (shard->sends >= QUERY_MAX_SENDS)
+		fanout_set_missing(query, shard, MISSING_NOT_SERVED);
+}
+
+static void
+leave_state(query_t *query, const shard_t *shard)
+{
+	if (shard->state == SHARD_PENDING)
+		query->pending--;
+	else if (shard->state == SHARD_MISSING &&
+	    shard->reason == MISSING_VERSION_GONE)
+		query->gone--;
+}
+
+void
+fanout_set_body(query_t *query, shard_t *shard, uint64_t version, body_t *body)
+{
+	leave_state(query, shard);
+	shard->state = SHARD_ANSWERED;
+	shard->version = version;
+	shard->body = body_keep(body);
+}
+
+void
+fanout_set_missing(query_t *query, shard_t *shard, missing_reason_t reason)
+{
+	leave_state(query, shard);
+	shard->state = SHARD_MISSING;
+	shard->reason = (uint8_t)reason;
+	if (reason == MISSING_VERSION_GONE)
+		query->gone++;
+}
+
+void
+fanout_cancel(query_set_t *set, const query_t *query)
+{
+	uint64_t owing = 0;
+
+	for (uint32_t i = 0; i < query->total; i++)
+		owing |= query->shards[i].owing;
+	for (guint i = 0; i < query->nodes->len; i++) {
+		if ((owing >> i & 1) == 0)
+			continue;
+		memcpy(push_action(set, query, QUERY_CANCEL)->action.node,
+		    node_at(query, (uint8_t)i)->node, sizeof(name_t));
+	}
+}
+
+static void
+check_answer(const query_t *query, uint32_t missing)
+{
+	const query_answer_t *answer = &query->answer;
+
+	INVARIANT(answer->answered + missing == answer->total,
+	    "%u answered and %u missing of %u shards", answer->answered,
+	    missing, answer->total);
+	for (uint32_t i = 0; i < answer->answered; i++) {
+		const shard_t *shard = &query->shards[answer->results[i].shard];
+
+		INVARIANT(shard->version == answer->version,
+		    "shard %u is of version %llu in an answer of version %llu",
+		    answer->results[i].shard,
+		    (unsigned long long)shard->version,
+		    (unsigned long long)answer->version);
+	}
+}
+
+void
+fanout_answer(query_set_t *set, query_t *query, usec_t now)
+{
+	query_answer_t *answer = &query->answer;
+	uint32_t missing = 0;
+
+	query->results = g_new(shard_result_t, query->total);
+	query->missing = g_new(missing_shard_t, query->total);
+	*answer = (query_answer_t){.id = query->id,
+	    .index = shard_map_index(query->map),
+	    .version = shard_map_version(query->map),
+	    .total = query->total,
+	    .results = query->results,
+	    .missing = query->missing,
+	    .elapsed = now - query->begun,
+	    .sent = query->handed > 0};
+	for (uint32_t i = 0; i < query->total; i++) {
+		const shard_t *shard = &query->shards[i];
+
+		if (shard->state == SHARD_ANSWERED)
+			query->results[answer->answered++] =
+			    (shard_result_t){i, shard->body};
+		else if (shard->state == SHARD_MISSING)
+			query->missing[missing++] = (missing_shard_t){
+			    i, (missing_reason_t)shard->reason};
+	}
+	check_answer(query, missing);
+	push_action(set, query, QUERY_FINISH)->action.answer = answer;
+}
+
+/* Hands a SEND over with the shards that are still wanted from its node. */
+static bool
+hand_over(query_t *query, action_entry_t *entry)
+{
+	asked_node_t *node = node_at(query, entry->node);
+	guint kept = 0;
+
+	node->open = NULL;
+	for (guint i = 0; i < entry->shards->len; i++) {
+		uint32_t number = g_array_index(entry->shards, uint32_t, i);
+		shard_t *shard = &query->shards[number];
+
+		if (shard->state != SHARD_PENDING || shard->send != entry->send)
+			continue;
+		shard->owing |= (uint64_t)1 << entry->node;
+		g_array_index(entry->shards, uint32_t, kept++) = number;
+	}
+	if (kept == 0)
+		return false;
+	g_array_set_size(entry->shards, kept);
+	entry->action.map = entry->map;
+	entry->action.shards = (const uint32_t *)(void *)entry->shards->data;
+	entry->action.shard_count = kept;
+	node->last_send = entry->send;
+	query->handed++;
+	return true;
+}
+
+/* Whether an action still has a purpose when it is drained. */
+static bool
+is_wanted(query_set_t *set, action_entry_t *entry)
+{
+	query_t *query = table_get(set->queries, entry->action.query);
+
+	switch (entry->action.kind) {
+	case QUERY_SEND:
+		return query != NULL && !query->finished &&
+		    id128_equal(query->wire_id, entry->action.id) &&
+		    hand_over(query, entry);
+	case QUERY_FINISH:
+		return query != NULL;
+	case QUERY_CANCEL:
+		break;
+	}
+	return true;
+}
+
+bool
+query_next_action(query_set_t *set, query_action_t *action)
+{
+	action_entry_t *entry;
+
+	while ((entry = g_queue_pop_head(&set->actions)) != NULL) {
+		fanout_free_action(set->drained);
+		set->drained = entry;
+		if (!is_wanted(set, entry))
+			continue;
+		*action = entry->action;
+		return true;
+	}
+	return false;
+}
