--- a/source/base/event.c
+++ b/source/base/event.c
@@ -1,6 +1,7 @@
 #include "bulrushwell/event.h"
 
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -60,7 +61,10 @@
 	log4c_layout_type_set(&line_layout);
 	layout = log4c_layout_get("bulrushwell");
 	log4c_layout_set_type(layout, &line_layout);
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("bulrushwell");
+	log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
+	log4c_stream2_set_fp(appender, stderr);
+	log4c_stream2_set_flags(appender, LOG4C_STREAM2_UNBUFFERED);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(program);
 	log4c_category_set_appender(category, appender);
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -131,6 +131,34 @@
 	    node->board.settings.node, node->board.incarnation);
 }
 
+/* Units are numbered through the members in their order. */
+static uint32_t
+first_own_unit(const node_t *node)
+{
+	const assignment_t *assignment = node->board.assignment;
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < assignment->member_count; i++) {
+		const assigned_member_t *member = &assignment->members[i];
+
+		if (member->incarnation == node->board.incarnation &&
+		    strcmp(member->node, node->board.settings.node) == 0)
+			break;
+		first += member->units;
+	}
+	return first;
+}
+
+/* Stops using the last @count of this node's units. */
+static void
+close_units(node_t *node, uint32_t count)
+{
+	uint32_t last = first_own_unit(node) + own_units(node);
+
+	allowance_close_units(
+	    node->board.allowance, allowance_unit_range(last - count, count));
+}
+
 /* Units are closed first and released when nothing of them can be in use. */
 static uint32_t
 units_to_release(node_t *node, const plan_basis_t *basis, usec_t now)
@@ -148,7 +176,7 @@
 		return 0;
 	}
 	if (node->units_closed_at == 0 || node->units_closing != excess) {
-		allowance_close_units(node->board.allowance, excess);
+		close_units(node, excess);
 		node->units_closing = excess;
 		node->units_closed_at = now;
 	}
@@ -294,21 +322,9 @@
 static void
 adopt_units(node_t *node, usec_t longest, usec_t now)
 {
-	const assignment_t *assignment = node->board.assignment;
-	uint32_t first = 0;
-
-	for (uint32_t i = 0; i < assignment->member_count; i++) {
-		const assigned_member_t *member = &assignment->members[i];
-
-		if (member->incarnation == node->board.incarnation &&
-		    strcmp(member->node, node->board.settings.node) == 0) {
-			allowance_set_units(node->board.allowance, first,
-			    member->units, longest, now);
-			return;
-		}
-		first += member->units;
-	}
-	allowance_set_units(node->board.allowance, 0, 0, longest, now);
+	allowance_set_units(node->board.allowance,
+	    allowance_unit_range(first_own_unit(node), own_units(node)),
+	    longest, now);
 }
 
 void
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -19,8 +19,8 @@
 	return stats;
 }
 
-static void
-apply_allowance(node_t *node, const char *customer, usec_t now)
+void
+limits_apply(node_t *node, const char *customer, usec_t now)
 {
 	admission_set_allowance(node->board.admission, customer,
 	    allowance_rate(node->board.allowance, customer, now),
@@ -36,7 +36,7 @@
 	allowance_set_contract(node->board.allowance, customer,
 	    retired ? 0 : contract_rate_per_s(contract),
 	    retired ? 0 : contract_concurrency(contract), now);
-	apply_allowance(node, customer, now);
+	limits_apply(node, customer, now);
 }
 
 void
@@ -45,7 +45,7 @@
 	const contract_store_t *store = node->board.contracts;
 
 	for (size_t i = 0; i < contract_store_count(store); i++)
-		apply_allowance(
+		limits_apply(
 		    node, contract_customer(contract_store_at(store, i)), now);
 	admission_tick(node->board.admission, now);
 }
@@ -130,12 +130,25 @@
 		own = WISH_FACTOR *
 		    admission_demand(
 			node->board.admission, wish->customer, now);
-		allowance_lend(node->board.allowance, wish, own,
+		allowance_lend(node->board.allowance, heartbeat->report.node,
+		    heartbeat->report.incarnation, wish, own,
 		    stats.running + stats.waiting, longest, now, loan);
 		if (loan->rate_per_s > 0 || loan->concurrency > 0) {
-			apply_allowance(node, wish->customer, now);
+			limits_apply(node, wish->customer, now);
 			count++;
 		}
 	}
 	return count;
 }
+
+void
+limits_receive_loan(node_t *node, const char *lender,
+    const allowance_loan_t *loan, usec_t asked_at, usec_t now)
+{
+	/* Applied before as well, so that a loan that ended unnoticed earns
+	 * nothing. */
+	limits_apply(node, loan->customer, now);
+	allowance_receive_loan(
+	    node->board.allowance, lender, loan, asked_at, now);
+	limits_apply(node, loan->customer, now);
+}
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -190,8 +190,8 @@
 		scheduler_get_stats(served->scheduler, &stats);
 		charged = scheduler_charged(served->scheduler);
 	}
-	return ledger_lend(
-	    node->board.ledger, service, charged, stats.queued, longest, now);
+	return ledger_lend(node->board.ledger, service, heartbeat->report.node,
+	    heartbeat->report.incarnation, charged, stats.queued, longest, now);
 }
 
 static void
@@ -253,7 +253,7 @@
 		ledger_receive_loan(node->board.ledger, reply->loans[i].service,
 		    message->sender, reply->loans[i].slots, asked_at, now);
 	for (uint32_t i = 0; i < reply->allowance_count; i++)
-		allowance_receive_loan(node->board.allowance, message->sender,
+		limits_receive_loan(node, message->sender,
 		    &reply->allowances[i], asked_at, now);
 }
 
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -139,6 +139,9 @@
 void peer_broadcast(node_t *node, message_t *message);
 
 /* node_limits.c */
+void limits_apply(node_t *node, const char *customer, usec_t now);
+void limits_receive_loan(node_t *node, const char *lender,
+    const allowance_loan_t *loan, usec_t asked_at, usec_t now);
 void limits_tick(node_t *node, usec_t now);
 void limits_contract_changed(
     node_t *node, const contract_t *contract, usec_t now);
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -40,6 +40,9 @@
 {
 	node_t *node = request->node;
 
+	if (request->admitted)
+		limits_apply(node, contract_customer(request->contract),
+		    clock_monotonic());
 	if (request->admitted)
 		admission_finish(node->board.admission,
 		    contract_customer(request->contract), clock_monotonic());
@@ -275,10 +278,12 @@
 	usec_t needed = request->kind == REQUEST_QUERY
 	    ? query_expected_wait(node, request->target, now)
 	    : 0;
-	int result = admission_offer(node->board.admission,
-	    contract_customer(request->contract), handle, request->deadline,
-	    needed, now);
+	const char *customer = contract_customer(request->contract);
+	int result;
 
+	limits_apply(node, customer, now);
+	result = admission_offer(node->board.admission, customer, handle,
+	    request->deadline, needed, now);
 	if (result < 0)
 		request_refuse(request, result, NULL);
 	else if (result == 0)
