Add the command-line tool

Operators need to write, change, retire and read contracts, and callers need a way to try a query or a reservation by hand. A lost answer to a write is settled by reading back and comparing the operation token; the decision is a pure function, checked with 5,000 seeded runs against a model that loses requests and answers and applies writes late.

--- /dev/null
+++ b/include/bulrushwell/tool_command.h
@@ -0,0 +1,31 @@
+#ifndef BULRUSHWELL_TOOL_COMMAND_H
+#define BULRUSHWELL_TOOL_COMMAND_H
+
+#include <jansson.h>
+
+#include "bulrushwell/tool.h"
+#include "bulrushwell/tool_options.h"
+
+/** tool_run_contract() - The contract commands. */
+tool_exit_t tool_run_contract(const tool_options_t *options);
+
+/** tool_run_status() - Prints a node's status. */
+tool_exit_t tool_run_status(const tool_options_t *options);
+
+/** tool_run_call() - Sends a query or a reservation as a caller. */
+tool_exit_t tool_run_call(const tool_options_t *options);
+
+/**
+ * tool_fail() - Reports a failure that this program found itself.
+ * @error: a BW_E_... number for its kind
+ * @format: one sentence with the remedy after a ';', without a final stop
+ *
+ * Return: @code.
+ */
+tool_exit_t tool_fail(const tool_options_t *options, tool_exit_t code,
+    int error, const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+/** tool_print_json() - One line on standard output. */
+void tool_print_json(const json_t *value);
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/tool_http.h
@@ -0,0 +1,47 @@
+#ifndef BULRUSHWELL_TOOL_HTTP_H
+#define BULRUSHWELL_TOOL_HTTP_H
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "bulrushwell/clock.h"
+#include "bulrushwell/slice.h"
+
+/**
+ * DOC: One HTTP request of the tool
+ *
+ * Every request uses a connection of its own: libcurl repeats a request on its
+ * own when a reused connection dies, and a reservation must not be repeated.
+ * No proxy, no redirect, bounded time and size.
+ */
+#define TOOL_HTTP_MAX_REPLY (64u << 20)
+
+typedef enum {
+	TOOL_HTTP_ANSWERED,
+	TOOL_HTTP_NOT_SENT, /* certain: nothing of the request was sent */
+	TOOL_HTTP_LOST	    /* sent, in part at least; no whole answer */
+} tool_http_result_t;
+
+typedef struct {
+	const char *method;
+	const char *address;	    /* IP:PORT */
+	const char *path;	    /* of checked names only */
+	const char *const *headers; /* "Name: value", ended by NULL; or NULL */
+	slice_t body;
+	usec_t timeout;
+} tool_request_t;
+
+typedef struct {
+	tool_http_result_t result;
+	int status;
+	GString *body;
+	json_t *json; /* NULL when the body is not JSON */
+	char problem[160];
+} tool_reply_t;
+
+/** tool_http_send() - Blocks until the answer or the timeout. */
+void tool_http_send(const tool_request_t *request, tool_reply_t *reply);
+
+void tool_reply_clear(tool_reply_t *reply);
+
+#endif
--- /dev/null
+++ b/include/bulrushwell/tool_render.h
@@ -0,0 +1,44 @@
+#ifndef BULRUSHWELL_TOOL_RENDER_H
+#define BULRUSHWELL_TOOL_RENDER_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "bulrushwell/tool.h"
+#include "bulrushwell/tool_http.h"
+
+/**
+ * DOC: Sentences for people
+ *
+ * Everything shown comes from other machines, so control characters are
+ * replaced: a reply cannot steer the terminal. A field that is absent or of
+ * another type is shown as "?".
+ */
+
+/** tool_render_contract() - @value is the stored object's value. */
+void tool_render_contract(GString *out, uint64_t version, const json_t *value);
+
+/** tool_render_contracts() - A list reply, one line for each contract. */
+void tool_render_contracts(GString *out, const json_t *list);
+
+void tool_render_status(GString *out, const json_t *status);
+void tool_render_query(GString *out, const json_t *answer);
+void tool_render_reservation(GString *out, const json_t *answer);
+
+/** tool_render_error() - An error body: message, what is known, remedy. */
+void tool_render_error(GString *out, const json_t *reply);
+
+/**
+ * tool_query_exit() - The exit code for a reply to a query. Complete only when
+ * the reply says so and its coverage agrees.
+ */
+tool_exit_t tool_query_exit(const tool_reply_t *reply);
+
+/**
+ * tool_reserve_exit() - The exit code for a reply to a reservation. Unless the
+ * reply proves otherwise, the reservation may have run.
+ */
+tool_exit_t tool_reserve_exit(const tool_reply_t *reply);
+
+#endif
--- a/source/node/settings.c
+++ b/source/node/settings.c
@@ -166,8 +166,10 @@
 		arguments[i] = g_strdup(argv[i]);
 	for (int i = 0; i < SET_COUNT; i++) {
 		entries[i].long_name = setting_table[i].flag;
-		entries[i].flags =
-		    setting_table[i].is_switch ? G_OPTION_FLAG_NO_ARG : 0;
+		/* Raw bytes: GLib would convert from the locale. */
+		entries[i].flags = setting_table[i].is_switch
+		    ? G_OPTION_FLAG_NO_ARG
+		    : G_OPTION_FLAG_FILENAME;
 		entries[i].arg = G_OPTION_ARG_CALLBACK;
 		entries[i].arg_data = take_flag;
 		entries[i].description = setting_table[i].help;
--- /dev/null
+++ b/source/tool/tool_contract.c
@@ -0,0 +1,349 @@
+#include "bulrushwell/tool_contract.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bulrushwell/contract.h"
+#include "bulrushwell/error.h"
+#include "bulrushwell/id.h"
+
+static int refuse(char *why, size_t why_size, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+static int
+refuse(char *why, size_t why_size, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(why, why_size, format, args);
+	va_end(args);
+	return BW_E_INVALID;
+}
+
+static void
+free_key(void *data)
+{
+	tool_key_t *key = data;
+
+	explicit_bzero(key->key, strlen(key->key));
+	g_free(key->key);
+	g_free(key->caller);
+	g_free(key);
+}
+
+GPtrArray *
+tool_keys_create(void)
+{
+	return g_ptr_array_new_with_free_func(free_key);
+}
+
+/* 256 random bits as 64 hexadecimal digits. */
+static char *
+make_key(void)
+{
+	char high[ID128_TEXT], low[ID128_TEXT];
+	char *key;
+
+	id128_format(id128_random(), high);
+	id128_format(id128_random(), low);
+	key = g_strconcat(high, low, NULL);
+	explicit_bzero(high, sizeof(high));
+	explicit_bzero(low, sizeof(low));
+	return key;
+}
+
+static json_t *
+callers_of(json_t *contract)
+{
+	json_t *callers = json_object_get(contract, "callers");
+
+	if (callers == NULL) {
+		callers = json_array();
+		json_object_set_new(contract, "callers", callers);
+	}
+	return callers;
+}
+
+/* The position of a caller, or -1. */
+static int
+find_caller(const json_t *callers, const char *name)
+{
+	for (size_t i = 0; i < json_array_size(callers); i++) {
+		const char *other = json_string_value(
+		    json_object_get(json_array_get(callers, i), "name"));
+
+		if (other != NULL && strcmp(other, name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+static int
+add_caller(json_t *contract, const char *name, GPtrArray *keys, char *why,
+    size_t why_size)
+{
+	json_t *callers = callers_of(contract);
+	tool_key_t *key;
+	char *digest;
+
+	if (find_caller(callers, name) >= 0)
+		return refuse(why, why_size,
+		    "the caller '%s' is in the contract already; choose "
+		    "another name, or remove it first for a new key",
+		    name);
+	key = g_new0(tool_key_t, 1);
+	key->caller = g_strdup(name);
+	key->key = make_key();
+	g_ptr_array_add(keys, key);
+	digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key->key, -1);
+	json_array_append_new(callers,
+	    json_pack("{s:s, s:s}", "name", name, "key_sha256", digest));
+	g_free(digest);
+	return 0;
+}
+
+static int
+remove_caller(json_t *contract, const char *name, char *why, size_t why_size)
+{
+	json_t *callers = callers_of(contract);
+	int position = find_caller(callers, name);
+
+	if (position < 0)
+		return refuse(why, why_size,
+		    "the caller '%s' is not in the contract; 'bulrushwell "
+		    "contract show' lists the callers",
+		    name);
+	json_array_remove(callers, (size_t)position);
+	return 0;
+}
+
+/* A caller that is removed and added in one command gets a new key. */
+static int
+edit_callers(json_t *contract, const tool_options_t *options, GPtrArray *keys,
+    char *why, size_t why_size)
+{
+	static const tool_flag_t added[] = {TOOL_CALLER, TOOL_ADD_CALLER};
+	const GPtrArray *names = options->values[TOOL_REMOVE_CALLER];
+
+	for (guint i = 0; names != NULL && i < names->len; i++)
+		if (remove_caller(contract, g_ptr_array_index(names, i), why,
+			why_size) != 0)
+			return BW_E_INVALID;
+	for (size_t flag = 0; flag < G_N_ELEMENTS(added); flag++) {
+		names = options->values[added[flag]];
+		for (guint i = 0; names != NULL && i < names->len; i++)
+			if (add_caller(contract, g_ptr_array_index(names, i),
+				keys, why, why_size) != 0)
+				return BW_E_INVALID;
+	}
+	return 0;
+}
+
+static void
+edit_list(json_t *contract, const char *field, const GPtrArray *names)
+{
+	json_t *list;
+
+	if (names == NULL && json_object_get(contract, field) != NULL)
+		return;
+	list = json_array();
+	for (guint i = 0; names != NULL && i < names->len; i++)
+		json_array_append_new(
+		    list, json_string(g_ptr_array_index(names, i)));
+	json_object_set_new(contract, field, list);
+}
+
+static json_t *
+read_number(const char *text)
+{
+	json_t *value = json_loads(text, JSON_DECODE_ANY, NULL);
+
+	if (json_is_number(value))
+		return value;
+	json_decref(value);
+	return NULL;
+}
+
+static int
+edit_numbers(
+    json_t *contract, const tool_options_t *options, char *why, size_t why_size)
+{
+	static const struct {
+		tool_flag_t flag;
+		const char *field;
+	} numbers[] = {
+	    {TOOL_RATE, "rate_per_s"},
+	    {TOOL_CONCURRENCY, "concurrency"},
+	    {TOOL_DEADLINE, "deadline_ms"},
+	    {TOOL_WINDOW, "repeat_window_h"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		const char *text = tool_options_text(options, numbers[i].flag);
+		json_t *value;
+
+		if (text == NULL)
+			continue;
+		value = read_number(text);
+		if (value == NULL)
+			return refuse(why, why_size,
+			    "the value of --%s is not a number; write it in "
+			    "digits",
+			    tool_options_flag_name(numbers[i].flag));
+		json_object_set_new(contract, numbers[i].field, value);
+	}
+	return 0;
+}
+
+static int
+edit_customer(
+    json_t *contract, const tool_options_t *options, char *why, size_t why_size)
+{
+	const char *customer = tool_options_text(options, TOOL_CUSTOMER);
+	const char *present =
+	    json_string_value(json_object_get(contract, "customer"));
+
+	if (customer == NULL)
+		return 0;
+	if (present != NULL && strcmp(present, customer) != 0)
+		return refuse(why, why_size,
+		    "--customer and the file name different customers; "
+		    "correct one of the two");
+	json_object_set_new(contract, "customer", json_string(customer));
+	return 0;
+}
+
+int
+tool_contract_edit(json_t *contract, const tool_options_t *options,
+    GPtrArray *keys, char *why, size_t why_size)
+{
+	json_t *callers = json_object_get(contract, "callers");
+
+	if (callers != NULL && !json_is_array(callers))
+		return refuse(why, why_size,
+		    "the field 'callers' is not valid; give a list of "
+		    "callers");
+	if (edit_customer(contract, options, why, why_size) != 0 ||
+	    edit_callers(contract, options, keys, why, why_size) != 0)
+		return BW_E_INVALID;
+	edit_list(contract, "may_query", options->values[TOOL_MAY_QUERY]);
+	edit_list(contract, "may_reserve", options->values[TOOL_MAY_RESERVE]);
+	if (edit_numbers(contract, options, why, why_size) != 0)
+		return BW_E_INVALID;
+	/* Without reservations there is no key to remember. */
+	if (json_object_get(contract, "repeat_window_h") == NULL &&
+	    json_array_size(json_object_get(contract, "may_reserve")) == 0)
+		json_object_set_new(
+		    contract, "repeat_window_h", json_integer(0));
+	return 0;
+}
+
+void
+tool_contract_sign(json_t *contract, const char *state, const char *operation,
+    const char *changed_by)
+{
+	json_object_set_new(contract, "state", json_string(state));
+	json_object_set_new(contract, "operation", json_string(operation));
+	json_object_set_new(contract, "changed_by", json_string(changed_by));
+}
+
+int
+tool_contract_print(
+    const json_t *contract, char **text, char *why, size_t why_size)
+{
+	contract_t *parsed;
+	int error;
+
+	*text = json_dumps(contract, JSON_COMPACT);
+	if (*text == NULL)
+		return refuse(why, why_size,
+		    "the contract holds text that is not UTF-8; correct it");
+	error = contract_parse(slice_from(*text), 0, &parsed, why, why_size);
+	contract_drop(parsed);
+	if (error == 0)
+		return 0;
+	free(*text);
+	*text = NULL;
+	return error;
+}
+
+static const json_t *
+find_contract(const json_t *status, const char *customer)
+{
+	const json_t *contracts = json_object_get(status, "contracts");
+
+	for (size_t i = 0; i < json_array_size(contracts); i++) {
+		const json_t *entry = json_array_get(contracts, i);
+		const char *name =
+		    json_string_value(json_object_get(entry, "customer"));
+
+		if (name != NULL && strcmp(name, customer) == 0)
+			return entry;
+	}
+	return NULL;
+}
+
+static bool
+has_name(const json_t *names, const char *name)
+{
+	for (size_t i = 0; i < json_array_size(names); i++) {
+		const char *other = json_string_value(json_array_get(names, i));
+
+		if (other != NULL && strcmp(other, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+append_name(GString *names, const char *name)
+{
+	g_string_append_printf(names, "%s%s", names->len > 0 ? ", " : "", name);
+}
+
+/* A live peer that the node names in neither list counts as behind. */
+static void
+list_silent_peers(const json_t *status, const json_t *nodes, GString *lagging)
+{
+	const json_t *peers = json_object_get(status, "peers");
+
+	for (size_t i = 0; i < json_array_size(peers); i++) {
+		const json_t *peer = json_array_get(peers, i);
+		const char *name =
+		    json_string_value(json_object_get(peer, "node"));
+
+		if (name != NULL &&
+		    json_is_true(json_object_get(peer, "live")) &&
+		    !has_name(nodes, name))
+			append_name(lagging, name);
+	}
+}
+
+bool
+tool_contract_in_force(const json_t *status, const char *customer,
+    uint64_t version, GString *lagging)
+{
+	const json_t *entry = find_contract(status, customer);
+	const char *node = json_string_value(json_object_get(status, "node"));
+	json_int_t known =
+	    json_integer_value(json_object_get(entry, "version"));
+	const json_t *behind = json_object_get(entry, "lagging");
+	size_t count = json_array_size(behind);
+
+	g_string_truncate(lagging, 0);
+	if (known <= 0 || (uint64_t)known < version) {
+		append_name(lagging, node != NULL ? node : "this node");
+		return false;
+	}
+	for (size_t i = 0; i < count; i++) {
+		const char *name = json_string_value(json_array_get(behind, i));
+
+		append_name(lagging, name != NULL ? name : "?");
+	}
+	if (count == 0)
+		list_silent_peers(
+		    status, json_object_get(entry, "nodes"), lagging);
+	return lagging->len == 0;
+}
--- /dev/null
+++ b/source/tool/tool_http.c
@@ -0,0 +1,105 @@
+#include "bulrushwell/tool_http.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 2000L
+
+static size_t
+take_body(char *data, size_t size, size_t count, void *context)
+{
+	tool_reply_t *reply = context;
+
+	if (reply->body->len + size * count > TOOL_HTTP_MAX_REPLY)
+		return 0;
+	g_string_append_len(reply->body, data, (gssize)(size * count));
+	return size * count;
+}
+
+static struct curl_slist *
+make_headers(const tool_request_t *request)
+{
+	/* Without this, libcurl delays larger bodies by up to a second. */
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+
+	for (size_t i = 0;
+	     request->headers != NULL && request->headers[i] != NULL; i++)
+		list = curl_slist_append(list, request->headers[i]);
+	return list;
+}
+
+static void
+set_request(CURL *curl, const tool_request_t *request, const char *url,
+    struct curl_slist *headers)
+{
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(
+	    curl, CURLOPT_TIMEOUT_MS, (long)(request->timeout / USEC_PER_MS));
+	if (strcmp(request->method, "GET") == 0)
+		return;
+	curl_easy_setopt(curl, CURLOPT_POST, 1L);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body.data);
+	curl_easy_setopt(
+	    curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body.size);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static void
+classify(CURL *curl, CURLcode code, tool_reply_t *reply)
+{
+	long status = 0, sent = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+	reply->status = (int)status;
+	if (code == CURLE_OK)
+		reply->result = TOOL_HTTP_ANSWERED;
+	else if (code == CURLE_COULDNT_CONNECT || sent == 0)
+		reply->result = TOOL_HTTP_NOT_SENT;
+	else
+		reply->result = TOOL_HTTP_LOST;
+	if (code != CURLE_OK)
+		snprintf(reply->problem, sizeof(reply->problem), "%s",
+		    curl_easy_strerror(code));
+}
+
+void
+tool_http_send(const tool_request_t *request, tool_reply_t *reply)
+{
+	CURL *curl = curl_easy_init();
+	struct curl_slist *headers = make_headers(request);
+	char *url =
+	    g_strdup_printf("http://%s%s", request->address, request->path);
+	CURLcode code;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->body = g_string_new(NULL);
+	set_request(curl, request, url, headers);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, reply);
+	code = curl_easy_perform(curl);
+	classify(curl, code, reply);
+	if (reply->result == TOOL_HTTP_ANSWERED)
+		reply->json = json_loadb(reply->body->str, reply->body->len,
+		    JSON_REJECT_DUPLICATES, NULL);
+	curl_easy_cleanup(curl);
+	curl_slist_free_all(headers);
+	g_free(url);
+}
+
+void
+tool_reply_clear(tool_reply_t *reply)
+{
+	if (reply->body != NULL)
+		g_string_free(reply->body, TRUE);
+	json_decref(reply->json);
+	memset(reply, 0, sizeof(*reply));
+}
--- /dev/null
+++ b/source/tool/tool_main.c
@@ -0,0 +1,87 @@
+#include "bulrushwell/tool.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/tool_command.h"
+
+#define MESSAGE_SIZE 1024
+
+void
+tool_print_json(const json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	printf("%s\n", text != NULL ? text : "null");
+	free(text);
+}
+
+static bool
+is_certain(tool_exit_t code)
+{
+	return code != TOOL_UNKNOWN && code != TOOL_FAILED &&
+	    code != TOOL_LAGGING;
+}
+
+tool_exit_t
+tool_fail(const tool_options_t *options, tool_exit_t code, int error,
+    const char *format, ...)
+{
+	char message[MESSAGE_SIZE];
+	json_t *json;
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(message, sizeof(message), format, args);
+	va_end(args);
+	if (!tool_options_has(options, TOOL_JSON)) {
+		fprintf(stderr, "bulrushwell: %s.\n", message);
+		return code;
+	}
+	json = json_pack("{s:{s:s, s:i, s:b, s:s, s:s}}", "error", "kind",
+	    error_kind(error), "code", error, "not_run", is_certain(code),
+	    "message", message, "remedy", error_remedy(error));
+	tool_print_json(json);
+	json_decref(json);
+	return code;
+}
+
+static tool_exit_t
+run_command(const tool_options_t *options)
+{
+	switch (options->command) {
+	case TOOL_STATUS:
+		return tool_run_status(options);
+	case TOOL_QUERY:
+	case TOOL_RESERVE:
+		return tool_run_call(options);
+	default:
+		return tool_run_contract(options);
+	}
+}
+
+int
+tool_main(int argc, char **argv)
+{
+	tool_options_t options;
+	char why[MESSAGE_SIZE / 2];
+	tool_exit_t code = TOOL_OK;
+
+	if (tool_options_parse(argc, argv, &options, why, sizeof(why)) != 0) {
+		code = tool_fail(&options, TOOL_USAGE, BW_E_INVALID, "%s", why);
+	} else if (options.help) {
+		char *help = tool_options_help(options.command);
+
+		fputs(help, stdout);
+		g_free(help);
+	} else {
+		code = run_command(&options);
+	}
+	tool_options_clear(&options);
+	if (fflush(stdout) != 0 && code == TOOL_OK)
+		code = TOOL_FAILED;
+	return (int)code;
+}
--- /dev/null
+++ b/tests/test_tool_change.c
@@ -0,0 +1,226 @@
+/* Guards the decisions of a conditional update: a change reported as made that
+ * was not, as not made that was, or one that is applied twice. */
+#include "lib/runner.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "bulrushwell/tool_change.h"
+
+#define OURS "ours"
+#define THEIRS "theirs"
+
+typedef struct {
+	change_event_t event;
+	uint64_t version;
+	const char *operation;
+	usec_t now;
+	change_action_t action;
+} change_step_t;
+
+static const struct {
+	uint64_t expected;
+	bool maybe_applied;
+	change_step_t steps[6];
+} change_cases[] = {
+    {3, false, {{CHANGE_WRITE_APPLIED, 4, NULL, 0, CHANGE_DONE}}},
+    {0, false, {{CHANGE_WRITE_REFUSED, 0, NULL, 0, CHANGE_REFUSED}}},
+    /* lost answer, the write took effect */
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 4, OURS, 0, CHANGE_DONE}}},
+    /* lost answer, the write did not take effect */
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 3, THEIRS, 0, CHANGE_WRITE},
+	    {CHANGE_WRITE_APPLIED, 4, NULL, 0, CHANGE_DONE}}},
+    {0, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_ABSENT, 0, NULL, 0, CHANGE_WRITE},
+	    {CHANGE_WRITE_CONFLICT, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 1, OURS, 0, CHANGE_DONE}}},
+    /* lost answer, and somebody else's change is stored */
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 5, THEIRS, 0, CHANGE_LOST_RACE}}},
+    /* lost race */
+    {3, false,
+	{{CHANGE_WRITE_CONFLICT, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 4, THEIRS, 0, CHANGE_LOST_RACE}}},
+    /* a conflict is certain even when what is in force cannot be read */
+    {3, false,
+	{{CHANGE_WRITE_CONFLICT, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FAILED, 0, NULL, 1, CHANGE_READ},
+	    {CHANGE_READ_FAILED, 0, NULL, 11, CHANGE_LOST_RACE}}},
+    /* a stale read after a conflict does not lead to another write */
+    {3, false,
+	{{CHANGE_WRITE_CONFLICT, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 3, THEIRS, 1, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 4, THEIRS, 2, CHANGE_LOST_RACE}}},
+    {3, false,
+	{{CHANGE_WRITE_NOT_SENT, 0, NULL, 0, CHANGE_WRITE},
+	    {CHANGE_WRITE_NOT_SENT, 0, NULL, 11, CHANGE_UNREACHABLE}}},
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FAILED, 0, NULL, 1, CHANGE_READ},
+	    {CHANGE_READ_FAILED, 0, NULL, 11, CHANGE_UNKNOWN}}},
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 3, THEIRS, 11, CHANGE_UNKNOWN}}},
+    {3, true,
+	{{CHANGE_WRITE_LOST, 0, NULL, 0, CHANGE_READ},
+	    {CHANGE_READ_FOUND, 3, THEIRS, 1, CHANGE_WRITE},
+	    {CHANGE_WRITE_REFUSED, 0, NULL, 2, CHANGE_READ},
+	    {CHANGE_READ_FAILED, 0, NULL, 11, CHANGE_UNKNOWN}}},
+};
+
+static void
+changes_are_decided(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(change_cases); i++) {
+		change_t change;
+
+		change_begin(&change, OURS, change_cases[i].expected, 10);
+		for (size_t j = 0; j < 6; j++) {
+			const change_step_t *step = &change_cases[i].steps[j];
+			change_action_t action;
+
+			if (step->action == CHANGE_WRITE && step->event == 0 &&
+			    step->version == 0)
+				break;
+			action = change_step(&change, step->event,
+			    step->version, step->operation, step->now);
+			if (action != step->action)
+				fail_msg("case %zu step %zu: %d", i, j, action);
+		}
+		assert_int_equal(
+		    change.maybe_applied, change_cases[i].maybe_applied);
+	}
+}
+
+/* A model of the platform that loses requests and answers, applies writes
+ * late, and serves a second operator. */
+typedef struct {
+	GRand *random;
+	uint64_t version;
+	const char *operation;
+	int ours; /* times that our write was applied */
+	bool in_flight;
+	uint64_t in_flight_expected;
+} model_t;
+
+static bool
+model_write(model_t *model, uint64_t expected, const char *operation)
+{
+	if (model->version != expected)
+		return false;
+	model->version++;
+	model->operation = operation;
+	model->ours += strcmp(operation, OURS) == 0;
+	return true;
+}
+
+static change_event_t
+model_take_write(model_t *model, const change_t *change)
+{
+	switch (g_rand_int_range(model->random, 0, 6)) {
+	case 0:
+		return CHANGE_WRITE_NOT_SENT;
+	case 1: /* the request is lost, or arrives later */
+		model->in_flight = true;
+		model->in_flight_expected = change->expected;
+		return CHANGE_WRITE_LOST;
+	case 2: /* the answer is lost */
+		model_write(model, change->expected, OURS);
+		return CHANGE_WRITE_LOST;
+	default:
+		return model_write(model, change->expected, OURS)
+		    ? CHANGE_WRITE_APPLIED
+		    : CHANGE_WRITE_CONFLICT;
+	}
+}
+
+static change_event_t
+model_take_read(model_t *model)
+{
+	if (g_rand_int_range(model->random, 0, 3) == 0)
+		return CHANGE_READ_FAILED;
+	return model->version == 0 ? CHANGE_READ_ABSENT : CHANGE_READ_FOUND;
+}
+
+static void
+model_disturb(model_t *model)
+{
+	if (g_rand_int_range(model->random, 0, 8) == 0)
+		model_write(model, model->version, THEIRS);
+	if (model->in_flight && g_rand_int_range(model->random, 0, 3) == 0) {
+		model_write(model, model->in_flight_expected, OURS);
+		model->in_flight = false;
+	}
+}
+
+static void
+check_end(model_t *model, const change_t *change, change_action_t end,
+    guint32 seed, int ends[])
+{
+	bool wrong = model->ours > 1;
+
+	/* What is still under way arrives after the operator was told. */
+	if (model->in_flight)
+		model_write(model, model->in_flight_expected, OURS);
+	wrong = wrong || model->ours > 1;
+	if (end == CHANGE_DONE)
+		wrong = wrong || model->ours != 1;
+	if (end == CHANGE_UNREACHABLE || end == CHANGE_REFUSED ||
+	    (end == CHANGE_LOST_RACE && !change->maybe_applied))
+		wrong = wrong || model->ours != 0;
+	if (wrong)
+		fail_msg("seed %u: end %d, applied %d times", seed, end,
+		    model->ours);
+	ends[end]++;
+}
+
+static void
+changes_are_reported_truthfully(void **state)
+{
+	int ends[CHANGE_UNREACHABLE + 1] = {0};
+
+	for (guint32 seed = 1; seed <= 5000; seed++) {
+		GRand *random = g_rand_new_with_seed(seed);
+		model_t model = {.random = random, .operation = THEIRS};
+		change_action_t action = CHANGE_WRITE;
+		change_t change;
+		usec_t now = 0;
+
+		model.version = (uint64_t)g_rand_int_range(random, 0, 3);
+		change_begin(&change, OURS, model.version,
+		    g_rand_int_range(random, 0, 12));
+		while (action == CHANGE_WRITE || action == CHANGE_READ) {
+			change_event_t event = action == CHANGE_WRITE
+			    ? model_take_write(&model, &change)
+			    : model_take_read(&model);
+
+			action = change_step(&change, event, model.version,
+			    model.operation, now++);
+			model_disturb(&model);
+			assert_true(now < 40);
+		}
+		check_end(&model, &change, action, seed, ends);
+		g_rand_free(random);
+	}
+	/* The seeds reach every end that the model can cause. */
+	assert_true(ends[CHANGE_DONE] > 0 && ends[CHANGE_LOST_RACE] > 0 &&
+	    ends[CHANGE_UNKNOWN] > 0 && ends[CHANGE_UNREACHABLE] > 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(changes_are_decided),
+	    cmocka_unit_test(changes_are_reported_truthfully),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
