--- /dev/null
+++ b/tests/lib/harness_http.c
@@ -0,0 +1,193 @@
+/* HTTP client and free addresses of the harness. */
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Blocks of ports below the ephemeral range, so that no outgoing connection
+ * takes one. A lock file gives each test program a block of its own. */
+#define FIRST_PORT 10000
+#define BLOCK_PORTS 400
+#define BLOCKS 50
+
+static int
+lock_block(void)
+{
+	for (int block = 0; block < BLOCKS; block++) {
+		char path[64];
+		int fd;
+
+		snprintf(path, sizeof(path), "/tmp/bulrushwell-ports-%d.lock",
+		    block);
+		fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+		if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0)
+			return block;
+		if (fd >= 0)
+			close(fd);
+	}
+	fail_msg("all blocks of ports are taken");
+	return -1;
+}
+
+static bool
+is_free(int port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool free_port =
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+
+	close(fd);
+	return free_port;
+}
+
+void
+harness_free_address(address_t address)
+{
+	static int block = -1, next;
+
+	if (block < 0)
+		block = lock_block();
+	for (int tries = 0; tries < BLOCK_PORTS; tries++) {
+		int port =
+		    FIRST_PORT + block * BLOCK_PORTS + next++ % BLOCK_PORTS;
+
+		if (is_free(port)) {
+			snprintf(address, ADDRESS_SIZE, "127.0.0.1:%d", port);
+			return;
+		}
+	}
+	fail_msg("no free port");
+}
+
+static size_t
+take_body(char *data, size_t size, size_t count, void *context)
+{
+	g_string_append_len(context, data, (gssize)(size * count));
+	return size * count;
+}
+
+static size_t
+take_header(char *data, size_t size, size_t count, void *context)
+{
+	char *line = g_strndup(data, size * count);
+	char *colon = strchr(line, ':');
+
+	if (colon != NULL) {
+		char *name = g_ascii_strdown(line, colon - line);
+
+		g_hash_table_insert(
+		    context, name, g_strdup(g_strstrip(colon + 1)));
+	}
+	g_free(line);
+	return size * count;
+}
+
+static struct curl_slist *
+make_headers(const char *const *headers)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+
+	for (; headers != NULL && *headers != NULL; headers++)
+		list = curl_slist_append(list, *headers);
+	return list;
+}
+
+static void
+set_body(CURL *curl, const char *body)
+{
+	if (body == NULL)
+		return;
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
+}
+
+http_result_t
+harness_http(const char *method, const char *address, const char *path,
+    const char *const *headers, const char *body, int timeout_ms)
+{
+	http_result_t result = {0};
+	char *url = g_strdup_printf("http://%s%s", address, path);
+	struct curl_slist *list = make_headers(headers);
+	CURL *curl = curl_easy_init();
+	usec_t start = clock_monotonic();
+	long status = 0;
+
+	result.body = g_string_new(NULL);
+	result.headers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	set_body(curl, body);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, result.body);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, result.headers);
+	if (curl_easy_perform(curl) == CURLE_OK)
+		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	result.status = (int)status;
+	result.elapsed = clock_monotonic() - start;
+	result.json = json_loadb(
+	    result.body->str, result.body->len, JSON_DECODE_ANY, NULL);
+	curl_easy_cleanup(curl);
+	curl_slist_free_all(list);
+	g_free(url);
+	return result;
+}
+
+void
+http_result_clear(http_result_t *result)
+{
+	json_decref(result->json);
+	g_string_free(result->body, TRUE);
+	g_hash_table_destroy(result->headers);
+	*result = (http_result_t){0};
+}
+
+const char *
+http_result_header(const http_result_t *result, const char *name)
+{
+	char *lower = g_ascii_strdown(name, -1);
+	const char *value = g_hash_table_lookup(result->headers, lower);
+
+	g_free(lower);
+	return value;
+}
+
+void
+harness_order(const char *address, const char *path, const char *body)
+{
+	http_result_t result =
+	    harness_http("POST", address, path, NULL, body, HARNESS_START_MS);
+	int status = result.status;
+
+	http_result_clear(&result);
+	if (status != 200)
+		fail_msg("%s%s answers %d to %s", address, path, status, body);
+}
+
+json_t *
+harness_fetch(const char *address, const char *path)
+{
+	http_result_t result =
+	    harness_http("GET", address, path, NULL, NULL, HARNESS_START_MS);
+	json_t *json = json_incref(result.json);
+	int status = result.status;
+
+	http_result_clear(&result);
+	if (status != 200 || json == NULL)
+		fail_msg("%s%s answers %d", address, path, status);
+	return json;
+}
--- /dev/null
+++ b/tests/lib/harness_tier.c
@@ -0,0 +1,397 @@
+/* The platform, upstream servers and nodes of a test. */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bulrushwell/id.h"
+
+#define DATA_CENTRES 3
+
+void
+harness_start_platform(harness_t *harness)
+{
+	const char *arguments[] = {"--listen", harness->platform, NULL};
+
+	if (harness->platform[0] == '\0')
+		harness_free_address(harness->platform);
+	harness->platform_process = harness_spawn(
+	    harness, "fake_platform", "fake_platform", arguments, true);
+	harness_wait_ready(harness, harness->platform_process);
+}
+
+static int64_t
+current_version(harness_t *harness, const char *path)
+{
+	http_result_t result = harness_http(
+	    "GET", harness->platform, path, NULL, NULL, HARNESS_START_MS);
+	int64_t version =
+	    json_integer_value(json_object_get(result.json, "version"));
+
+	if (result.status != 200 && result.status != 404)
+		fail_msg("the platform answers %d", result.status);
+	http_result_clear(&result);
+	return version;
+}
+
+uint64_t
+harness_put_object(
+    harness_t *harness, const char *kind, const char *name, json_t *value)
+{
+	char *path = g_strdup_printf("/v1/objects/%s/%s", kind, name);
+	char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	int64_t version = current_version(harness, path);
+	char condition[64];
+	const char *headers[] = {condition, NULL};
+	http_result_t result;
+	uint64_t written;
+
+	if (version == 0)
+		strcpy(condition, "If-None-Match: *");
+	else
+		snprintf(condition, sizeof(condition), "If-Match: \"%lld\"",
+		    (long long)version);
+	result = harness_http(
+	    "PUT", harness->platform, path, headers, text, HARNESS_START_MS);
+	if (result.status != 200)
+		fail_msg("%s cannot be written: %d", path, result.status);
+	written = (uint64_t)json_integer_value(
+	    json_object_get(result.json, "version"));
+	http_result_clear(&result);
+	json_decref(value);
+	free(text);
+	g_free(path);
+	return written;
+}
+
+typedef struct {
+	harness_t *harness;
+	const upstream_set_t *set;
+	json_t *servers; /* of the configuration */
+	json_t *shards;	 /* of the index object */
+} build_t;
+
+static json_t *
+server_entry(build_t *build, const upstream_group_t *group, const char *server,
+    const char *address)
+{
+	const upstream_set_t *set = build->set;
+	json_t *indexes = json_object();
+
+	if (group->indexed)
+		json_object_set_new(indexes, set->index,
+		    json_pack("{s:[i],s:[i]}", "versions", set->version,
+			"shards", (int)json_array_size(build->shards)));
+	return json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:o,s:{s:f,s:f},s:i}",
+	    "server", server, "listen", address, "incarnation", "i-1", "slots",
+	    group->slots, "connections", group->connections, "connect_ms",
+	    group->connect_ms, "indexes", indexes, "latency_ms", "p50",
+	    group->p50_ms, "p99", group->p99_ms, "seed",
+	    set->seed + (int)json_array_size(build->servers));
+}
+
+static json_t *
+add_server(build_t *build, const upstream_group_t *group, const char *service,
+    int number)
+{
+	char *server = g_strdup_printf("%s-s%d", service, number);
+	char data_centre[32];
+	address_t address;
+	json_t *entry;
+
+	harness_free_address(address);
+	snprintf(data_centre, sizeof(data_centre), "dc-%d",
+	    (number - 1) % DATA_CENTRES + 1);
+	json_array_append_new(
+	    build->servers, server_entry(build, group, server, address));
+	entry = json_pack("{s:s,s:s,s:s,s:s,s:s}", "server", server, "address",
+	    address, "incarnation", "i-1", "data_centre", data_centre, "state",
+	    "live");
+	g_hash_table_insert(build->harness->servers, server, g_strdup(address));
+	return entry;
+}
+
+static void
+add_service(build_t *build, const upstream_group_t *group, const char *service)
+{
+	json_t *servers = json_array();
+
+	for (int i = 1; i <= group->servers; i++)
+		json_array_append_new(
+		    servers, add_server(build, group, service, i));
+	if (group->indexed)
+		json_array_append_new(build->shards, json_string(service));
+	harness_put_object(build->harness, "service", service,
+	    json_pack("{s:s,s:i,s:i,s:o}", "service", service, "slots",
+		group->slots, "connections", group->connections, "servers",
+		servers));
+}
+
+static void
+add_group(build_t *build, const upstream_group_t *group)
+{
+	for (int i = 1; i <= group->services; i++) {
+		char service[64];
+
+		if (group->services == 1)
+			snprintf(service, sizeof(service), "%s", group->name);
+		else
+			snprintf(
+			    service, sizeof(service), "%s-%d", group->name, i);
+		add_service(build, group, service);
+	}
+}
+
+static void
+start_upstream_process(harness_t *harness, json_t *config)
+{
+	char *file = g_strdup_printf(
+	    "%s/test-logs/upstreams-%d.json", harness_build(), (int)getpid());
+	const char *arguments[] = {
+	    "--config", file, "--control", harness->control, NULL};
+
+	if (json_dump_file(config, file, JSON_INDENT(1)) != 0)
+		fail_msg("%s cannot be written", file);
+	json_decref(config);
+	harness_free_address(harness->control);
+	harness->upstream_process = harness_spawn(
+	    harness, "fake_upstream", "fake_upstream", arguments, true);
+	harness_wait_ready(harness, harness->upstream_process);
+	g_free(file);
+}
+
+void
+harness_start_upstreams(harness_t *harness, const upstream_set_t *set)
+{
+	build_t build = {harness, set, json_array(), json_array()};
+
+	for (size_t i = 0; i < set->group_count; i++)
+		add_group(&build, &set->groups[i]);
+	start_upstream_process(harness,
+	    json_pack("{s:o,s:f}", "servers", build.servers, "delay_ms",
+		set->delay_ms));
+	if (set->index != NULL)
+		harness_put_object(harness, "index", set->index,
+		    json_pack("{s:s,s:i,s:[{s:i,s:O}]}", "index", set->index,
+			"current", set->version, "versions", "version",
+			set->version, "shards", build.shards));
+	json_decref(build.shards);
+}
+
+const char *
+harness_server_address(harness_t *harness, const char *server)
+{
+	const char *address = g_hash_table_lookup(harness->servers, server);
+
+	assert_non_null(address);
+	return address;
+}
+
+void
+harness_fault(harness_t *harness, const char *server, const char *order)
+{
+	char path[128];
+
+	snprintf(path, sizeof(path), "/fake/%s/faults", server);
+	harness_order(harness->control, path, order);
+}
+
+json_t *
+harness_record(harness_t *harness, const char *server)
+{
+	char path[128];
+
+	snprintf(path, sizeof(path), "/fake/%s/record", server);
+	return harness_fetch(harness->control, path);
+}
+
+int64_t
+harness_record_int(harness_t *harness, const char *server, const char *field)
+{
+	json_t *record = harness_record(harness, server);
+	const json_t *value = json_object_get(record, field);
+	int64_t number = json_integer_value(value);
+
+	if (!json_is_integer(value))
+		fail_msg("records have no number %s", field);
+	json_decref(record);
+	return number;
+}
+
+static int64_t
+fold_records(harness_t *harness, const char *field, bool sum)
+{
+	GHashTableIter iter;
+	gpointer server;
+	int64_t total = 0;
+
+	g_hash_table_iter_init(&iter, harness->servers);
+	while (g_hash_table_iter_next(&iter, &server, NULL)) {
+		int64_t value = harness_record_int(harness, server, field);
+
+		total = sum ? total + value : MAX(total, value);
+	}
+	return total;
+}
+
+int64_t
+harness_record_sum(harness_t *harness, const char *field)
+{
+	return fold_records(harness, field, true);
+}
+
+int64_t
+harness_record_max(harness_t *harness, const char *field)
+{
+	return fold_records(harness, field, false);
+}
+
+int64_t
+harness_executions(harness_t *harness, const char *key)
+{
+	GHashTableIter iter;
+	gpointer server;
+	int64_t total = 0;
+
+	g_hash_table_iter_init(&iter, harness->servers);
+	while (g_hash_table_iter_next(&iter, &server, NULL)) {
+		json_t *record = harness_record(harness, server);
+
+		total += json_integer_value(json_object_get(
+		    json_object_get(record, "executions"), key));
+		json_decref(record);
+	}
+	return total;
+}
+
+static json_t *
+split_names(const char *names)
+{
+	json_t *list = json_array();
+	char **parts = g_strsplit(names != NULL ? names : "", ",", -1);
+
+	for (int i = 0; parts[i] != NULL; i++)
+		if (*parts[i] != '\0')
+			json_array_append_new(list, json_string(parts[i]));
+	g_strfreev(parts);
+	return list;
+}
+
+uint64_t
+harness_put_contract(harness_t *harness, const contract_spec_t *spec)
+{
+	char operation[ID128_TEXT];
+	char *digest =
+	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, spec->key, -1);
+	json_t *contract;
+
+	id128_format(id128_random(), operation);
+	contract =
+	    json_pack("{s:s,s:s,s:[{s:s,s:s}],s:o,s:o,s:f,s:i,s:i,s:i,s:s,s:s}",
+		"customer", spec->customer, "state",
+		spec->retired ? "retired" : "in_force", "callers", "name",
+		"test-caller", "key_sha256", digest, "may_query",
+		split_names(spec->indexes), "may_reserve",
+		split_names(spec->services), "rate_per_s", spec->rate_per_s,
+		"concurrency", spec->concurrency, "deadline_ms",
+		spec->deadline_ms, "repeat_window_h", spec->repeat_window_h,
+		"operation", operation, "changed_by", "test");
+	g_free(digest);
+	return harness_put_object(
+	    harness, "contract", spec->customer, contract);
+}
+
+static char *
+peers_flag(const harness_t *harness, int self)
+{
+	GString *flag = g_string_new("--peers=");
+
+	for (int i = 0; i < harness->node_count; i++) {
+		const harness_node_t *node = &harness->nodes[i];
+
+		if (i != self)
+			g_string_append_printf(flag, "%s%s@%s",
+			    flag->str[flag->len - 1] == '=' ? "" : ",",
+			    node->node, node->peer);
+	}
+	return g_string_free(flag, FALSE);
+}
+
+void
+harness_start_node(harness_t *harness, int node_number)
+{
+	harness_node_t *node = &harness->nodes[node_number];
+	char *flags[] = {
+	    g_strdup_printf("--node=%s", node->node),
+	    g_strdup_printf("--vm=%s", node->vm),
+	    g_strdup("--cell=cell-1"),
+	    g_strdup_printf(
+		"--data-centre=dc-%d", node_number % DATA_CENTRES + 1),
+	    g_strdup_printf("--caller-address=%s", node->caller),
+	    g_strdup_printf("--operator-address=%s", node->operator_address),
+	    g_strdup_printf("--peer-address=%s", node->peer),
+	    g_strdup_printf("--platform=%s", harness->platform),
+	    peers_flag(harness, node_number),
+	    NULL,
+	};
+
+	node->process = harness_spawn(harness, "bulrushwelld", node->node,
+	    (const char *const *)flags, false);
+	for (int i = 0; flags[i] != NULL; i++)
+		g_free(flags[i]);
+}
+
+void
+harness_wait_node(harness_t *harness, int node)
+{
+	harness_wait_status(harness->nodes[node].operator_address, "/readyz",
+	    200, HARNESS_START_MS);
+}
+
+void
+harness_kill_node(harness_t *harness, int node)
+{
+	harness_kill(harness, harness->nodes[node].process);
+	harness->nodes[node].process = -1;
+}
+
+static void
+list_vms(harness_t *harness)
+{
+	json_t *vms = json_array();
+	json_t *order;
+	char *text;
+
+	for (int i = 0; i < harness->node_count; i++)
+		json_array_append_new(vms,
+		    json_pack("{s:s,s:s}", "vm", harness->nodes[i].vm, "state",
+			"live"));
+	order = json_pack("{s:o}", "vms", vms);
+	text = json_dumps(order, JSON_COMPACT);
+	harness_order(harness->platform, "/fake/vms", text);
+	json_decref(order);
+	free(text);
+}
+
+void
+harness_start_tier(harness_t *harness, int nodes)
+{
+	assert_true(nodes <= HARNESS_MAX_NODES);
+	harness->node_count = nodes;
+	for (int i = 0; i < nodes; i++) {
+		harness_node_t *node = &harness->nodes[i];
+
+		snprintf(node->node, sizeof(node->node), "node-%d", i + 1);
+		snprintf(node->vm, sizeof(node->vm), "vm-%d", i + 1);
+		harness_free_address(node->caller);
+		harness_free_address(node->operator_address);
+		harness_free_address(node->peer);
+	}
+	list_vms(harness);
+	for (int i = 0; i < nodes; i++)
+		harness_start_node(harness, i);
+	for (int i = 0; i < nodes; i++)
+		harness_wait_node(harness, i);
+}
