--- /dev/null
+++ b/source/claim/action.c
@@ -0,0 +1,64 @@
+/* The queue of actions that the adapter drains. */
+#include <string.h>
+
+#include "attempt.h"
+
+void
+action_push(claim_table_t *table, const claim_action_t *action, char *text,
+    body_t *body)
+{
+	queued_t *queued = g_new0(queued_t, 1);
+
+	queued->action = *action;
+	queued->text = text;
+	queued->body = body_keep(body);
+	queued->action.text = text;
+	queued->action.body = body;
+	g_queue_push_tail(&table->actions, queued);
+}
+
+void
+action_push_io(object_t *object, bool write, char *text)
+{
+	claim_action_t action = {.kind = write ? CLAIM_WRITE : CLAIM_READ};
+
+	g_strlcpy(action.object, object->name, sizeof(action.object));
+	if (write)
+		action.version = object->version;
+	action_push(object->table, &action, text, NULL);
+}
+
+void
+action_answer(
+    claim_table_t *table, uint64_t tag, const answer_t *answer, bool repeated)
+{
+	claim_action_t action = {.kind = CLAIM_ANSWER,
+	    .tag = tag,
+	    .error = answer->error,
+	    .http_status = answer->status,
+	    .repeated = repeated};
+
+	action_push(table, &action, NULL, answer->body);
+}
+
+static void
+free_lent(claim_table_t *table)
+{
+	if (table->lent == NULL)
+		return;
+	g_free(table->lent->text);
+	body_drop(table->lent->body);
+	g_free(table->lent);
+	table->lent = NULL;
+}
+
+bool
+claim_next_action(claim_table_t *table, claim_action_t *action)
+{
+	free_lent(table);
+	table->lent = g_queue_pop_head(&table->actions);
+	if (table->lent == NULL)
+		return false;
+	*action = table->lent->action;
+	return true;
+}
--- /dev/null
+++ b/source/claim/attempt.c
@@ -0,0 +1,208 @@
+/* The life of one reservation attempt. */
+#include "attempt.h"
+
+#include <string.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+
+attempt_t *
+attempt_create(object_t *object, const claim_request_t *request)
+{
+	attempt_t *attempt = g_new0(attempt_t, 1);
+
+	attempt->object = object;
+	attempt->request = *request;
+	claim_check_key(request->key, &attempt->key_time);
+	attempt->id = document_entry_id(request->customer, request->key);
+	attempt->token = id128_random();
+	attempt->reads = object->reads;
+	attempt->callers = g_array_new(FALSE, FALSE, sizeof(caller_t));
+	g_ptr_array_add(object->attempts, attempt);
+	g_hash_table_replace(object->active, attempt->id, attempt);
+	g_hash_table_insert(
+	    object->table->attempts, &attempt->request.tag, attempt);
+	object->table->waiting++;
+	table_wake_at(object->table, request->deadline);
+	return attempt;
+}
+
+static void
+deactivate(attempt_t *attempt)
+{
+	GHashTable *active = attempt->object->active;
+
+	if (g_hash_table_lookup(active, attempt->id) == attempt)
+		g_hash_table_remove(active, attempt->id);
+}
+
+void
+attempt_destroy(attempt_t *attempt)
+{
+	claim_table_t *table = attempt->object->table;
+
+	deactivate(attempt);
+	g_hash_table_remove(table->attempts, &attempt->request.tag);
+	table->waiting -= 1 + attempt->callers->len;
+	body_drop(attempt->answer.body);
+	g_array_free(attempt->callers, TRUE);
+	g_free(attempt->id);
+	g_free(attempt);
+}
+
+void
+attempt_add_caller(attempt_t *attempt, const claim_request_t *request)
+{
+	caller_t caller = {request->tag, request->deadline};
+
+	g_array_append_val(attempt->callers, caller);
+	attempt->object->table->waiting++;
+	table_wake_at(attempt->object->table, request->deadline);
+}
+
+void
+attempt_answer_all(attempt_t *attempt, const answer_t *answer)
+{
+	claim_table_t *table = attempt->object->table;
+
+	if (!attempt->answered)
+		action_answer(table, attempt->request.tag, answer, false);
+	attempt->answered = true;
+	for (guint i = 0; i < attempt->callers->len; i++)
+		action_answer(table,
+		    g_array_index(attempt->callers, caller_t, i).tag, answer,
+		    true);
+	table->waiting -= attempt->callers->len;
+	g_array_set_size(attempt->callers, 0);
+}
+
+void
+attempt_conclude(attempt_t *attempt, const answer_t *answer)
+{
+	INVARIANT(
+	    attempt->phase == PHASE_WAITING || attempt->phase == PHASE_CLAIMING,
+	    "an attempt that may have run ends as not dispatched");
+	attempt_answer_all(attempt, answer);
+	deactivate(attempt);
+	attempt->abandoned = true;
+	/* A claim that may be stored is watched until it can be released. */
+	if (attempt->phase == PHASE_WAITING && !attempt->in_doubt)
+		attempt->phase = PHASE_ENDED;
+}
+
+void
+attempt_set_outcome(
+    attempt_t *attempt, entry_state_t outcome, const answer_t *answer)
+{
+	attempt->phase = PHASE_OUTCOME;
+	attempt->in_doubt = false;
+	attempt->outcome = outcome;
+	attempt->answer = *answer;
+	body_keep(answer->body);
+	/* A released key may be tried again at once by a new attempt. */
+	if (outcome == ENTRY_RELEASED)
+		deactivate(attempt);
+}
+
+void
+attempt_finish(attempt_t *attempt)
+{
+	attempt_answer_all(attempt, &attempt->answer);
+	attempt->phase = PHASE_ENDED;
+}
+
+static void
+dispatch(attempt_t *attempt)
+{
+	const entry_t *entry =
+	    document_find(attempt->object->document, attempt->id);
+	claim_action_t action = {
+	    .kind = CLAIM_DISPATCH, .tag = attempt->request.tag};
+
+	INVARIANT(
+	    attempt->phase == PHASE_WAITING || attempt->phase == PHASE_CLAIMING,
+	    "an attempt is dispatched twice");
+	INVARIANT(!attempt->abandoned && !attempt->answered,
+	    "an attempt is dispatched after its answer");
+	INVARIANT(entry != NULL && entry->spec.state == ENTRY_CLAIMED &&
+		id128_equal(entry->spec.token, attempt->token),
+	    "an attempt is dispatched without its stored claim");
+	attempt->phase = PHASE_DISPATCHED;
+	attempt->in_doubt = false;
+	action_push(attempt->object->table, &action, NULL, NULL);
+}
+
+void
+attempt_confirm(attempt_t *attempt, usec_t now)
+{
+	const answer_t late = {.error = BW_E_DEADLINE};
+
+	if (!attempt->abandoned && now < attempt->request.deadline) {
+		dispatch(attempt);
+		return;
+	}
+	attempt_answer_all(attempt, &late);
+	attempt_set_outcome(attempt, ENTRY_RELEASED, &late);
+}
+
+static void
+expire_first(attempt_t *attempt)
+{
+	const answer_t not_stored = {.error = BW_E_PLATFORM_DOWN};
+	const answer_t unknown = {.error = BW_E_OUTCOME_UNKNOWN};
+
+	switch (attempt->phase) {
+	case PHASE_WAITING:
+	case PHASE_CLAIMING:
+		attempt_conclude(attempt, &not_stored);
+		break;
+	case PHASE_DISPATCHED:
+		action_answer(attempt->object->table, attempt->request.tag,
+		    &unknown, false);
+		attempt->answered = true;
+		break;
+	case PHASE_OUTCOME:
+		/* Known, although not stored yet. */
+		attempt_answer_all(attempt, &attempt->answer);
+		break;
+	case PHASE_ENDED:
+		break;
+	}
+}
+
+void
+attempt_expire(attempt_t *attempt, usec_t now)
+{
+	const answer_t running = {.error = BW_E_IN_PROGRESS};
+	claim_table_t *table = attempt->object->table;
+
+	if (!attempt->answered && attempt->request.deadline <= now)
+		expire_first(attempt);
+	for (guint i = attempt->callers->len; i-- > 0;) {
+		caller_t caller = g_array_index(attempt->callers, caller_t, i);
+
+		if (caller.deadline > now)
+			continue;
+		action_answer(table, caller.tag,
+		    attempt->phase == PHASE_OUTCOME ? &attempt->answer
+						    : &running,
+		    true);
+		g_array_remove_index_fast(attempt->callers, i);
+		table->waiting--;
+	}
+}
+
+usec_t
+attempt_next_deadline(const attempt_t *attempt)
+{
+	usec_t next = attempt->answered ? 0 : attempt->request.deadline;
+
+	for (guint i = 0; i < attempt->callers->len; i++) {
+		usec_t deadline =
+		    g_array_index(attempt->callers, caller_t, i).deadline;
+
+		if (next == 0 || deadline < next)
+			next = deadline;
+	}
+	return next;
+}
--- /dev/null
+++ b/source/claim/document_codec.h
@@ -0,0 +1,17 @@
+#ifndef SOURCE_CLAIM_DOCUMENT_CODEC_H
+#define SOURCE_CLAIM_DOCUMENT_CODEC_H
+
+#include <jansson.h>
+
+#include "document.h"
+
+/** document_print_entry() - JSON text; the caller frees it with free(). */
+char *document_print_entry(const entry_spec_t *spec);
+
+/**
+ * document_read_entry() - Whether @json is strictly an entry.
+ * @spec: zeroed; its body is owned by the caller afterwards
+ */
+bool document_read_entry(const json_t *json, entry_spec_t *spec);
+
+#endif
--- /dev/null
+++ b/source/claim/plan.c
@@ -0,0 +1,289 @@
+/* Decides what an object's next read or write carries. */
+#include "attempt.h"
+#include "bulrushwell/error.h"
+
+/* Room kept for the outcome of a claim, so that most outcomes can be stored
+ * in a bucket that is nearly full. */
+#define OUTCOME_ROOM 1024
+/* Documents kept in memory between writes; the budget of a node is 64 MB. */
+#define MAX_CACHED (16u * 1024 * 1024)
+
+typedef struct {
+	object_t *object;
+	document_t *next;
+	usec_t now;
+	int64_t wall_seconds;
+	size_t room; /* reserved for outcomes */
+	bool changed;
+	bool must_read;
+} plan_t;
+
+static void
+remove_ended(object_t *object)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < object->attempts->len; i++) {
+		attempt_t *attempt = object->attempts->pdata[i];
+
+		if (attempt->phase == PHASE_ENDED)
+			attempt_destroy(attempt);
+		else
+			object->attempts->pdata[kept++] = attempt;
+	}
+	g_ptr_array_set_size(object->attempts, (gint)kept);
+}
+
+static bool
+has_work(const object_t *object)
+{
+	for (guint i = 0; i < object->attempts->len; i++) {
+		const attempt_t *attempt = object->attempts->pdata[i];
+
+		if (attempt->phase != PHASE_DISPATCHED)
+			return true;
+	}
+	return false;
+}
+
+static entry_spec_t
+make_spec(const attempt_t *attempt, entry_state_t state)
+{
+	entry_spec_t spec = {.token = attempt->token, .state = state};
+
+	g_strlcpy(
+	    spec.customer, attempt->request.customer, sizeof(spec.customer));
+	g_strlcpy(spec.key, attempt->request.key, sizeof(spec.key));
+	spec.digest[0] = attempt->request.digest[0];
+	spec.digest[1] = attempt->request.digest[1];
+	return spec;
+}
+
+/* The entry of an outcome, without the body when there is no room for it. */
+static entry_spec_t
+make_outcome(const plan_t *plan, const attempt_t *attempt)
+{
+	entry_spec_t spec = make_spec(attempt, attempt->outcome);
+
+	if (attempt->outcome != ENTRY_DONE)
+		return spec;
+	spec.status = attempt->answer.status;
+	if (body_slice(attempt->answer.body).size > CLAIM_MAX_BODY)
+		return spec;
+	spec.body = attempt->answer.body;
+	if (document_size(plan->next) + document_entry_size(&spec) >
+	    CLAIM_MAX_OBJECT)
+		spec.body = NULL;
+	return spec;
+}
+
+static void
+plan_outcome(plan_t *plan, attempt_t *attempt)
+{
+	const entry_t *entry = document_find(plan->next, attempt->id);
+	entry_spec_t spec;
+
+	/* Its entry was removed after the repeat window: nothing to update. */
+	if (entry == NULL || !id128_equal(entry->spec.token, attempt->token)) {
+		attempt_finish(attempt);
+		return;
+	}
+	spec = make_outcome(plan, attempt);
+	document_put(plan->next, &spec);
+	attempt->storing = true;
+	plan->changed = true;
+}
+
+static bool
+is_key_expired(const plan_t *plan, const attempt_t *attempt)
+{
+	return attempt->key_time + attempt->request.repeat_window_s <
+	    plan->wall_seconds;
+}
+
+static void
+plan_claim(plan_t *plan, attempt_t *attempt)
+{
+	const answer_t full = {.error = BW_E_FULL};
+	entry_spec_t spec = make_spec(attempt, ENTRY_CLAIMED);
+
+	if (document_size(plan->next) + plan->room +
+		document_entry_size(&spec) + OUTCOME_ROOM >
+	    CLAIM_MAX_OBJECT) {
+		attempt_conclude(attempt, &full);
+		return;
+	}
+	document_put(plan->next, &spec);
+	plan->room += OUTCOME_ROOM;
+	plan->changed = true;
+	attempt->phase = PHASE_CLAIMING;
+}
+
+static void
+conclude_done(attempt_t *attempt, const entry_t *entry)
+{
+	/* A body that could not be stored cannot be given again. */
+	answer_t answer = {
+	    .error = entry->spec.body != NULL ? 0 : BW_E_UPSTREAM,
+	    .status = entry->spec.status,
+	    .body = entry->spec.body,
+	};
+
+	if (!attempt->answered)
+		action_answer(attempt->object->table, attempt->request.tag,
+		    &answer, true);
+	attempt->answered = true;
+	attempt_conclude(attempt, &answer);
+}
+
+static void
+plan_stored(plan_t *plan, attempt_t *attempt, const entry_t *entry)
+{
+	const answer_t reused = {.error = BW_E_KEY_REUSED};
+	const answer_t unknown = {.error = BW_E_OUTCOME_UNKNOWN};
+
+	if (entry->spec.digest[0] != attempt->request.digest[0] ||
+	    entry->spec.digest[1] != attempt->request.digest[1]) {
+		attempt_conclude(attempt, &reused);
+		return;
+	}
+	switch (entry->spec.state) {
+	case ENTRY_DONE:
+		conclude_done(attempt, entry);
+		break;
+	case ENTRY_UNKNOWN:
+		attempt_conclude(attempt, &unknown);
+		break;
+	case ENTRY_CLAIMED:
+		/* Its outcome may have been stored since the last read. */
+		if (attempt->reads == plan->object->reads)
+			plan->must_read = true;
+		else
+			attempt_conclude(attempt, &unknown);
+		break;
+	case ENTRY_RELEASED:
+		plan_claim(plan, attempt);
+		break;
+	}
+}
+
+static void
+plan_waiting(plan_t *plan, attempt_t *attempt)
+{
+	const answer_t expired = {.error = BW_E_KEY_EXPIRED};
+	const entry_t *entry = document_find(plan->next, attempt->id);
+
+	attempt_expire(attempt, plan->now);
+	if (attempt->abandoned)
+		return;
+	if (is_key_expired(plan, attempt))
+		attempt_conclude(attempt, &expired);
+	else if (entry != NULL)
+		plan_stored(plan, attempt, entry);
+	else if (attempt->key_time <=
+	    document_removed_until(plan->next, attempt->request.customer))
+		attempt_conclude(attempt, &expired);
+	else
+		plan_claim(plan, attempt);
+}
+
+static int64_t
+find_window(void *context, const char *customer)
+{
+	const claim_table_t *table = context;
+	gpointer window = g_hash_table_lookup(table->windows, customer);
+
+	return (int64_t)GPOINTER_TO_SIZE(window) - 1;
+}
+
+/* Whether a write is needed only so that writes in doubt cannot take effect
+ * later: they expect the version that this write replaces. */
+static bool
+needs_fence(const object_t *object)
+{
+	for (guint i = 0; i < object->attempts->len; i++) {
+		const attempt_t *attempt = object->attempts->pdata[i];
+
+		if (attempt->in_doubt && attempt->phase != PHASE_ENDED)
+			return true;
+	}
+	return false;
+}
+
+static void
+fill_plan(plan_t *plan)
+{
+	GPtrArray *attempts = plan->object->attempts;
+
+	document_remove_expired(
+	    plan->next, find_window, plan->object->table, plan->wall_seconds);
+	for (guint i = 0; i < attempts->len; i++) {
+		attempt_t *attempt = attempts->pdata[i];
+
+		if (attempt->phase == PHASE_DISPATCHED)
+			plan->room += OUTCOME_ROOM;
+		if (attempt->phase == PHASE_OUTCOME)
+			plan_outcome(plan, attempt);
+	}
+	for (guint i = 0; i < attempts->len; i++) {
+		attempt_t *attempt = attempts->pdata[i];
+
+		if (attempt->phase == PHASE_WAITING && !attempt->abandoned)
+			plan_waiting(plan, attempt);
+	}
+}
+
+static void
+begin_read(object_t *object)
+{
+	object->io = IO_READING;
+	action_push_io(object, false, NULL);
+}
+
+static void
+begin_write(object_t *object, document_t *next)
+{
+	object->io = IO_WRITING;
+	object->next = next;
+	action_push_io(object, true, document_print(next));
+}
+
+static void
+plan_write(object_t *object, usec_t now, usec_t wall)
+{
+	plan_t plan = {.object = object,
+	    .next = document_copy(object->document),
+	    .now = now,
+	    .wall_seconds = wall / USEC_PER_SEC};
+
+	fill_plan(&plan);
+	if (plan.changed || needs_fence(object)) {
+		begin_write(object, plan.next);
+		return;
+	}
+	document_destroy(plan.next);
+	if (plan.must_read)
+		begin_read(object);
+}
+
+void
+object_plan(object_t *object, usec_t now, usec_t wall)
+{
+	remove_ended(object);
+	if (object->io != IO_NONE)
+		return;
+	if (!has_work(object)) {
+		if (object->table->cached > MAX_CACHED)
+			object_set_document(object, NULL);
+		return;
+	}
+	if (now < object->retry_at) {
+		table_wake_at(object->table, object->retry_at);
+		return;
+	}
+	if (object->document == NULL)
+		begin_read(object);
+	else
+		plan_write(object, now, wall);
+	remove_ended(object);
+}
