Teach formatter and linter about jansson's loop macros

cppcheck stopped at json_array_foreach as an unknown macro. A small library file defines the two macros and clang-format treats them as loops.

--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 lint:
 	cppcheck --quiet --std=c11 --enable=warning,portability,performance \
 	    --error-exitcode=1 --inline-suppr --suppressions-list=.cppcheck \
-	    -j 4 -D_GNU_SOURCE -Iinclude source tools fakes bench tests
+	    -j 4 -D_GNU_SOURCE --library=.cppcheck.cfg -Iinclude source tools fakes bench tests
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
--- a/fakes/fake_upstream.c
+++ b/fakes/fake_upstream.c
@@ -62,8 +62,7 @@
 	size_t i;
 
 	upstreams = g_ptr_array_new();
-	json_array_foreach(json_object_get(config, "servers"), i, entry)
-	{
+	json_array_foreach (json_object_get(config, "servers"), i, entry) {
 		upstream_t *upstream = upstream_create(entry, delay);
 
 		if (upstream == NULL) {
--- a/fakes/lib/upstream.c
+++ b/fakes/lib/upstream.c
@@ -97,8 +97,7 @@
 	const char *name;
 	json_t *list;
 
-	json_object_foreach(versions, name, list)
-	{
+	json_object_foreach (versions, name, list) {
 		json_t *index = json_object_get(upstream->indexes, name);
 
 		if (index != NULL)
--- a/fakes/lib/upstream_slots.c
+++ b/fakes/lib/upstream_slots.c
@@ -83,8 +83,9 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach(
-	    array, i, item) if (json_integer_value(item) == wanted) return true;
+	json_array_foreach (array, i, item)
+		if (json_integer_value(item) == wanted)
+			return true;
 	return false;
 }
 
--- a/source/claim/document.c
+++ b/source/claim/document.c
@@ -146,8 +146,7 @@
 
 	if (!json_is_array(claims))
 		return false;
-	json_array_foreach(claims, i, claim)
-	{
+	json_array_foreach (claims, i, claim) {
 		entry_spec_t spec = {0};
 		bool valid = document_read_entry(claim, &spec);
 		char *id = document_entry_id(spec.customer, spec.key);
@@ -171,8 +170,7 @@
 
 	if (!json_is_array(removed))
 		return false;
-	json_array_foreach(removed, i, item)
-	{
+	json_array_foreach (removed, i, item) {
 		const json_t *until = json_object_get(item, "until");
 		const char *text =
 		    json_string_value(json_object_get(item, "customer"));
--- a/source/contract/contract.c
+++ b/source/contract/contract.c
@@ -338,8 +338,7 @@
 	json_t *value;
 	name_t shown;
 
-	json_object_foreach(root, key, value)
-	{
+	json_object_foreach (root, key, value) {
 		if (is_field(key))
 			continue;
 		if (name_set(shown, key) != 0)
--- a/source/platform/platform_client.c
+++ b/source/platform/platform_client.c
@@ -91,7 +91,8 @@
 		    "a list lacks objects or revision");
 		return false;
 	}
-	json_array_foreach(objects, i, object) report_object(client, object);
+	json_array_foreach (objects, i, object)
+		report_object(client, object);
 	client->revision = (uint64_t)revision;
 	json_decref(root);
 	return true;
--- a/source/query/catalogue_parse.c
+++ b/source/query/catalogue_parse.c
@@ -44,8 +44,7 @@
 	if (!json_is_object(object))
 		return complaint_set(
 		    complaint, "%s is not an object; write {...}", path);
-	json_object_foreach(object, key, value)
-	{
+	json_object_foreach (object, key, value) {
 		if (!is_listed(names, key))
 			return complaint_set(complaint,
 			    "%s has the unknown field \"%.64s\"; remove it",
--- a/tests/test_contract.c
+++ b/tests/test_contract.c
@@ -155,8 +155,7 @@
 	const char *field;
 	json_t *value;
 
-	json_object_foreach(good, field, value)
-	{
+	json_object_foreach (good, field, value) {
 		json_t *partial = json_copy(good);
 		char why[256], *text;
 		contract_t *contract;
--- a/tests/test_tool.c
+++ b/tests/test_tool.c
@@ -264,8 +264,7 @@
 		const char *field;
 		json_t *value;
 
-		json_object_foreach(before, field, value)
-		{
+		json_object_foreach (before, field, value) {
 			bool same =
 			    json_equal(value, json_object_get(after, field));
 
