--- a/source/tool/tool_call.c
+++ b/source/tool/tool_call.c
@@ -145,7 +145,9 @@
 		    "address and try again",
 		    address, problem);
 	return tool_fail(call->options, code, BW_E_IO,
-	    "no usable answer from %s (%s); try again", address, problem);
+	    "no usable answer from %s (%s); a query may be repeated, so try "
+	    "again",
+	    address, problem);
 }
 
 static bool
--- a/source/tool/tool_main.c
+++ b/source/tool/tool_main.c
@@ -19,17 +19,11 @@
 	free(text);
 }
 
-static bool
-is_certain(tool_exit_t code)
-{
-	return code != TOOL_UNKNOWN && code != TOOL_FAILED &&
-	    code != TOOL_LAGGING;
-}
-
 tool_exit_t
 tool_fail(const tool_options_t *options, tool_exit_t code, int error,
     const char *format, ...)
 {
+	bool not_run = error_is_not_run(error) || code == TOOL_UNREACHABLE;
 	char message[MESSAGE_SIZE];
 	json_t *json;
 	va_list args;
@@ -42,8 +36,8 @@
 		return code;
 	}
 	json = json_pack("{s:{s:s, s:i, s:b, s:s, s:s}}", "error", "kind",
-	    error_kind(error), "code", error, "not_run", is_certain(code),
-	    "message", message, "remedy", error_remedy(error));
+	    error_kind(error), "code", error, "not_run", not_run, "message",
+	    message, "remedy", error_remedy(error));
 	tool_print_json(json);
 	json_decref(json);
 	return code;
--- a/source/tool/tool_render.c
+++ b/source/tool/tool_render.c
@@ -409,8 +409,10 @@
 tool_exit_t
 tool_query_exit(const tool_reply_t *reply)
 {
-	if (reply->result != TOOL_HTTP_ANSWERED)
+	if (reply->result == TOOL_HTTP_NOT_SENT)
 		return TOOL_UNREACHABLE;
+	if (reply->result == TOOL_HTTP_LOST)
+		return TOOL_FAILED;
 	if (reply->status != 200)
 		return error_exit(reply->json, TOOL_FAILED);
 	if (!json_is_object(json_object_get(reply->json, "coverage")))
