--- a/tests/test_process_fakes.c
+++ b/tests/test_process_fakes.c
@@ -536,6 +536,31 @@
 	http_result_clear(&health.result);
 }
 
+/* The node refuses a contract with a missing or an unknown field. */
+static void
+contracts_have_exactly_the_agreed_fields(void **state)
+{
+	static const char *const fields[] = {"customer", "state", "callers",
+	    "may_query", "may_reserve", "rate_per_s", "concurrency",
+	    "deadline_ms", "repeat_window_h", "operation", "changed_by"};
+	static const contract_spec_t spec = {
+	    "acme", "secret", "reels,motifs", "", 10, 5, 250, 24, false};
+	harness_t *harness = *state;
+	json_t *object, *value;
+
+	harness_start_platform(harness);
+	assert_int_equal(harness_put_contract(harness, &spec), 1);
+	assert_int_equal(harness_put_contract(harness, &spec), 2);
+	object = harness_fetch(harness->platform, OBJECT);
+	value = json_object_get(object, "value");
+	assert_int_equal(json_object_size(value), G_N_ELEMENTS(fields));
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
+		assert_non_null(json_object_get(value, fields[i]));
+	assert_int_equal(
+	    json_array_size(json_object_get(value, "may_query")), 2);
+	json_decref(object);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -552,6 +577,7 @@
 	    HARNESS_TEST(connections_over_the_cap_are_closed),
 	    HARNESS_TEST(draining_is_announced_and_then_enforced),
 	    HARNESS_TEST(frozen_servers_answer_after_the_thaw),
+	    HARNESS_TEST(contracts_have_exactly_the_agreed_fields),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
