--- a/source/routing/server.c
+++ b/source/routing/server.c
@@ -120,7 +120,7 @@
 {
 	usec_t rest = SERVER_FIRST_REST;
 
-	if (server->refusals > 0 && started < server->rest_from)
+	if (server->refusals > 0 && started <= server->rest_from)
 		return false;
 	for (uint32_t i = 0; i < server->refusals && rest < SERVER_LONGEST_REST;
 	     i++)
--- /dev/null
+++ b/tests/test_suspect.c
@@ -0,0 +1,137 @@
+/* Guards the suspect list: a crash reported twice that counts twice, a request
+ * that is never refused or never cleared, a list that grows without bound, and
+ * fingerprints that confuse requests. */
+#include "lib/runner.h"
+
+#include <stdbool.h>
+
+#include "bulrushwell/suspect.h"
+
+typedef enum { CRASH, ANSWER, VERDICT, RETRY } op_t;
+
+typedef struct {
+	op_t op;
+	int at; /* s */
+	uint64_t fingerprint;
+	uint64_t crash;
+	int expect; /* CRASH: news; VERDICT: verdict; RETRY: s */
+} step_t;
+
+static const struct {
+	const char *name;
+	step_t steps[12];
+	int count;
+} cases[] = {
+    {"one crash: alone, an answer clears",
+	{{VERDICT, 1, 7, 0, SUSPECT_CLEAR}, {CRASH, 1, 7, 50, true},
+	    {VERDICT, 1, 7, 0, SUSPECT_ALONE},
+	    {VERDICT, 1, 8, 0, SUSPECT_CLEAR}, {RETRY, 1, 7, 0, 0},
+	    {ANSWER, 2, 7, 0, 0}, {VERDICT, 2, 7, 0, SUSPECT_CLEAR}},
+	7},
+    {"one crash that several report counts once",
+	{{CRASH, 1, 7, 50, true}, {CRASH, 1, 7, 50, false},
+	    {CRASH, 2, 7, 50, false}, {VERDICT, 2, 7, 0, SUSPECT_ALONE}},
+	4},
+    {"the second crash refuses for a while, then alone again",
+	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true},
+	    {VERDICT, 2, 7, 0, SUSPECT_REFUSED}, {RETRY, 2, 7, 0, 62},
+	    {VERDICT, 61, 7, 0, SUSPECT_REFUSED},
+	    {VERDICT, 62, 7, 0, SUSPECT_ALONE}, {RETRY, 62, 7, 0, 0},
+	    {CRASH, 63, 7, 52, true}, {VERDICT, 63, 7, 0, SUSPECT_REFUSED},
+	    {ANSWER, 200, 7, 0, 0}, {VERDICT, 200, 7, 0, SUSPECT_CLEAR}},
+	11},
+    {"an answer does not clear what peers reported as refused",
+	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true}, {ANSWER, 3, 7, 0, 0},
+	    {VERDICT, 3, 7, 0, SUSPECT_REFUSED}},
+	4},
+    {"late reports of known crashes do not count",
+	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true},
+	    {CRASH, 50, 7, 50, false}, {CRASH, 50, 7, 51, false},
+	    {VERDICT, 62, 7, 0, SUSPECT_ALONE}},
+	5},
+};
+
+static void
+run_step(suspect_list_t *list, const step_t *step)
+{
+	usec_t now = SECONDS(step->at);
+
+	switch (step->op) {
+	case CRASH:
+		assert_int_equal(
+		    suspect_crashed(list, step->fingerprint, step->crash, now),
+		    step->expect);
+		break;
+	case ANSWER:
+		suspect_answered(list, step->fingerprint, now);
+		break;
+	case VERDICT:
+		assert_int_equal(suspect_verdict(list, step->fingerprint, now),
+		    step->expect);
+		break;
+	case RETRY:
+		assert_int_equal(
+		    suspect_retry_after(list, step->fingerprint, now),
+		    SECONDS(step->expect));
+		break;
+	}
+}
+
+static void
+verdicts_follow_crashes(void **state)
+{
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		suspect_list_t *list = suspect_list_create();
+
+		print_message("  %s\n", cases[i].name);
+		for (int j = 0; j < cases[i].count; j++)
+			run_step(list, &cases[i].steps[j]);
+		suspect_list_destroy(list);
+	}
+}
+
+static void
+the_oldest_is_dropped(void **state)
+{
+	suspect_list_t *list = suspect_list_create();
+
+	for (uint64_t i = 1; i <= SUSPECT_MAX; i++)
+		suspect_crashed(list, i, 5, 1);
+	suspect_crashed(list, 1, 6, 2);
+	suspect_crashed(list, SUSPECT_MAX + 1, 5, 3);
+	assert_int_equal(suspect_verdict(list, 1, 3), SUSPECT_REFUSED);
+	assert_int_equal(suspect_verdict(list, 2, 3), SUSPECT_CLEAR);
+	assert_int_equal(suspect_verdict(list, 3, 3), SUSPECT_ALONE);
+	suspect_list_destroy(list);
+}
+
+static void
+fingerprints_are_distinct_and_stable(void **state)
+{
+	static const char *parts[][4] = {{"c", "POST", "/shard/1", "x"},
+	    {"cP", "OST", "/shard/1", "x"}, {"c", "POST", "/shard/1x", ""},
+	    {"c", "POST", "/shard/2", "x"}, {"d", "POST", "/shard/1", "x"},
+	    {"c", "POST", "/shard/1", "y"}, {"c", "GET", "/shard/1", "x"}};
+	uint64_t seen[7];
+
+	for (int i = 0; i < 7; i++) {
+		seen[i] = suspect_fingerprint(parts[i][0], parts[i][1],
+		    parts[i][2], slice_from(parts[i][3]));
+		for (int j = 0; j < i; j++)
+			assert_true(seen[i] != seen[j]);
+	}
+	/* Nodes of different builds must agree. */
+	assert_true(seen[0] == UINT64_C(0xc8b92be2746d8791));
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(verdicts_follow_crashes),
+	    cmocka_unit_test(the_oldest_is_dropped),
+	    cmocka_unit_test(fingerprints_are_distinct_and_stable),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
