Drive the scheduler by a random model of servers

Tables of events cannot cover orders of stragglers, deaths, drains, shedding, silent connections, false replies, lost cancellations, new incarnations and changing limits.

A queue at its limit sent jobs with the mean latency left, of which about half would be too late: the early refusal now reckons with the 95th percentile, and while others wait a job with less than the mean left ends as overloaded.

--- a/include/bulrushwell/scheduler.h
+++ b/include/bulrushwell/scheduler.h
@@ -17,6 +17,9 @@
  * Runs on the serving node: queues sub-requests fairly between customers,
  * chooses a server for each attempt, hedges, cancels, and keeps a slot charged
  * until the server is known not to run the attempt any more.
+ *
+ * The adapter calls scheduler_run() after any other event function and when
+ * scheduler_next_wakeup() is due, and takes all actions after each run.
  */
 #define SCHEDULER_MAX_JOBS 20000
 #define SCHEDULER_HEDGE_BUDGET 0.05 /* extra attempts per first attempt */
@@ -52,9 +55,11 @@
 	ATTEMPT_VERSION_GONE, /* the server no longer has the index version */
 	ATTEMPT_WRONG_SHARD,  /* the server does not hold the shard */
 	ATTEMPT_MISMATCH, /* the reply names another request, shard, version */
-	ATTEMPT_DIED,	  /* the connection ended after sending */
+	ATTEMPT_DIED,	  /* the connection ended after sending; on an attempt
+			     that was cancelled this is no sign of a crash */
 	ATTEMPT_TIMEOUT,  /* the deadline passed */
-	ATTEMPT_FAILED	  /* an error status or a malformed reply */
+	ATTEMPT_FAILED	  /* an error status; with http_status below 400 a
+			     malformed reply, which proves no end */
 } attempt_result_t;
 
 typedef struct {
--- a/source/routing/scheduler.c
+++ b/source/routing/scheduler.c
@@ -53,8 +53,10 @@
 	    fair_queue_ahead(scheduler->queue, job->customer, job->weight);
 	usec_t wait = scheduler_estimate_wait(scheduler, ahead);
 
+	/* With only the mean left, half of what an overloaded queue sends would
+	 * be too late. */
 	if (wait > 0)
-		wait += scheduler->latency.mean;
+		wait += MAX(scheduler->latency.p95, scheduler->latency.mean);
 	return now + wait < job->deadline;
 }
 
@@ -131,6 +133,16 @@
 	}
 }
 
+/* While others wait, a slot is not spent on a job that would be too late more
+ * likely than not. With an empty queue it is tried, so that a latency that has
+ * fallen is noticed. */
+static bool
+is_hopeless(const scheduler_t *scheduler, const job_entry_t *entry, usec_t now)
+{
+	return fair_queue_count(scheduler->queue) > 0 &&
+	    entry->job.deadline - now < scheduler->latency.mean;
+}
+
 static void
 dispatch_queue(scheduler_t *scheduler, usec_t now)
 {
@@ -144,6 +156,11 @@
 		entry->place = PLACE_NONE;
 		if (!scheduler_screen_job(scheduler, entry, now))
 			continue;
+		if (is_hopeless(scheduler, entry, now)) {
+			scheduler_end_job(
+			    scheduler, entry, BW_E_OVERLOADED, now);
+			continue;
+		}
 		if (scheduler_begin_try(scheduler, entry, server,
 			(start_options_t){0}, now) == NULL) {
 			scheduler_queue_job(scheduler, entry);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
 #include "bulrushwell/scheduler.h"
 
 #define MAX_ATTEMPTS 64
@@ -316,6 +317,7 @@
 {
 	scheduler_destroy(bed->scheduler);
 	suspect_list_destroy(bed->suspects);
+	assert_int_equal(event_count(EVENT_INVARIANT_BROKEN), 0);
 }
 
 static void
@@ -460,6 +462,23 @@
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 100, ""},
 	    {0, REFUSED, 3, 25, "overloaded"}, {0, SUBMIT, 4, 35, ""},
 	    {0, REFUSED, 5, 0, "overloaded"}}},
+    {"a job that would be too late gives way to those behind it", 1, 1, 3,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 30, ""},
+	    {0, SUBMIT, 3, 200, ""},
+	    {25, END, 1, ATTEMPT_OK, "R1=ok R2=overloaded S3@a"}}},
+    {"a failing server is chosen last", 1, 2, 1,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, END, 1, ATTEMPT_FAILED, "S1@a"},
+	    {0, END, 2, ATTEMPT_FAILED, "R1=upstream_failed"},
+	    {0, SUBMIT, 2, 200, "S2@a"}, {0, END, 3, ATTEMPT_FAILED, "S2@a"},
+	    {0, END, 4, ATTEMPT_FAILED, "R2=upstream_failed"},
+	    {0, SERVERS, 2, 0, ""}, {0, SUBMIT, 3, 200, "S3@b"},
+	    {20, END, 5, ATTEMPT_OK, "R3=ok"}, {20, SUBMIT, 4, 200, "S4@b"},
+	    {20, SUBMIT, 5, 200, "S5@b"}, {20, SUBMIT, 6, 200, "S6@a"}}},
+    {"a server with lower latency is chosen among equally charged ones", 2, 1,
+	2,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
+	    {5, END, 2, ATTEMPT_OK, "R2=ok"}, {90, END, 1, ATTEMPT_OK, "R1=ok"},
+	    {91, SUBMIT, 3, 300, "S3@b"}, {91, SUBMIT, 4, 300, "S4@a"}}},
 };
 
 static void
--- /dev/null
+++ b/tests/test_scheduler_model.c
@@ -0,0 +1,682 @@
+/* Drives the scheduler by a random model of servers that knows what really
+ * runs on each of them. Guards against caps exceeded, replies lost, doubled or
+ * false, reservations run twice, work for leaving servers, suspects beside
+ * other requests, and jobs or charges that never end. BW_SEED and BW_STEPS run
+ * one seed for longer. */
+#include "lib/runner.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "bulrushwell/ledger.h"
+#include "bulrushwell/scheduler.h"
+
+#define MARGIN MS(DRIFT_MARGIN_MS)
+#define MAX_JOBS 4096 /* kept by the model, by tag modulo this */
+#define MAX_RUNS 1024
+#define MAX_PROCESSES 256
+#define SERVERS 5
+#define KILLER 13 /* fingerprint of the request that kills servers */
+
+typedef struct {
+	int incarnation;
+	bool up;
+	bool draining;
+	bool known_leaving; /* the scheduler has been told */
+	bool listed;
+	bool lies;
+	usec_t silent_before; /* connections of this time are silent */
+	int runs;	      /* of the model that name it */
+	int running;
+	int charged; /* by the rules, as far as the scheduler was told */
+	int alone;   /* charged attempts that run alone */
+} process_t;
+
+typedef struct {
+	bool open;
+	bool cancelled;
+	bool killer;
+	job_kind_t kind;
+	usec_t deadline;
+	int starts;
+	int may_have_run;
+	int really_ran;
+	int replies;
+} model_job_t;
+
+typedef struct {
+	bool used;
+	handle_t handle;
+	id128_t id;
+	uint64_t tag;
+	int process;
+	bool killer;
+	bool alone;
+	bool running;	 /* really */
+	bool reported;	 /* its outcome was told */
+	bool charged;	 /* as far as the scheduler knows */
+	usec_t deadline; /* when it is charged no longer without news */
+	usec_t stops;	 /* when the server stops running it */
+	usec_t outcome_at;
+	attempt_outcome_t outcome;
+	usec_t cancel_at; /* 0: none */
+	bool cancel_works;
+} run_t;
+
+typedef struct {
+	scheduler_t *scheduler;
+	suspect_list_t *suspects;
+	service_t service;
+	uint64_t random;
+	usec_t now;
+	uint32_t limit;
+	usec_t longest;
+	uint64_t next_tag;
+	int incarnations;
+	int listed[SERVERS]; /* process of each server */
+	int kills;
+	int killer_runs; /* most that ran when a server was killed */
+	uint64_t first_attempts;
+	uint64_t late_cuts;
+	process_t processes[MAX_PROCESSES];
+	model_job_t jobs[MAX_JOBS];
+	run_t runs[MAX_RUNS];
+} model_t;
+
+static uint32_t
+draw(model_t *model, uint32_t below)
+{
+	model->random =
+	    model->random * 6364136223846793005u + 1442695040888963407u;
+	return (uint32_t)(model->random >> 33) % below;
+}
+
+static bool
+chance(model_t *model, uint32_t percent)
+{
+	return draw(model, 100) < percent;
+}
+
+static model_job_t *
+job_of(model_t *model, uint64_t tag)
+{
+	return &model->jobs[tag % MAX_JOBS];
+}
+
+static int
+process_of(const model_t *model, const char *address)
+{
+	int process = -1;
+
+	assert_int_equal(sscanf(address, "127.0.0.1:%d", &process), 1);
+	assert_in_range(process, 0, MAX_PROCESSES - 1);
+	return process;
+}
+
+static void
+list_server(model_t *model, int server, int process, bool leaving)
+{
+	server_spec_t *spec = &model->service.servers[server];
+
+	snprintf(spec->server, NAME_SIZE, "server-%d", server);
+	snprintf(spec->incarnation, NAME_SIZE, "i%d",
+	    model->processes[process].incarnation);
+	snprintf(spec->address, ADDRESS_SIZE, "127.0.0.1:%d", process);
+	spec->leaving = leaving;
+	model->listed[server] = process;
+	if (leaving)
+		model->processes[process].known_leaving = true;
+}
+
+static void
+set_servers(model_t *model)
+{
+	for (int i = 0; i < MAX_PROCESSES; i++)
+		model->processes[i].listed = false;
+	for (int i = 0; i < SERVERS; i++)
+		model->processes[model->listed[i]].listed = true;
+	scheduler_set_servers(model->scheduler, &model->service, model->now);
+}
+
+static void
+replace_server(model_t *model, int server)
+{
+	int place = 0;
+
+	while (model->processes[place].listed || model->processes[place].runs)
+		assert_true(++place < MAX_PROCESSES);
+	model->processes[place] =
+	    (process_t){.up = true, .incarnation = model->incarnations++};
+	list_server(model, server, place, false);
+	model->processes[place].listed = true;
+}
+
+/* The server runs it no longer. */
+static void
+stop_run(model_t *model, run_t *run)
+{
+	if (run->running)
+		model->processes[run->process].running--;
+	run->running = false;
+}
+
+/* The scheduler has proof that the server does not run it. */
+static void
+end_charge(model_t *model, run_t *run)
+{
+	process_t *process = &model->processes[run->process];
+
+	if (!run->charged)
+		return;
+	process->charged--;
+	if (run->alone)
+		process->alone--;
+	run->charged = false;
+}
+
+static void
+plan_failure(model_t *model, run_t *run)
+{
+	process_t *process = &model->processes[run->process];
+
+	run->outcome_at = model->now + MS(1);
+	if (!process->up)
+		run->outcome.result = ATTEMPT_NOT_SENT;
+	else if (process->draining)
+		run->outcome.result = ATTEMPT_DRAINING;
+	else if (chance(model, 50))
+		run->outcome.result = ATTEMPT_SHED;
+	else
+		run->outcome.result = chance(model, 50) ? ATTEMPT_VERSION_GONE
+							: ATTEMPT_WRONG_SHARD;
+}
+
+static void
+plan_answer(model_t *model, run_t *run, bool silent)
+{
+	usec_t duration = MS(2) + draw(model, 10000);
+
+	if (chance(model, 3)) /* a straggler */
+		duration = MS(1 + draw(model, 600));
+	run->running = true;
+	model->processes[run->process].running++;
+	run->stops = MIN(model->now + duration,
+	    run->deadline + draw(model, (uint32_t)MARGIN));
+	run->outcome_at = run->stops;
+	run->outcome.http_status = 200;
+	if (run->stops > run->deadline || silent) {
+		run->outcome_at = run->deadline;
+		run->outcome.result = ATTEMPT_TIMEOUT;
+	} else if (chance(model, 2)) {
+		run->outcome.result = ATTEMPT_FAILED;
+		run->outcome.http_status = chance(model, 50) ? 500 : 200;
+	}
+	/* These come while the server still runs the request. */
+	if (model->processes[run->process].lies && chance(model, 50))
+		run->outcome.result = ATTEMPT_MISMATCH;
+	else if (chance(model, 1))
+		run->outcome.result = ATTEMPT_DIED;
+	else
+		return;
+	run->outcome_at = MIN(run->outcome_at, model->now + MS(1));
+}
+
+static run_t *
+new_run(model_t *model)
+{
+	for (int i = 0; i < MAX_RUNS; i++)
+		if (!model->runs[i].used) {
+			model->runs[i] = (run_t){.used = true};
+			return &model->runs[i];
+		}
+	fail_msg("too many attempts");
+	return NULL;
+}
+
+static void
+check_start(model_t *model, const scheduler_action_t *action,
+    const model_job_t *job, const process_t *process)
+{
+	suspect_verdict_t verdict = suspect_verdict(
+	    model->suspects, action->job->fingerprint, model->now);
+
+	assert_true(job->open && !job->cancelled);
+	assert_true(process->charged < (int)model->limit);
+	assert_true(process->running < (int)model->limit);
+	assert_false(process->known_leaving);
+	assert_true(process->listed);
+	assert_int_equal(process->alone, 0);
+	assert_int_not_equal(verdict, SUSPECT_REFUSED);
+	if (verdict == SUSPECT_ALONE)
+		assert_int_equal(process->charged, 0);
+	assert_true(action->deadline <= model->now + model->longest);
+	assert_true(action->deadline <= action->job->deadline);
+	assert_true(action->deadline > model->now);
+	/* The tries, a hedge and one for silence. */
+	assert_true(job->starts <= SERVERS + 3);
+	for (int i = 0; i < MAX_RUNS; i++)
+		assert_false(model->runs[i].used &&
+		    id128_equal(model->runs[i].id, action->attempt_id));
+	if (job->kind == JOB_RESERVATION) {
+		assert_true(action->fresh);
+		assert_int_equal(job->may_have_run, 0);
+	}
+}
+
+static void
+start_run(model_t *model, const scheduler_action_t *action)
+{
+	model_job_t *job = job_of(model, action->job->tag);
+	run_t *run = new_run(model);
+	process_t *process;
+
+	run->process = process_of(model, action->address);
+	process = &model->processes[run->process];
+	process->runs++;
+	check_start(model, action, job, process);
+	run->handle = action->attempt;
+	run->id = action->attempt_id;
+	run->tag = action->job->tag;
+	run->deadline = action->deadline;
+	run->charged = true;
+	run->killer = job->killer;
+	run->alone = suspect_verdict(model->suspects, action->job->fingerprint,
+			 model->now) == SUSPECT_ALONE;
+	process->charged++;
+	process->alone += run->alone;
+	if (job->starts++ == 0)
+		model->first_attempts++;
+	job->may_have_run++;
+	if (!process->up || process->draining || chance(model, 4)) {
+		plan_failure(model, run);
+		return;
+	}
+	job->really_ran++;
+	plan_answer(model, run,
+	    !action->fresh && action->retire_before <= process->silent_before);
+}
+
+static void
+plan_cancel(model_t *model, const scheduler_action_t *action)
+{
+	for (int i = 0; i < MAX_RUNS; i++) {
+		run_t *run = &model->runs[i];
+
+		if (!run->used || run->handle != action->attempt)
+			continue;
+		assert_int_equal(run->cancel_at, 0);
+		run->cancel_at = model->now + MS(1 + draw(model, 4));
+		run->cancel_works =
+		    chance(model, 70) && model->processes[run->process].up;
+	}
+}
+
+static void
+check_reply(model_t *model, const scheduler_action_t *action)
+{
+	model_job_t *job = job_of(model, action->job->tag);
+
+	assert_true(job->open && !job->cancelled);
+	assert_int_equal(job->replies++, 0);
+	job->open = false;
+	assert_true(action->error <= 0);
+	if (action->error == 0)
+		assert_true(slice_is(body_slice(action->body), "answer"));
+	/* Section 8: a shard that crashed servers is reported as crashed. */
+	if (error_is_not_run(action->error) &&
+	    (action->error != BW_E_SUSPECT || job->kind == JOB_RESERVATION)) {
+		assert_int_equal(job->really_ran, 0);
+		assert_int_equal(job->may_have_run, 0);
+	}
+}
+
+static void
+run_scheduler(model_t *model)
+{
+	scheduler_action_t action;
+
+	scheduler_run(
+	    model->scheduler, model->limit, model->longest, model->now);
+	while (scheduler_next_action(model->scheduler, &action)) {
+		switch (action.kind) {
+		case SCHEDULER_START:
+			start_run(model, &action);
+			break;
+		case SCHEDULER_CANCEL:
+			plan_cancel(model, &action);
+			break;
+		case SCHEDULER_REPLY:
+			check_reply(model, &action);
+			break;
+		case SCHEDULER_CRASH:
+			assert_int_not_equal(action.crash, 0);
+			break;
+		}
+	}
+}
+
+static bool
+proves_end(const attempt_outcome_t *outcome)
+{
+	return outcome->result != ATTEMPT_MISMATCH &&
+	    outcome->result != ATTEMPT_DIED &&
+	    outcome->result != ATTEMPT_TIMEOUT &&
+	    (outcome->result != ATTEMPT_FAILED || outcome->http_status >= 400);
+}
+
+static void
+tell_outcome(model_t *model, run_t *run)
+{
+	process_t *process = &model->processes[run->process];
+	body_t *body = body_create("answer", 6);
+	attempt_result_t result = run->outcome.result;
+
+	run->reported = true;
+	run->outcome.announced_drain = process->draining &&
+	    result != ATTEMPT_NOT_SENT && result != ATTEMPT_TIMEOUT;
+	run->outcome.body = result == ATTEMPT_OK ? body : NULL;
+	/* An attempt whose charge ended is unknown to the scheduler. */
+	if (run->charged &&
+	    (run->outcome.announced_drain || result == ATTEMPT_DRAINING))
+		process->known_leaving = true;
+	if (result == ATTEMPT_NOT_SENT || result == ATTEMPT_SHED ||
+	    result == ATTEMPT_DRAINING)
+		job_of(model, run->tag)->may_have_run--;
+	if (proves_end(&run->outcome))
+		end_charge(model, run);
+	scheduler_attempt_ended(
+	    model->scheduler, run->handle, &run->outcome, model->now);
+	body_drop(body);
+}
+
+static void
+tell_cancel(model_t *model, run_t *run)
+{
+	run->cancel_at = INT64_MAX;
+	if (run->cancel_works) {
+		stop_run(model, run);
+		end_charge(model, run);
+		/* The original connection may still report something. */
+		if (!run->reported && chance(model, 50))
+			run->outcome_at = model->now + MS(1);
+	}
+	scheduler_cancel_ended(
+	    model->scheduler, run->handle, run->cancel_works, model->now);
+}
+
+/* Connections of a killed server end within a few milliseconds. */
+static void
+kill_process(model_t *model, int index)
+{
+	model->processes[index].up = false;
+	model->processes[index].silent_before = 0;
+	for (int i = 0; i < MAX_RUNS; i++) {
+		run_t *run = &model->runs[i];
+
+		if (!run->used || run->process != index)
+			continue;
+		stop_run(model, run);
+		if (!run->reported && run->outcome.result != ATTEMPT_NOT_SENT) {
+			run->outcome =
+			    (attempt_outcome_t){.result = ATTEMPT_DIED};
+			run->outcome_at = model->now + 1 + draw(model, 3000);
+		}
+	}
+}
+
+static void
+finish_run(model_t *model, run_t *run)
+{
+	bool killer = run->killer && run->running;
+
+	stop_run(model, run);
+	if (killer && model->processes[run->process].up)
+		kill_process(model, run->process);
+}
+
+static void
+advance_run(model_t *model, run_t *run)
+{
+	if (run->running && model->now >= run->stops)
+		finish_run(model, run);
+	if (!run->reported && model->now >= run->outcome_at)
+		tell_outcome(model, run);
+	if (run->cancel_at > 0 && model->now >= run->cancel_at)
+		tell_cancel(model, run);
+	if (model->now >= run->deadline + MARGIN) {
+		assert_false(run->running);
+		end_charge(model, run);
+		run->used = !run->reported;
+		if (!run->used)
+			model->processes[run->process].runs--;
+	}
+}
+
+static usec_t
+next_event(const model_t *model)
+{
+	usec_t at = scheduler_next_wakeup(model->scheduler);
+
+	at = at == 0 ? INT64_MAX : at;
+	for (int i = 0; i < MAX_RUNS; i++) {
+		const run_t *run = &model->runs[i];
+
+		if (!run->used)
+			continue;
+		at = MIN(at, run->deadline + MARGIN);
+		if (run->running)
+			at = MIN(at, run->stops);
+		if (!run->reported)
+			at = MIN(at, run->outcome_at);
+		if (run->cancel_at > 0)
+			at = MIN(at, run->cancel_at);
+	}
+	return at;
+}
+
+/* Time goes from event to event, as in the adapter: a wakeup that is missing
+ * or in the past is a fault. */
+static void
+advance_time(model_t *model, usec_t until)
+{
+	usec_t at;
+
+	while ((at = next_event(model)) <= until) {
+		assert_true(at > model->now);
+		model->now = at;
+		for (int i = 0; i < MAX_RUNS; i++)
+			if (model->runs[i].used)
+				advance_run(model, &model->runs[i]);
+		run_scheduler(model);
+	}
+	model->now = until;
+}
+
+static void
+submit_job(model_t *model)
+{
+	uint64_t tag = model->next_tag;
+	model_job_t *job = job_of(model, tag);
+	job_t request = {.tag = tag, .weight = 1 + draw(model, 4)};
+	int error;
+
+	if (job->open)
+		return;
+	request.kind = chance(model, 20) ? JOB_RESERVATION : JOB_SHARD;
+	request.query = (id128_t){1, tag / 4};
+	request.deadline = model->now + MS(5) + draw(model, 400000);
+	request.fingerprint =
+	    draw(model, 500) == 0 ? KILLER : 100 + draw(model, 50000);
+	snprintf(request.customer, NAME_SIZE, "c%u", draw(model, 3));
+	error = scheduler_submit(model->scheduler, &request, model->now);
+	if (error != 0) {
+		assert_true(error_is_not_run(error));
+		return;
+	}
+	model->next_tag++;
+	*job = (model_job_t){.open = true,
+	    .kind = request.kind,
+	    .deadline = request.deadline,
+	    .killer = request.fingerprint == KILLER};
+}
+
+static void
+cancel_query(model_t *model)
+{
+	uint64_t query = (model->next_tag - draw(model, 40)) / 4;
+
+	if (model->next_tag < 100)
+		return;
+	for (uint64_t tag = 4 * query; tag < 4 * query + 4; tag++)
+		if (tag < model->next_tag && job_of(model, tag)->open) {
+			job_of(model, tag)->open = false;
+			job_of(model, tag)->cancelled = true;
+		}
+	scheduler_cancel_query(
+	    model->scheduler, (id128_t){1, query}, model->now);
+}
+
+/* Something happens to a server. */
+static void
+disturb(model_t *model)
+{
+	int server = (int)draw(model, SERVERS);
+	process_t *process = &model->processes[model->listed[server]];
+
+	switch (draw(model, 8)) {
+	case 0:
+		kill_process(model, model->listed[server]);
+		break;
+	case 1:
+		process->draining = true;
+		break;
+	case 2:
+		process->lies = !process->lies;
+		break;
+	case 3:
+		process->silent_before = model->now;
+		break;
+	case 4: /* restarted before the catalogue says so */
+		process->up = true;
+		break;
+	case 5:
+		replace_server(model, server);
+		set_servers(model);
+		break;
+	case 6:
+		list_server(model, server, model->listed[server], true);
+		set_servers(model);
+		break;
+	default:
+		process->known_leaving = true;
+		scheduler_server_leaving(model->scheduler,
+		    model->service.servers[server].server, model->now);
+		break;
+	}
+}
+
+static void
+step_model(model_t *model)
+{
+	uint32_t kind = draw(model, 1000);
+
+	if (kind < 500)
+		submit_job(model);
+	else if (kind < 510)
+		cancel_query(model);
+	else if (kind < 513)
+		disturb(model);
+	else if (kind < 517) {
+		replace_server(model, (int)draw(model, SERVERS));
+		set_servers(model);
+	} else if (kind < 519)
+		model->limit = draw(model, 5);
+	else if (kind < 521)
+		model->longest = MS(50 + draw(model, 300));
+	else
+		advance_time(model, model->now + draw(model, 4000));
+	if (kind < 521)
+		run_scheduler(model);
+}
+
+static void
+check_stats(model_t *model)
+{
+	scheduler_stats_t stats;
+
+	assert_int_equal(event_count(EVENT_INVARIANT_BROKEN), 0);
+	scheduler_get_stats(model->scheduler, &stats);
+	assert_int_equal(stats.running + stats.queued, 0);
+	assert_int_equal(scheduler_charged(model->scheduler), 0);
+	assert_int_equal(scheduler_next_wakeup(model->scheduler), 0);
+	assert_true((double)stats.hedges <=
+	    SCHEDULER_HEDGE_BUDGET * (double)model->first_attempts);
+	print_message("  jobs %llu, attempts %llu, hedges %llu, doubles %llu, "
+		      "retries %llu, cancels %llu, mismatches %llu\n",
+	    (unsigned long long)stats.jobs, (unsigned long long)stats.attempts,
+	    (unsigned long long)stats.hedges, (unsigned long long)stats.doubles,
+	    (unsigned long long)stats.retries,
+	    (unsigned long long)stats.cancels,
+	    (unsigned long long)stats.mismatches);
+}
+
+static void
+run_model(uint64_t seed, uint32_t steps)
+{
+	model_t *model = g_new0(model_t, 1);
+	clock_t begin = clock();
+
+	model->random = seed;
+	model->now = SECONDS(1000);
+	model->limit = 2;
+	model->longest = MS(250);
+	model->suspects = suspect_list_create();
+	model->scheduler = scheduler_create("slotplan", model->suspects, seed);
+	model->service.server_count = SERVERS;
+	for (int i = 0; i < SERVERS; i++)
+		replace_server(model, i);
+	set_servers(model);
+	for (uint32_t i = 0; i < steps; i++)
+		step_model(model);
+	advance_time(model, model->now + SECONDS(2));
+	for (int i = 0; i < MAX_JOBS; i++)
+		assert_false(model->jobs[i].open);
+	print_message("  seed %llu: %u steps, %.0f a second\n",
+	    (unsigned long long)seed, steps,
+	    steps / ((double)(clock() - begin + 1) / CLOCKS_PER_SEC));
+	check_stats(model);
+	scheduler_destroy(model->scheduler);
+	suspect_list_destroy(model->suspects);
+	g_free(model);
+}
+
+static void
+random_events_keep_the_rules(void **state)
+{
+	static const uint32_t steps[] = {300, 1000, 3000, 20000};
+	const char *seed = getenv("BW_SEED");
+	const char *count = getenv("BW_STEPS");
+
+	if (seed != NULL || count != NULL) {
+		run_model(seed != NULL ? strtoull(seed, NULL, 10) : 1,
+		    count != NULL ? (uint32_t)strtoul(count, NULL, 10) : 20000);
+		return;
+	}
+	for (uint64_t i = 1; i <= 40; i++)
+		run_model(i, steps[i % G_N_ELEMENTS(steps)]);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(random_events_keep_the_rules),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
