--- a/source/claim/document.h
+++ b/source/claim/document.h
@@ -63,6 +63,9 @@
 
 const entry_t *document_find(const document_t *document, const char *id);
 
+/** document_can_store() - Whether a body is short enough and text. */
+bool document_can_store(slice_t body);
+
 /** document_put() - Adds or replaces an entry; keeps a body reference. */
 void document_put(document_t *document, const entry_spec_t *spec);
 
--- a/source/claim/document_codec.c
+++ b/source/claim/document_codec.c
@@ -15,6 +15,13 @@
     [ENTRY_RELEASED] = "released",
 };
 
+bool
+document_can_store(slice_t body)
+{
+	return body.size <= CLAIM_MAX_BODY &&
+	    g_utf8_validate_len(body.data, body.size, NULL);
+}
+
 char *
 document_print_entry(const entry_spec_t *spec)
 {
@@ -24,8 +31,7 @@
 	json_t *body = NULL, *entry;
 	char *text;
 
-	/* NULL when the bytes are not text that JSON can hold. */
-	if (spec->body != NULL && memchr(bytes.data, '\0', bytes.size) == NULL)
+	if (spec->body != NULL)
 		body = json_stringn(bytes.data, bytes.size);
 	id128_format(digest_id, digest);
 	id128_format(spec->token, token);
--- a/source/claim/plan.c
+++ b/source/claim/plan.c
@@ -68,7 +68,7 @@
 	if (attempt->outcome != ENTRY_DONE)
 		return spec;
 	spec.status = attempt->answer.status;
-	if (body_slice(attempt->answer.body).size > CLAIM_MAX_BODY)
+	if (!document_can_store(body_slice(attempt->answer.body)))
 		return spec;
 	spec.body = attempt->answer.body;
 	if (document_size(plan->next) + document_entry_size(&spec) >
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -506,30 +506,122 @@
 	assert_true(claim_is_idle(f->table));
 }
 
+/* A node that was paused confirms a claim after its deadline. */
 static void
-removed_keys_stay_expired(void **state)
+claims_confirmed_late_do_not_run(void **state)
 {
 	fixture_t *f = *state;
-	claim_request_t request = make_request(2, "");
-	claim_request_t longer = make_request(3, KEY);
-	char *text;
 
-	assert_int_equal(reserve(f, 1, KEY), 0);
+	reserve_to_write(f);
+	f->now += MS(100);
+	write_done(f, CLAIM_IO_OK);
+	expect_answer(f, 1, BW_E_DEADLINE);
+	expect_io(f, CLAIM_WRITE);
+	assert_non_null(strstr(f->last.text, "released"));
+	write_done(f, CLAIM_IO_OK);
+	expect_nothing(f);
+	assert_true(claim_is_idle(f->table));
+}
+
+/* An attempt that was answered before its deadline, while a write with its
+ * claim is in doubt, must not run when that write turns out to be applied. */
+static void
+answered_attempts_in_doubt_do_not_run(void **state)
+{
+	fixture_t *f = *state;
+	char *written;
+
+	reserve_to_write(f);
+	written = g_strdup(f->last.text);
+	write_done(f, CLAIM_IO_LOST);
 	expect_io(f, CLAIM_READ);
-	text = entry_text(f, DIGEST, "done", 201, "\"seat 7\"");
-	read_done(f, text, 5);
-	g_free(text);
-	expect_answer(f, 1, 0);
-	f->wall += SECONDS(3600 + CLAIM_FUTURE_S - 9);
-	find_key(f, 1796365800, 0, request.key);
-	assert_int_equal(claim_reserve(f->table, &request, f->now, f->wall), 0);
+	read_done(f, "", 0);
+	f->wall += SECONDS(3600);
+	pass(f, MS(50));
+	expect_answer(f, 1, BW_E_KEY_EXPIRED);
+	expect_io(f, CLAIM_WRITE);
+	write_done(f, CLAIM_IO_CONFLICT);
+	expect_io(f, CLAIM_READ);
+	read_done(f, written, 1);
+	g_free(written);
 	expect_io(f, CLAIM_WRITE);
-	assert_null(strstr(f->last.text, KEY));
+	assert_non_null(strstr(f->last.text, "released"));
 	write_done(f, CLAIM_IO_OK);
-	expect_dispatch(f, request.tag);
-	longer.repeat_window_s = 24 * 3600;
-	assert_int_equal(claim_reserve(f->table, &longer, f->now, f->wall), 0);
-	expect_answer(f, 3, BW_E_KEY_EXPIRED);
+	expect_nothing(f);
+	assert_true(claim_is_idle(f->table));
+}
+
+/* A body that cannot be stored is given whole once and never in part. */
+static void
+large_bodies_are_not_stored(void **state)
+{
+	static const struct {
+		size_t size;
+		char fill;
+		int error; /* of the repeat */
+	} cases[] = {
+	    {CLAIM_MAX_BODY, 'b', 0},
+	    {CLAIM_MAX_BODY + 1, 'b', BW_E_UPSTREAM},
+	    {3, '\xff', BW_E_UPSTREAM},
+	    {3, '\0', BW_E_UPSTREAM},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char *bytes = g_malloc(cases[i].size);
+		fixture_t *f;
+		body_t *body;
+
+		setup((void **)&f);
+		memset(bytes, cases[i].fill, cases[i].size);
+		body = body_create(bytes, cases[i].size);
+		reserve_to_write(f);
+		write_done(f, CLAIM_IO_OK);
+		expect_dispatch(f, 1);
+		claim_dispatch_done(
+		    f->table, 1, CLAIM_RAN, 201, body, f->now, f->wall);
+		body_drop(body);
+		expect_io(f, CLAIM_WRITE);
+		write_done(f, CLAIM_IO_OK);
+		expect_answer(f, 1, 0);
+		assert_int_equal(body_slice(f->last.body).size, cases[i].size);
+		assert_int_equal(reserve(f, 2, KEY), 0);
+		expect_answer(f, 2, cases[i].error);
+		assert_int_equal(f->last.http_status, 201);
+		g_free(bytes);
+		teardown((void **)&f);
+	}
+}
+
+static void
+removed_keys_stay_expired(void **state)
+{
+	for (int removed = 0; removed <= 1; removed++) {
+		fixture_t *f;
+		claim_request_t request = make_request(2, "");
+		claim_request_t longer = make_request(3, KEY);
+		char *text;
+
+		setup((void **)&f);
+		assert_int_equal(reserve(f, 1, KEY), 0);
+		expect_io(f, CLAIM_READ);
+		text = entry_text(f, DIGEST, "done", 201, "\"seat 7\"");
+		read_done(f, text, 5);
+		g_free(text);
+		expect_answer(f, 1, 0);
+		f->wall += SECONDS(3600 + CLAIM_FUTURE_S - 10 + removed);
+		find_key(f, 1796365800, 0, request.key);
+		assert_int_equal(
+		    claim_reserve(f->table, &request, f->now, f->wall), 0);
+		expect_io(f, CLAIM_WRITE);
+		assert_int_equal(strstr(f->last.text, KEY) == NULL, removed);
+		write_done(f, CLAIM_IO_OK);
+		expect_dispatch(f, 2);
+		longer.repeat_window_s = 24 * 3600;
+		assert_int_equal(
+		    claim_reserve(f->table, &longer, f->now, f->wall), 0);
+		expect_answer(f, 3, removed ? BW_E_KEY_EXPIRED : 0);
+		teardown((void **)&f);
+	}
 }
 
 /* A read that was answered late must not bring an old version back. */
@@ -599,7 +691,10 @@
 	    TEST(one_write_carries_all_that_waits),
 	    TEST(repeats_wait_for_the_first),
 	    TEST(late_claims_are_released),
-	    TEST(removed_keys_stay_expired),
+	    TEST(claims_confirmed_late_do_not_run),
+	    TEST(answered_attempts_in_doubt_do_not_run),
+	    cmocka_unit_test(large_bodies_are_not_stored),
+	    cmocka_unit_test(removed_keys_stay_expired),
 	    TEST(older_versions_are_ignored),
 	    TEST(full_buckets_refuse),
 	};
--- a/tests/test_claim_model.c
+++ b/tests/test_claim_model.c
@@ -35,6 +35,7 @@
 	int answers;
 	bool not_run;
 	bool not_sent; /* of an attempt whose dispatch was not sent */
+	usec_t deadline;
 	uint64_t reserved_at, answered_at, dispatched_at, done_at; /* steps */
 	claim_dispatch_t result;
 	bool killed;
@@ -175,6 +176,7 @@
 
 	assert_int_equal(request->dispatched_at, 0);
 	assert_int_equal(request->answers, 0);
+	assert_true(model->now < request->deadline);
 	request->dispatched_at = model->step;
 	for (guint i = 0; i < model->requests->len; i++) {
 		const request_t *other = model->requests->pdata[i];
@@ -389,6 +391,7 @@
 	strcpy(request.customer, CUSTOMER);
 	strcpy(request.key, key->key);
 	request.deadline = model->now + MS(pick(model, 100));
+	record->deadline = request.deadline;
 	if (claim_reserve(
 		model->nodes[node], &request, model->now, model->wall) != 0)
 		record->answers = 1;
