--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -154,12 +154,24 @@
 	claim_tick(f->table, f->now, f->wall);
 }
 
+static void
+reserve_more(fixture_t *f, const claim_request_t *request)
+{
+	assert_int_equal(claim_reserve(f->table, request, f->now, f->wall), 0);
+}
+
+static void
+reserve_to_read(fixture_t *f, uint64_t tag)
+{
+	assert_int_equal(reserve(f, tag, KEY), 0);
+	expect_io(f, CLAIM_READ);
+}
+
 /* Up to the write of the first claim, in a new object. */
 static void
 reserve_to_write(fixture_t *f)
 {
-	assert_int_equal(reserve(f, 1, KEY), 0);
-	expect_io(f, CLAIM_READ);
+	reserve_to_read(f, 1);
 	read_done(f, "", 0);
 	expect_io(f, CLAIM_WRITE);
 }
@@ -194,16 +206,19 @@
 	assert_int_equal(reserve(f, 1, KEY), BW_E_INVALID);
 }
 
-/* An object text with one entry. */
-static char *
-entry_text(const fixture_t *f, const char *digest, const char *state,
-    int status, const char *body)
+/* Ends the read with an object that has one entry. */
+static void
+read_entry(fixture_t *f, uint64_t version, const char *digest,
+    const char *state, int status, const char *body)
 {
-	return g_strdup_printf(
+	char *text = g_strdup_printf(
 	    "{\"bucket\":\"%s\",\"claims\":[{\"customer\":\"acme\",\"key\":"
 	    "\"" KEY "\",\"digest\":\"%s\",\"token\":\"" TOKEN
 	    "\",\"state\":\"%s\",\"status\":%d,\"body\":%s}],\"removed\":[]}",
 	    f->object, digest, state, status, body);
+
+	read_done(f, text, version);
+	g_free(text);
 }
 
 static void
@@ -238,14 +253,11 @@
 
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		fixture_t *f;
-		char *text;
 
 		setup((void **)&f);
-		assert_int_equal(reserve(f, 1, KEY), 0);
-		expect_io(f, CLAIM_READ);
-		text = entry_text(f, cases[i].digest, cases[i].state,
+		reserve_to_read(f, 1);
+		read_entry(f, 5, cases[i].digest, cases[i].state,
 		    cases[i].status, cases[i].body);
-		read_done(f, text, 5);
 		if (cases[i].claimed) {
 			expect_io(f, CLAIM_WRITE);
 			assert_null(strstr(f->last.text, TOKEN));
@@ -260,7 +272,6 @@
 			assert_true(claim_is_idle(f->table));
 		}
 		expect_nothing(f);
-		g_free(text);
 		teardown((void **)&f);
 	}
 }
@@ -270,19 +281,12 @@
 cached_claims_are_read_again(void **state)
 {
 	fixture_t *f = *state;
-	char *text;
 
-	assert_int_equal(reserve(f, 1, KEY), 0);
-	expect_io(f, CLAIM_READ);
-	text = entry_text(f, DIGEST, "claimed", 0, "null");
-	read_done(f, text, 5);
-	g_free(text);
+	reserve_to_read(f, 1);
+	read_entry(f, 5, DIGEST, "claimed", 0, "null");
 	expect_answer(f, 1, BW_E_OUTCOME_UNKNOWN);
-	assert_int_equal(reserve(f, 2, KEY), 0);
-	expect_io(f, CLAIM_READ);
-	text = entry_text(f, DIGEST, "done", 201, "\"seat 7\"");
-	read_done(f, text, 6);
-	g_free(text);
+	reserve_to_read(f, 2);
+	read_entry(f, 6, DIGEST, "done", 201, "\"seat 7\"");
 	expect_answer(f, 2, 0);
 	assert_true(slice_is(body_slice(f->last.body), "seat 7"));
 	/* An outcome is final: no read. */
@@ -461,10 +465,10 @@
 	reserve_to_write(f);
 	assert_int_equal(reserve(f, 2, KEY), 0);
 	other.digest[1] = 3;
-	assert_int_equal(claim_reserve(f->table, &other, f->now, f->wall), 0);
+	reserve_more(f, &other);
 	expect_answer(f, 3, BW_E_KEY_REUSED);
 	hasty.deadline = f->now + MS(10);
-	assert_int_equal(claim_reserve(f->table, &hasty, f->now, f->wall), 0);
+	reserve_more(f, &hasty);
 	pass(f, MS(10));
 	expect_answer(f, 4, BW_E_IN_PROGRESS);
 	write_done(f, CLAIM_IO_OK);
@@ -491,7 +495,7 @@
 	pass(f, MS(100));
 	expect_answer(f, 1, BW_E_PLATFORM_DOWN);
 	again.deadline = f->now + MS(100);
-	assert_int_equal(claim_reserve(f->table, &again, f->now, f->wall), 0);
+	reserve_more(f, &again);
 	write_done(f, CLAIM_IO_OK);
 	expect_io(f, CLAIM_WRITE);
 	write_done(f, CLAIM_IO_OK);
@@ -599,26 +603,20 @@
 		fixture_t *f;
 		claim_request_t request = make_request(2, "");
 		claim_request_t longer = make_request(3, KEY);
-		char *text;
 
 		setup((void **)&f);
-		assert_int_equal(reserve(f, 1, KEY), 0);
-		expect_io(f, CLAIM_READ);
-		text = entry_text(f, DIGEST, "done", 201, "\"seat 7\"");
-		read_done(f, text, 5);
-		g_free(text);
+		reserve_to_read(f, 1);
+		read_entry(f, 5, DIGEST, "done", 201, "\"seat 7\"");
 		expect_answer(f, 1, 0);
 		f->wall += SECONDS(3600 + CLAIM_FUTURE_S - 10 + removed);
 		find_key(f, 1796365800, 0, request.key);
-		assert_int_equal(
-		    claim_reserve(f->table, &request, f->now, f->wall), 0);
+		reserve_more(f, &request);
 		expect_io(f, CLAIM_WRITE);
 		assert_int_equal(strstr(f->last.text, KEY) == NULL, removed);
 		write_done(f, CLAIM_IO_OK);
 		expect_dispatch(f, 2);
 		longer.repeat_window_s = 24 * 3600;
-		assert_int_equal(
-		    claim_reserve(f->table, &longer, f->now, f->wall), 0);
+		reserve_more(f, &longer);
 		expect_answer(f, 3, removed ? BW_E_KEY_EXPIRED : 0);
 		teardown((void **)&f);
 	}
@@ -629,24 +627,19 @@
 older_versions_are_ignored(void **state)
 {
 	fixture_t *f = *state;
-	char *text;
 
-	assert_int_equal(reserve(f, 1, KEY), 0);
-	expect_io(f, CLAIM_READ);
-	text = entry_text(f, DIGEST, "claimed", 0, "null");
-	read_done(f, text, 5);
+	reserve_to_read(f, 1);
+	read_entry(f, 5, DIGEST, "claimed", 0, "null");
 	expect_answer(f, 1, BW_E_OUTCOME_UNKNOWN);
-	assert_int_equal(reserve(f, 2, KEY), 0);
-	expect_io(f, CLAIM_READ);
-	read_done(f, text, 4);
+	reserve_to_read(f, 2);
+	read_entry(f, 4, DIGEST, "claimed", 0, "null");
 	expect_answer(f, 2, BW_E_PLATFORM_DOWN);
 	assert_int_equal(reserve(f, 3, KEY), 0);
 	expect_nothing(f);
 	pass(f, MS(50));
 	expect_io(f, CLAIM_READ);
-	read_done(f, text, 5);
+	read_entry(f, 5, DIGEST, "claimed", 0, "null");
 	expect_answer(f, 3, BW_E_OUTCOME_UNKNOWN);
-	g_free(text);
 }
 
 static void
@@ -656,8 +649,7 @@
 	GString *text = g_string_new(NULL);
 	char *body = g_strnfill(CLAIM_MAX_BODY, 'b');
 
-	assert_int_equal(reserve(f, 1, KEY), 0);
-	expect_io(f, CLAIM_READ);
+	reserve_to_read(f, 1);
 	g_string_printf(text, "{\"bucket\":\"%s\",\"claims\":[", f->object);
 	for (int i = 0; text->len < CLAIM_MAX_OBJECT - 2048; i++)
 		g_string_append_printf(text,
