--- a/include/bulrushwell/claim.h
+++ b/include/bulrushwell/claim.h
@@ -19,7 +19,13 @@
  * reservations that wait. Section 9 of docs/design.md has the rules.
  *
  * Object text: {"bucket", "claims": [{"customer", "key", "digest", "token",
- * "state": "claimed"|"done"|"unknown"|"released", "status", "body"}]}.
+ * "state": "claimed"|"done"|"unknown"|"released", "status", "body"}],
+ * "removed": [{"customer", "until"}]}. Digest and token are 32 hexadecimal
+ * digits. The status is 0 and the body null unless the state is "done"; the
+ * body is also null when it is longer than CLAIM_MAX_BODY or not UTF-8 text.
+ * A repeat of such a reservation answers BW_E_UPSTREAM with the status. A key
+ * that has no entry and is not newer than its customer's "until" (Unix
+ * seconds) has expired, whatever the repeat window is by now.
  */
 #define CLAIM_BUCKETS 64 /* objects per service */
 #define CLAIM_MAX_KEY 128
