--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -6,9 +6,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "attempt.h"
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
+#include "claim_attempt.h"
 
 #define KEY_TIME_DIGITS 12
 
@@ -18,7 +18,7 @@
 	claim_table_t *table = g_new0(claim_table_t, 1);
 
 	table->objects = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, object_destroy);
+	    g_str_hash, g_str_equal, NULL, claim_object_destroy);
 	table->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	table->windows =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -58,7 +58,7 @@
 }
 
 void
-table_wake_at(claim_table_t *table, usec_t time)
+claim_table_wake_at(claim_table_t *table, usec_t time)
 {
 	if (time > 0 && (table->wakeup == 0 || time < table->wakeup))
 		table->wakeup = time;
@@ -86,15 +86,15 @@
 static object_t *
 find_object(claim_table_t *table, const claim_request_t *request)
 {
-	char *id = document_entry_id(request->customer, request->key);
+	char *id = claim_document_entry_id(request->customer, request->key);
 	char name[2 * NAME_SIZE];
 	object_t *object;
 
 	snprintf(name, sizeof(name), "%s-%u", request->service,
 	    (unsigned int)(XXH64(id, strlen(id), 0) % CLAIM_BUCKETS));
 	g_free(id);
-	object = object_find(table, name);
-	return object != NULL ? object : object_create(table, name);
+	object = claim_object_find(table, name);
+	return object != NULL ? object : claim_object_create(table, name);
 }
 
 static void
@@ -104,9 +104,9 @@
 
 	if (attempt->request.digest[0] == request->digest[0] &&
 	    attempt->request.digest[1] == request->digest[1])
-		attempt_add_caller(attempt, request);
+		claim_attempt_add_caller(attempt, request);
 	else
-		action_answer(
+		claim_action_answer(
 		    attempt->object->table, request->tag, &reused, false);
 }
 
@@ -125,14 +125,14 @@
 	g_hash_table_replace(table->windows, g_strdup(request->customer),
 	    GSIZE_TO_POINTER((gsize)request->repeat_window_s + 1));
 	object = find_object(table, request);
-	id = document_entry_id(request->customer, request->key);
+	id = claim_document_entry_id(request->customer, request->key);
 	attempt = g_hash_table_lookup(object->active, id);
 	g_free(id);
 	if (attempt != NULL)
 		join_attempt(attempt, request);
 	else
-		attempt_create(object, request);
-	object_plan(object, now, wall);
+		claim_attempt_create(object, request);
+	claim_object_plan(object, now, wall);
 	return 0;
 }
 
@@ -140,24 +140,24 @@
 claim_read_done(claim_table_t *table, const char *name, claim_io_t result,
     uint64_t version, slice_t text, usec_t now, usec_t wall)
 {
-	object_t *object = object_find(table, name);
+	object_t *object = claim_object_find(table, name);
 
 	if (object == NULL)
 		return;
-	object_read_done(object, result, version, text, now);
-	object_plan(object, now, wall);
+	claim_object_read_done(object, result, version, text, now);
+	claim_object_plan(object, now, wall);
 }
 
 void
 claim_write_done(claim_table_t *table, const char *name, claim_io_t result,
     uint64_t version, usec_t now, usec_t wall)
 {
-	object_t *object = object_find(table, name);
+	object_t *object = claim_object_find(table, name);
 
 	if (object == NULL)
 		return;
-	object_write_done(object, result, version, now);
-	object_plan(object, now, wall);
+	claim_object_write_done(object, result, version, now);
+	claim_object_plan(object, now, wall);
 }
 
 static void
@@ -170,13 +170,13 @@
 	bool valid = http_status >= 100 && http_status <= 599;
 
 	if (result == CLAIM_RAN && valid) {
-		attempt_set_outcome(attempt, ENTRY_DONE, &ran);
+		claim_attempt_set_outcome(attempt, ENTRY_DONE, &ran);
 	} else if (result == CLAIM_NOT_SENT) {
-		attempt_set_outcome(attempt, ENTRY_RELEASED, &not_sent);
+		claim_attempt_set_outcome(attempt, ENTRY_RELEASED, &not_sent);
 	} else {
 		event_log(EVENT_CLAIM_UNKNOWN, "claim object %s, key %s",
 		    attempt->object->name, attempt->request.key);
-		attempt_set_outcome(attempt, ENTRY_UNKNOWN, &unknown);
+		claim_attempt_set_outcome(attempt, ENTRY_UNKNOWN, &unknown);
 	}
 }
 
@@ -189,18 +189,18 @@
 	if (attempt == NULL || attempt->phase != PHASE_DISPATCHED)
 		return;
 	set_dispatch_result(attempt, result, http_status, body);
-	object_plan(attempt->object, now, wall);
+	claim_object_plan(attempt->object, now, wall);
 }
 
 static void
 tick_object(object_t *object, usec_t now, usec_t wall)
 {
 	for (guint i = 0; i < object->attempts->len; i++)
-		attempt_expire(object->attempts->pdata[i], now);
-	object_plan(object, now, wall);
+		claim_attempt_expire(object->attempts->pdata[i], now);
+	claim_object_plan(object, now, wall);
 	for (guint i = 0; i < object->attempts->len; i++)
-		table_wake_at(object->table,
-		    attempt_next_deadline(object->attempts->pdata[i]));
+		claim_table_wake_at(object->table,
+		    claim_attempt_next_deadline(object->attempts->pdata[i]));
 }
 
 void
--- a/source/claim/action.c
+++ b/source/claim/claim_action.c
@@ -1,11 +1,11 @@
 /* The queue of actions that the adapter drains. */
 #include <string.h>
 
-#include "attempt.h"
+#include "claim_attempt.h"
 
 void
-action_push(claim_table_t *table, const claim_action_t *action, char *text,
-    body_t *body)
+claim_action_push(claim_table_t *table, const claim_action_t *action,
+    char *text, body_t *body)
 {
 	queued_t *queued = g_new0(queued_t, 1);
 
@@ -18,18 +18,18 @@
 }
 
 void
-action_push_io(object_t *object, bool write, char *text)
+claim_action_push_io(object_t *object, bool write, char *text)
 {
 	claim_action_t action = {.kind = write ? CLAIM_WRITE : CLAIM_READ};
 
 	g_strlcpy(action.object, object->name, sizeof(action.object));
 	if (write)
 		action.version = object->version;
-	action_push(object->table, &action, text, NULL);
+	claim_action_push(object->table, &action, text, NULL);
 }
 
 void
-action_answer(
+claim_action_answer(
     claim_table_t *table, uint64_t tag, const answer_t *answer, bool repeated)
 {
 	claim_action_t action = {.kind = CLAIM_ANSWER,
@@ -38,7 +38,7 @@
 	    .http_status = answer->status,
 	    .repeated = repeated};
 
-	action_push(table, &action, NULL, answer->body);
+	claim_action_push(table, &action, NULL, answer->body);
 }
 
 static void
--- a/source/claim/attempt.c
+++ b/source/claim/claim_attempt.c
@@ -1,5 +1,5 @@
 /* The life of one reservation attempt. */
-#include "attempt.h"
+#include "claim_attempt.h"
 
 #include <string.h>
 
@@ -7,14 +7,14 @@
 #include "bulrushwell/event.h"
 
 attempt_t *
-attempt_create(object_t *object, const claim_request_t *request)
+claim_attempt_create(object_t *object, const claim_request_t *request)
 {
 	attempt_t *attempt = g_new0(attempt_t, 1);
 
 	attempt->object = object;
 	attempt->request = *request;
 	claim_check_key(request->key, &attempt->key_time);
-	attempt->id = document_entry_id(request->customer, request->key);
+	attempt->id = claim_document_entry_id(request->customer, request->key);
 	attempt->token = id128_random();
 	attempt->reads = object->reads;
 	attempt->callers = g_array_new(FALSE, FALSE, sizeof(caller_t));
@@ -23,7 +23,7 @@
 	g_hash_table_insert(
 	    object->table->attempts, &attempt->request.tag, attempt);
 	object->table->waiting++;
-	table_wake_at(object->table, request->deadline);
+	claim_table_wake_at(object->table, request->deadline);
 	return attempt;
 }
 
@@ -37,7 +37,7 @@
 }
 
 void
-attempt_destroy(attempt_t *attempt)
+claim_attempt_destroy(attempt_t *attempt)
 {
 	claim_table_t *table = attempt->object->table;
 
@@ -51,25 +51,25 @@
 }
 
 void
-attempt_add_caller(attempt_t *attempt, const claim_request_t *request)
+claim_attempt_add_caller(attempt_t *attempt, const claim_request_t *request)
 {
 	caller_t caller = {request->tag, request->deadline};
 
 	g_array_append_val(attempt->callers, caller);
 	attempt->object->table->waiting++;
-	table_wake_at(attempt->object->table, request->deadline);
+	claim_table_wake_at(attempt->object->table, request->deadline);
 }
 
 void
-attempt_answer_all(attempt_t *attempt, const answer_t *answer)
+claim_attempt_answer_all(attempt_t *attempt, const answer_t *answer)
 {
 	claim_table_t *table = attempt->object->table;
 
 	if (!attempt->answered)
-		action_answer(table, attempt->request.tag, answer, false);
+		claim_action_answer(table, attempt->request.tag, answer, false);
 	attempt->answered = true;
 	for (guint i = 0; i < attempt->callers->len; i++)
-		action_answer(table,
+		claim_action_answer(table,
 		    g_array_index(attempt->callers, caller_t, i).tag, answer,
 		    true);
 	table->waiting -= attempt->callers->len;
@@ -77,12 +77,12 @@
 }
 
 void
-attempt_conclude(attempt_t *attempt, const answer_t *answer)
+claim_attempt_conclude(attempt_t *attempt, const answer_t *answer)
 {
 	INVARIANT(
 	    attempt->phase == PHASE_WAITING || attempt->phase == PHASE_CLAIMING,
 	    "an attempt that may have run ends as not dispatched");
-	attempt_answer_all(attempt, answer);
+	claim_attempt_answer_all(attempt, answer);
 	deactivate(attempt);
 	attempt->abandoned = true;
 	/* A claim that may be stored is watched until it can be released. */
@@ -91,7 +91,7 @@
 }
 
 void
-attempt_set_outcome(
+claim_attempt_set_outcome(
     attempt_t *attempt, entry_state_t outcome, const answer_t *answer)
 {
 	attempt->phase = PHASE_OUTCOME;
@@ -105,9 +105,9 @@
 }
 
 void
-attempt_finish(attempt_t *attempt)
+claim_attempt_finish(attempt_t *attempt)
 {
-	attempt_answer_all(attempt, &attempt->answer);
+	claim_attempt_answer_all(attempt, &attempt->answer);
 	attempt->phase = PHASE_ENDED;
 }
 
@@ -115,7 +115,7 @@
 dispatch(attempt_t *attempt)
 {
 	const entry_t *entry =
-	    document_find(attempt->object->document, attempt->id);
+	    claim_document_find(attempt->object->document, attempt->id);
 	claim_action_t action = {
 	    .kind = CLAIM_DISPATCH, .tag = attempt->request.tag};
 
@@ -129,11 +129,11 @@
 	    "an attempt is dispatched without its stored claim");
 	attempt->phase = PHASE_DISPATCHED;
 	attempt->in_doubt = false;
-	action_push(attempt->object->table, &action, NULL, NULL);
+	claim_action_push(attempt->object->table, &action, NULL, NULL);
 }
 
 void
-attempt_confirm(attempt_t *attempt, usec_t now)
+claim_attempt_confirm(attempt_t *attempt, usec_t now)
 {
 	const answer_t late = {.error = BW_E_DEADLINE};
 
@@ -141,8 +141,8 @@
 		dispatch(attempt);
 		return;
 	}
-	attempt_answer_all(attempt, &late);
-	attempt_set_outcome(attempt, ENTRY_RELEASED, &late);
+	claim_attempt_answer_all(attempt, &late);
+	claim_attempt_set_outcome(attempt, ENTRY_RELEASED, &late);
 }
 
 static void
@@ -154,16 +154,16 @@
 	switch (attempt->phase) {
 	case PHASE_WAITING:
 	case PHASE_CLAIMING:
-		attempt_conclude(attempt, &not_stored);
+		claim_attempt_conclude(attempt, &not_stored);
 		break;
 	case PHASE_DISPATCHED:
-		action_answer(attempt->object->table, attempt->request.tag,
-		    &unknown, false);
+		claim_action_answer(attempt->object->table,
+		    attempt->request.tag, &unknown, false);
 		attempt->answered = true;
 		break;
 	case PHASE_OUTCOME:
 		/* Known, although not stored yet. */
-		attempt_answer_all(attempt, &attempt->answer);
+		claim_attempt_answer_all(attempt, &attempt->answer);
 		break;
 	case PHASE_ENDED:
 		break;
@@ -171,7 +171,7 @@
 }
 
 void
-attempt_expire(attempt_t *attempt, usec_t now)
+claim_attempt_expire(attempt_t *attempt, usec_t now)
 {
 	const answer_t running = {.error = BW_E_IN_PROGRESS};
 	claim_table_t *table = attempt->object->table;
@@ -183,7 +183,7 @@
 
 		if (caller.deadline > now)
 			continue;
-		action_answer(table, caller.tag,
+		claim_action_answer(table, caller.tag,
 		    attempt->phase == PHASE_OUTCOME ? &attempt->answer
 						    : &running,
 		    true);
@@ -193,7 +193,7 @@
 }
 
 usec_t
-attempt_next_deadline(const attempt_t *attempt)
+claim_attempt_next_deadline(const attempt_t *attempt)
 {
 	usec_t next = attempt->answered ? 0 : attempt->request.deadline;
 
--- a/source/claim/attempt.h
+++ b/source/claim/claim_attempt.h
@@ -1,7 +1,7 @@
-#ifndef SOURCE_CLAIM_ATTEMPT_H
-#define SOURCE_CLAIM_ATTEMPT_H
+#ifndef SOURCE_CLAIM_CLAIM_ATTEMPT_H
+#define SOURCE_CLAIM_CLAIM_ATTEMPT_H
 
-#include "document.h"
+#include "claim_document.h"
 
 /**
  * DOC: Attempts and claim objects of a claim table
@@ -84,55 +84,59 @@
 	usec_t wakeup;	      /* not later than the first time to act; 0 none */
 };
 
-/* Actions (action.c). */
-void action_push(claim_table_t *table, const claim_action_t *action, char *text,
-    body_t *body);
-void action_push_io(object_t *object, bool write, char *text);
-void action_answer(
+/* Actions (claim_action.c). */
+void claim_action_push(claim_table_t *table, const claim_action_t *action,
+    char *text, body_t *body);
+void claim_action_push_io(object_t *object, bool write, char *text);
+void claim_action_answer(
     claim_table_t *table, uint64_t tag, const answer_t *answer, bool repeated);
 
-/* Attempts (attempt.c). */
-attempt_t *attempt_create(object_t *object, const claim_request_t *request);
-void attempt_destroy(attempt_t *attempt);
-void attempt_add_caller(attempt_t *attempt, const claim_request_t *request);
+/* Attempts (claim_attempt.c). */
+attempt_t *claim_attempt_create(
+    object_t *object, const claim_request_t *request);
+void claim_attempt_destroy(attempt_t *attempt);
+void claim_attempt_add_caller(
+    attempt_t *attempt, const claim_request_t *request);
 
-/** attempt_answer_all() - Answers everybody who still waits. */
-void attempt_answer_all(attempt_t *attempt, const answer_t *answer);
+/** claim_attempt_answer_all() - Answers everybody who still waits. */
+void claim_attempt_answer_all(attempt_t *attempt, const answer_t *answer);
 
-/** attempt_conclude() - Ends an attempt that was not dispatched. */
-void attempt_conclude(attempt_t *attempt, const answer_t *answer);
+/** claim_attempt_conclude() - Ends an attempt that was not dispatched. */
+void claim_attempt_conclude(attempt_t *attempt, const answer_t *answer);
 
-/** attempt_set_outcome() - The outcome is known and must be stored. */
-void attempt_set_outcome(
+/** claim_attempt_set_outcome() - The outcome is known and must be stored. */
+void claim_attempt_set_outcome(
     attempt_t *attempt, entry_state_t outcome, const answer_t *answer);
 
-/** attempt_finish() - The outcome is stored. */
-void attempt_finish(attempt_t *attempt);
+/** claim_attempt_finish() - The outcome is stored. */
+void claim_attempt_finish(attempt_t *attempt);
 
-/** attempt_confirm() - The claim is stored: dispatches when it still may. */
-void attempt_confirm(attempt_t *attempt, usec_t now);
+/** claim_attempt_confirm() - The claim is stored: dispatches when it still may.
+ */
+void claim_attempt_confirm(attempt_t *attempt, usec_t now);
 
-/** attempt_expire() - Answers callers whose deadline has passed. */
-void attempt_expire(attempt_t *attempt, usec_t now);
+/** claim_attempt_expire() - Answers callers whose deadline has passed. */
+void claim_attempt_expire(attempt_t *attempt, usec_t now);
 
-/** attempt_next_deadline() - Of the callers that wait; 0 when none does. */
-usec_t attempt_next_deadline(const attempt_t *attempt);
+/** claim_attempt_next_deadline() - Of the callers that wait; 0 when none does.
+ */
+usec_t claim_attempt_next_deadline(const attempt_t *attempt);
 
-/* Objects (object.c, plan.c). */
-object_t *object_find(claim_table_t *table, const char *name);
-object_t *object_create(claim_table_t *table, const char *name);
-void object_destroy(gpointer object);
-void object_set_document(object_t *object, document_t *document);
+/* Objects (claim_object.c, claim_plan.c). */
+object_t *claim_object_find(claim_table_t *table, const char *name);
+object_t *claim_object_create(claim_table_t *table, const char *name);
+void claim_object_destroy(gpointer object);
+void claim_object_set_document(object_t *object, document_t *document);
 
-/** object_plan() - Begins the read or write that is due. */
-void object_plan(object_t *object, usec_t now, usec_t wall);
+/** claim_object_plan() - Begins the read or write that is due. */
+void claim_object_plan(object_t *object, usec_t now, usec_t wall);
 
-void object_read_done(object_t *object, claim_io_t result, uint64_t version,
-    slice_t text, usec_t now);
-void object_write_done(
+void claim_object_read_done(object_t *object, claim_io_t result,
+    uint64_t version, slice_t text, usec_t now);
+void claim_object_write_done(
     object_t *object, claim_io_t result, uint64_t version, usec_t now);
 
-/** table_wake_at() - claim_tick() has something to do at @time. */
-void table_wake_at(claim_table_t *table, usec_t time);
+/** claim_table_wake_at() - claim_tick() has something to do at @time. */
+void claim_table_wake_at(claim_table_t *table, usec_t time);
 
 #endif
--- a/source/claim/document.c
+++ b/source/claim/claim_document.c
@@ -1,12 +1,12 @@
 /* Entries of a claim object, in memory and as JSON. */
-#include "document.h"
+#include "claim_document.h"
 
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "bulrushwell/contract.h"
-#include "document_codec.h"
+#include "claim_document_codec.h"
 
 #define LONGEST_WINDOW_S ((int64_t)CONTRACT_MAX_REPEAT_WINDOW_H * 3600)
 #define FRAME_SIZE 256 /* bytes around the lists, including the name */
@@ -19,7 +19,7 @@
 };
 
 char *
-document_entry_id(const char *customer, const char *key)
+claim_document_entry_id(const char *customer, const char *key)
 {
 	return g_strdup_printf("%s/%s", customer, key);
 }
@@ -32,9 +32,9 @@
 	entry->references = 1;
 	entry->spec = *spec;
 	body_keep(entry->spec.body);
-	entry->id = document_entry_id(spec->customer, spec->key);
+	entry->id = claim_document_entry_id(spec->customer, spec->key);
 	claim_check_key(spec->key, &entry->key_time);
-	entry->text = document_print_entry(spec);
+	entry->text = claim_document_print_entry(spec);
 	entry->size = strlen(entry->text) + 1;
 	return entry;
 }
@@ -53,7 +53,7 @@
 }
 
 document_t *
-document_create(const char *name)
+claim_document_create(const char *name)
 {
 	document_t *document = g_new0(document_t, 1);
 
@@ -66,7 +66,7 @@
 }
 
 void
-document_destroy(document_t *document)
+claim_document_destroy(document_t *document)
 {
 	if (document == NULL)
 		return;
@@ -85,9 +85,9 @@
 }
 
 document_t *
-document_copy(const document_t *document)
+claim_document_copy(const document_t *document)
 {
-	document_t *copy = document_create(document->name);
+	document_t *copy = claim_document_create(document->name);
 	GHashTableIter iter;
 	gpointer key, value;
 
@@ -104,16 +104,16 @@
 }
 
 const entry_t *
-document_find(const document_t *document, const char *id)
+claim_document_find(const document_t *document, const char *id)
 {
 	return g_hash_table_lookup(document->entries, id);
 }
 
 void
-document_put(document_t *document, const entry_spec_t *spec)
+claim_document_put(document_t *document, const entry_spec_t *spec)
 {
 	entry_t *entry = entry_create(spec);
-	const entry_t *old = document_find(document, entry->id);
+	const entry_t *old = claim_document_find(document, entry->id);
 
 	if (old != NULL)
 		document->size -= old->size;
@@ -122,9 +122,9 @@
 }
 
 size_t
-document_entry_size(const entry_spec_t *spec)
+claim_document_entry_size(const entry_spec_t *spec)
 {
-	char *text = document_print_entry(spec);
+	char *text = claim_document_print_entry(spec);
 	size_t size = strlen(text) + 1;
 
 	free(text);
@@ -132,7 +132,7 @@
 }
 
 size_t
-document_size(const document_t *document)
+claim_document_size(const document_t *document)
 {
 	return document->size + FRAME_SIZE +
 	    g_hash_table_size(document->removed) * (NAME_SIZE + 48);
@@ -149,12 +149,12 @@
 	json_array_foreach(claims, i, claim)
 	{
 		entry_spec_t spec = {0};
-		bool valid = document_read_entry(claim, &spec);
-		char *id = document_entry_id(spec.customer, spec.key);
+		bool valid = claim_document_read_entry(claim, &spec);
+		char *id = claim_document_entry_id(spec.customer, spec.key);
 
-		valid = valid && document_find(document, id) == NULL;
+		valid = valid && claim_document_find(document, id) == NULL;
 		if (valid)
-			document_put(document, &spec);
+			claim_document_put(document, &spec);
 		body_drop(spec.body);
 		g_free(id);
 		if (!valid)
@@ -188,9 +188,9 @@
 }
 
 document_t *
-document_parse(const char *name, slice_t text)
+claim_document_parse(const char *name, slice_t text)
 {
-	document_t *document = document_create(name);
+	document_t *document = claim_document_create(name);
 	json_t *json =
 	    json_loadb(text.data, text.size, JSON_REJECT_DUPLICATES, NULL);
 	const char *bucket = json_string_value(json_object_get(json, "bucket"));
@@ -202,14 +202,14 @@
 	json_decref(json);
 	if (valid)
 		return document;
-	document_destroy(document);
+	claim_document_destroy(document);
 	return NULL;
 }
 
 char *
-document_print(const document_t *document)
+claim_document_print(const document_t *document)
 {
-	GString *text = g_string_sized_new(document_size(document));
+	GString *text = g_string_sized_new(claim_document_size(document));
 	const char *separator = "";
 	GHashTableIter iter;
 	gpointer key, value;
@@ -236,7 +236,7 @@
 }
 
 int64_t
-document_removed_until(const document_t *document, const char *customer)
+claim_document_removed_until(const document_t *document, const char *customer)
 {
 	const int64_t *until = g_hash_table_lookup(document->removed, customer);
 
@@ -258,7 +258,7 @@
 }
 
 void
-document_remove_expired(document_t *document, document_window_t window,
+claim_document_remove_expired(document_t *document, document_window_t window,
     void *context, int64_t wall_seconds)
 {
 	GHashTableIter iter;
@@ -275,7 +275,7 @@
 		if (entry->key_time + known + CLAIM_FUTURE_S >= wall_seconds)
 			continue;
 		if (entry->key_time >
-		    document_removed_until(document, customer))
+		    claim_document_removed_until(document, customer))
 			set_removed(document, customer, entry->key_time);
 		document->size -= entry->size;
 		g_hash_table_iter_remove(&iter);
--- a/source/claim/document_codec.c
+++ b/source/claim/claim_document_codec.c
@@ -1,5 +1,5 @@
 /* One entry of a claim object as JSON. */
-#include "document_codec.h"
+#include "claim_document_codec.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -16,14 +16,14 @@
 };
 
 bool
-document_can_store(slice_t body)
+claim_document_can_store(slice_t body)
 {
 	return body.size <= CLAIM_MAX_BODY &&
 	    g_utf8_validate_len(body.data, body.size, NULL);
 }
 
 char *
-document_print_entry(const entry_spec_t *spec)
+claim_document_print_entry(const entry_spec_t *spec)
 {
 	id128_t digest_id = {spec->digest[0], spec->digest[1]};
 	char digest[ID128_TEXT], token[ID128_TEXT];
@@ -104,7 +104,7 @@
 }
 
 bool
-document_read_entry(const json_t *json, entry_spec_t *spec)
+claim_document_read_entry(const json_t *json, entry_spec_t *spec)
 {
 	id128_t digest;
 
--- a/source/claim/object.c
+++ b/source/claim/claim_object.c
@@ -1,22 +1,22 @@
 /* Results of the reads and writes of one claim object. */
 #include <string.h>
 
-#include "attempt.h"
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
+#include "claim_attempt.h"
 
 #define RETRY_FIRST MS(50)
 #define RETRY_MAX MS(1000)
 #define RETRY_DOUBLINGS 5
 
 object_t *
-object_find(claim_table_t *table, const char *name)
+claim_object_find(claim_table_t *table, const char *name)
 {
 	return g_hash_table_lookup(table->objects, name);
 }
 
 object_t *
-object_create(claim_table_t *table, const char *name)
+claim_object_create(claim_table_t *table, const char *name)
 {
 	object_t *object = g_new0(object_t, 1);
 
@@ -29,30 +29,30 @@
 }
 
 void
-object_destroy(gpointer context)
+claim_object_destroy(gpointer context)
 {
 	object_t *object = context;
 
 	for (guint i = 0; i < object->attempts->len; i++)
-		attempt_destroy(object->attempts->pdata[i]);
+		claim_attempt_destroy(object->attempts->pdata[i]);
 	g_ptr_array_free(object->attempts, TRUE);
 	g_hash_table_destroy(object->active);
-	document_destroy(object->document);
-	document_destroy(object->next);
+	claim_document_destroy(object->document);
+	claim_document_destroy(object->next);
 	g_free(object);
 }
 
 void
-object_set_document(object_t *object, document_t *document)
+claim_object_set_document(object_t *object, document_t *document)
 {
 	size_t *cached = &object->table->cached;
 
 	if (object->document != NULL && object->document != document) {
-		*cached -= document_size(object->document);
-		document_destroy(object->document);
+		*cached -= claim_document_size(object->document);
+		claim_document_destroy(object->document);
 	}
 	if (document != NULL)
-		*cached += document_size(document);
+		*cached += claim_document_size(document);
 	object->document = document;
 }
 
@@ -82,7 +82,7 @@
 		attempt_t *attempt = object->attempts->pdata[i];
 
 		if (attempt->phase == PHASE_WAITING && !attempt->in_doubt)
-			attempt_conclude(attempt, &answer);
+			claim_attempt_conclude(attempt, &answer);
 	}
 }
 
@@ -91,10 +91,10 @@
 settle_claim(attempt_t *attempt, bool settled, usec_t now)
 {
 	const entry_t *entry =
-	    document_find(attempt->object->document, attempt->id);
+	    claim_document_find(attempt->object->document, attempt->id);
 
 	if (entry != NULL && id128_equal(entry->spec.token, attempt->token)) {
-		attempt_confirm(attempt, now);
+		claim_attempt_confirm(attempt, now);
 		return;
 	}
 	attempt->phase = PHASE_WAITING;
@@ -109,12 +109,12 @@
 settle_outcome(attempt_t *attempt)
 {
 	const entry_t *entry =
-	    document_find(attempt->object->document, attempt->id);
+	    claim_document_find(attempt->object->document, attempt->id);
 
 	attempt->storing = false;
 	if (entry == NULL || !id128_equal(entry->spec.token, attempt->token) ||
 	    entry->spec.state != ENTRY_CLAIMED)
-		attempt_finish(attempt);
+		claim_attempt_finish(attempt);
 }
 
 static void
@@ -145,8 +145,8 @@
     const object_t *object, claim_io_t result, uint64_t version, slice_t text)
 {
 	if (result == CLAIM_IO_ABSENT)
-		return document_create(object->name);
-	return version > 0 ? document_parse(object->name, text) : NULL;
+		return claim_document_create(object->name);
+	return version > 0 ? claim_document_parse(object->name, text) : NULL;
 }
 
 static void
@@ -154,13 +154,13 @@
 {
 	event_log(EVENT_PLATFORM_BAD_REPLY, "claim object %s is malformed",
 	    object->name);
-	object_set_document(object, NULL);
+	claim_object_set_document(object, NULL);
 	conclude_waiting(object, BW_E_PROTOCOL);
 	back_off(object, now);
 }
 
 void
-object_read_done(object_t *object, claim_io_t result, uint64_t version,
+claim_object_read_done(object_t *object, claim_io_t result, uint64_t version,
     slice_t text, usec_t now)
 {
 	bool answered = result == CLAIM_IO_OK || result == CLAIM_IO_ABSENT;
@@ -184,7 +184,7 @@
 	}
 	object->reads++;
 	object->version = version;
-	object_set_document(object, document);
+	claim_object_set_document(object, document);
 	settle_read(object, now);
 }
 
@@ -196,17 +196,17 @@
 	object->next = NULL;
 	object->version = version;
 	object->doubt = false;
-	object_set_document(object, next);
+	claim_object_set_document(object, next);
 	note_success(object);
 	for (guint i = 0; i < object->attempts->len; i++) {
 		attempt_t *attempt = object->attempts->pdata[i];
 
 		if (attempt->phase == PHASE_CLAIMING)
-			attempt_confirm(attempt, now);
+			claim_attempt_confirm(attempt, now);
 		else if (attempt->in_doubt)
 			settle_claim(attempt, true, now);
 		else if (attempt->storing)
-			attempt_finish(attempt);
+			claim_attempt_finish(attempt);
 	}
 }
 
@@ -217,7 +217,7 @@
 {
 	object->doubt = true;
 	object->doubt_version = object->version;
-	object_set_document(object, NULL);
+	claim_object_set_document(object, NULL);
 	for (guint i = 0; i < object->attempts->len; i++) {
 		attempt_t *attempt = object->attempts->pdata[i];
 
@@ -245,7 +245,7 @@
 }
 
 void
-object_write_done(
+claim_object_write_done(
     object_t *object, claim_io_t result, uint64_t version, usec_t now)
 {
 	if (object->io != IO_WRITING)
@@ -255,7 +255,7 @@
 		write_applied(object, version, now);
 		return;
 	}
-	document_destroy(object->next);
+	claim_document_destroy(object->next);
 	object->next = NULL;
 	if (result == CLAIM_IO_REFUSED) {
 		write_refused(object, now);
--- a/source/claim/plan.c
+++ b/source/claim/claim_plan.c
@@ -1,6 +1,6 @@
 /* Decides what an object's next read or write carries. */
-#include "attempt.h"
 #include "bulrushwell/error.h"
+#include "claim_attempt.h"
 
 /* Room kept for the outcome of a claim, so that most outcomes can be stored
  * in a bucket that is nearly full. */
@@ -27,7 +27,7 @@
 		attempt_t *attempt = object->attempts->pdata[i];
 
 		if (attempt->phase == PHASE_ENDED)
-			attempt_destroy(attempt);
+			claim_attempt_destroy(attempt);
 		else
 			object->attempts->pdata[kept++] = attempt;
 	}
@@ -68,10 +68,10 @@
 	if (attempt->outcome != ENTRY_DONE)
 		return spec;
 	spec.status = attempt->answer.status;
-	if (!document_can_store(body_slice(attempt->answer.body)))
+	if (!claim_document_can_store(body_slice(attempt->answer.body)))
 		return spec;
 	spec.body = attempt->answer.body;
-	if (document_size(plan->next) + document_entry_size(&spec) >
+	if (claim_document_size(plan->next) + claim_document_entry_size(&spec) >
 	    CLAIM_MAX_OBJECT)
 		spec.body = NULL;
 	return spec;
@@ -80,16 +80,16 @@
 static void
 plan_outcome(plan_t *plan, attempt_t *attempt)
 {
-	const entry_t *entry = document_find(plan->next, attempt->id);
+	const entry_t *entry = claim_document_find(plan->next, attempt->id);
 	entry_spec_t spec;
 
 	/* Its entry was removed after the repeat window: nothing to update. */
 	if (entry == NULL || !id128_equal(entry->spec.token, attempt->token)) {
-		attempt_finish(attempt);
+		claim_attempt_finish(attempt);
 		return;
 	}
 	spec = make_outcome(plan, attempt);
-	document_put(plan->next, &spec);
+	claim_document_put(plan->next, &spec);
 	attempt->storing = true;
 	plan->changed = true;
 }
@@ -107,13 +107,13 @@
 	const answer_t full = {.error = BW_E_FULL};
 	entry_spec_t spec = make_spec(attempt, ENTRY_CLAIMED);
 
-	if (document_size(plan->next) + plan->room +
-		document_entry_size(&spec) + OUTCOME_ROOM >
+	if (claim_document_size(plan->next) + plan->room +
+		claim_document_entry_size(&spec) + OUTCOME_ROOM >
 	    CLAIM_MAX_OBJECT) {
-		attempt_conclude(attempt, &full);
+		claim_attempt_conclude(attempt, &full);
 		return;
 	}
-	document_put(plan->next, &spec);
+	claim_document_put(plan->next, &spec);
 	plan->room += OUTCOME_ROOM;
 	plan->changed = true;
 	attempt->phase = PHASE_CLAIMING;
@@ -130,10 +130,10 @@
 	};
 
 	if (!attempt->answered)
-		action_answer(attempt->object->table, attempt->request.tag,
-		    &answer, true);
+		claim_action_answer(attempt->object->table,
+		    attempt->request.tag, &answer, true);
 	attempt->answered = true;
-	attempt_conclude(attempt, &answer);
+	claim_attempt_conclude(attempt, &answer);
 }
 
 static void
@@ -144,7 +144,7 @@
 
 	if (entry->spec.digest[0] != attempt->request.digest[0] ||
 	    entry->spec.digest[1] != attempt->request.digest[1]) {
-		attempt_conclude(attempt, &reused);
+		claim_attempt_conclude(attempt, &reused);
 		return;
 	}
 	switch (entry->spec.state) {
@@ -152,14 +152,14 @@
 		conclude_done(attempt, entry);
 		break;
 	case ENTRY_UNKNOWN:
-		attempt_conclude(attempt, &unknown);
+		claim_attempt_conclude(attempt, &unknown);
 		break;
 	case ENTRY_CLAIMED:
 		/* Its outcome may have been stored since the last read. */
 		if (attempt->reads == plan->object->reads)
 			plan->must_read = true;
 		else
-			attempt_conclude(attempt, &unknown);
+			claim_attempt_conclude(attempt, &unknown);
 		break;
 	case ENTRY_RELEASED:
 		plan_claim(plan, attempt);
@@ -171,18 +171,18 @@
 plan_waiting(plan_t *plan, attempt_t *attempt)
 {
 	const answer_t expired = {.error = BW_E_KEY_EXPIRED};
-	const entry_t *entry = document_find(plan->next, attempt->id);
+	const entry_t *entry = claim_document_find(plan->next, attempt->id);
 
-	attempt_expire(attempt, plan->now);
+	claim_attempt_expire(attempt, plan->now);
 	if (attempt->abandoned)
 		return;
 	if (is_key_expired(plan, attempt))
-		attempt_conclude(attempt, &expired);
+		claim_attempt_conclude(attempt, &expired);
 	else if (entry != NULL)
 		plan_stored(plan, attempt, entry);
 	else if (attempt->key_time <=
-	    document_removed_until(plan->next, attempt->request.customer))
-		attempt_conclude(attempt, &expired);
+	    claim_document_removed_until(plan->next, attempt->request.customer))
+		claim_attempt_conclude(attempt, &expired);
 	else
 		plan_claim(plan, attempt);
 }
@@ -215,7 +215,7 @@
 {
 	GPtrArray *attempts = plan->object->attempts;
 
-	document_remove_expired(
+	claim_document_remove_expired(
 	    plan->next, find_window, plan->object->table, plan->wall_seconds);
 	for (guint i = 0; i < attempts->len; i++) {
 		attempt_t *attempt = attempts->pdata[i];
@@ -237,7 +237,7 @@
 begin_read(object_t *object)
 {
 	object->io = IO_READING;
-	action_push_io(object, false, NULL);
+	claim_action_push_io(object, false, NULL);
 }
 
 static void
@@ -245,14 +245,14 @@
 {
 	object->io = IO_WRITING;
 	object->next = next;
-	action_push_io(object, true, document_print(next));
+	claim_action_push_io(object, true, claim_document_print(next));
 }
 
 static void
 plan_write(object_t *object, usec_t now, usec_t wall)
 {
 	plan_t plan = {.object = object,
-	    .next = document_copy(object->document),
+	    .next = claim_document_copy(object->document),
 	    .now = now,
 	    .wall_seconds = wall / USEC_PER_SEC};
 
@@ -261,24 +261,24 @@
 		begin_write(object, plan.next);
 		return;
 	}
-	document_destroy(plan.next);
+	claim_document_destroy(plan.next);
 	if (plan.must_read)
 		begin_read(object);
 }
 
 void
-object_plan(object_t *object, usec_t now, usec_t wall)
+claim_object_plan(object_t *object, usec_t now, usec_t wall)
 {
 	remove_ended(object);
 	if (object->io != IO_NONE)
 		return;
 	if (!has_work(object)) {
 		if (object->table->cached > MAX_CACHED)
-			object_set_document(object, NULL);
+			claim_object_set_document(object, NULL);
 		return;
 	}
 	if (now < object->retry_at) {
-		table_wake_at(object->table, object->retry_at);
+		claim_table_wake_at(object->table, object->retry_at);
 		return;
 	}
 	if (object->document == NULL)
