Move tokens between nodes on demand; report readiness when the allowance is usable

Cause: the try script's first query was refused (rate_exceeded). A node whose own part of the allowance was empty or still on hold refused at once, and a single node took all 64 units of a new cell before it knew the others. Change: a request without a token waits while peers are asked one after the other; the first assignment waits 500 ms; /readyz waits until the units are usable.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
 	@echo "AR $@"
-	@ar rcs $@ $^
+	@ar rcsP $@ $^
 
 $(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
 	@mkdir -p $(@D)
--- a/include/bulrushwell/admission.h
+++ b/include/bulrushwell/admission.h
@@ -27,6 +27,9 @@
 /** ADMISSION_BURST_SECONDS - The burst is the rate over this time. */
 #define ADMISSION_BURST_SECONDS 0.1
 
+/** ADMISSION_MOVED_MS - Tokens of a peer are forgotten after this time. */
+#define ADMISSION_MOVED_MS 300
+
 typedef struct {
 	enum { ADMISSION_ADMIT, ADMISSION_REFUSE } kind;
 	uint64_t tag;
@@ -79,6 +82,37 @@
  */
 void admission_withdraw(admission_t *admission, uint64_t tag);
 
+/**
+ * admission_set_asking() - Whether peers can be asked for tokens and
+ * concurrency. Then a request that lacks a token waits for half of its time
+ * instead of being refused at once.
+ */
+void admission_set_asking(admission_t *admission, bool asking);
+
+/** admission_lacking() - Waiting requests for which no token is here. */
+uint32_t admission_lacking(
+    admission_t *admission, const char *customer, usec_t now);
+
+/**
+ * admission_take_tokens() - Takes tokens out of the bucket for a peer.
+ * @wanted: at most this many; those of waiting requests stay
+ *
+ * Return: the tokens taken.
+ */
+uint32_t admission_take_tokens(
+    admission_t *admission, const char *customer, uint32_t wanted, usec_t now);
+
+/**
+ * admission_add_tokens() - Adds tokens that a peer took out of its bucket. They
+ * can be used for ADMISSION_MOVED_MS.
+ */
+void admission_add_tokens(
+    admission_t *admission, const char *customer, uint32_t tokens, usec_t now);
+
+/** admission_refuse_lacking() - No peer had a token for them. */
+void admission_refuse_lacking(
+    admission_t *admission, const char *customer, usec_t now);
+
 /** admission_tick() - Refuses what can no longer make its deadline. */
 void admission_tick(admission_t *admission, usec_t now);
 
--- a/include/bulrushwell/message.h
+++ b/include/bulrushwell/message.h
@@ -31,7 +31,9 @@
 	MESSAGE_RESERVE_REPLY,
 	MESSAGE_CONFIG_PULL,
 	MESSAGE_CONFIG_PUSH,
-	MESSAGE_SUSPECT_NOTICE
+	MESSAGE_SUSPECT_NOTICE,
+	MESSAGE_PERMIT_REQUEST,
+	MESSAGE_PERMIT_REPLY
 } message_kind_t;
 
 /** typedef slot_loan_t - Slots of a service asked for or lent. */
@@ -140,6 +142,14 @@
 	uint64_t crash;
 } suspect_notice_t;
 
+/** typedef permit_t - What a node lacks, or what a peer moves and lends. */
+typedef struct {
+	uint64_t id; /* of the question */
+	uint32_t tokens;
+	allowance_loan_t loan; /* its customer is that of the tokens */
+	usec_t longest;	       /* longest deadline in force; 0 in a reply */
+} permit_t;
+
 typedef struct {
 	message_kind_t kind;
 	name_t sender;
@@ -155,6 +165,7 @@
 		reserve_reply_t reserve_reply;
 		config_list_t config; /* PULL and PUSH */
 		suspect_notice_t suspect;
+		permit_t permit; /* REQUEST and REPLY */
 	};
 } message_t;
 
--- a/source/admission/admission.c
+++ b/source/admission/admission.c
@@ -27,6 +27,8 @@
 	uint32_t concurrency;
 	double tokens;
 	usec_t filled_at;
+	uint32_t moved; /* tokens of peers */
+	usec_t moved_until;
 	double demand;
 	usec_t demand_at;
 	GSequence *waiting; /* waiter_t by deadline */
@@ -49,6 +51,7 @@
 	GSequence *limits;     /* waiter_t by latest_start */
 	GPtrArray *blocked;    /* customers with waiting requests */
 	GQueue actions;	       /* admission_action_t */
+	bool asking;
 };
 
 static void
@@ -171,13 +174,23 @@
 static bool
 has_token(const customer_t *customer, uint32_t reserved)
 {
-	return customer->tokens + TOKEN_EPSILON >= 1.0 + reserved;
+	return customer->tokens + customer->moved + TOKEN_EPSILON >=
+	    1.0 + reserved;
+}
+
+static void
+take_token(customer_t *customer)
+{
+	if (customer->moved > 0)
+		customer->moved--;
+	else
+		customer->tokens = fmax(0, customer->tokens - 1);
 }
 
 static void
 admit(customer_t *customer)
 {
-	customer->tokens = fmax(0, customer->tokens - 1);
+	take_token(customer);
 	customer->stats.admitted++;
 	customer->stats.running++;
 	INVARIANT(customer->stats.running <= customer->concurrency,
@@ -292,6 +305,8 @@
 {
 	refuse_late(admission, now);
 	fill_bucket(customer, customer->rate, now);
+	if (now >= customer->moved_until)
+		customer->moved = 0;
 	admit_waiting(admission, customer);
 }
 
@@ -339,6 +354,18 @@
 	return error;
 }
 
+/* Leaves half of the time that is left for running the request. */
+static int
+wait_for_peers(admission_t *admission, customer_t *customer, uint64_t tag,
+    usec_t deadline, usec_t needed, usec_t now)
+{
+	if (g_hash_table_size(admission->waiters) >= ADMISSION_MAX_WAITING)
+		return BW_E_FULL;
+	add_waiter(admission, customer, tag, deadline,
+	    now + (deadline - needed - now) / 2);
+	return 1;
+}
+
 int
 admission_offer(admission_t *admission, const char *name, uint64_t tag,
     usec_t deadline, usec_t needed, usec_t now)
@@ -356,7 +383,10 @@
 	if (now + needed > deadline)
 		return refuse(&stats->refused_deadline, BW_E_DEADLINE);
 	if (!has_token(customer, stats->waiting))
-		return refuse(&stats->refused_rate, BW_E_RATE);
+		return admission->asking
+		    ? wait_for_peers(
+			  admission, customer, tag, deadline, needed, now)
+		    : refuse(&stats->refused_rate, BW_E_RATE);
 	if (stats->running < customer->concurrency) {
 		admit(customer);
 		return 0;
@@ -446,3 +476,80 @@
 
 	*stats = customer != NULL ? customer->stats : (admission_stats_t){0};
 }
+
+void
+admission_set_asking(admission_t *admission, bool asking)
+{
+	admission->asking = asking;
+}
+
+static uint32_t
+whole_tokens(const customer_t *customer)
+{
+	return (uint32_t)(customer->tokens + TOKEN_EPSILON) + customer->moved;
+}
+
+uint32_t
+admission_lacking(admission_t *admission, const char *name, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+	uint32_t tokens;
+
+	if (customer == NULL || customer->stats.waiting == 0)
+		return 0;
+	advance(admission, customer, now);
+	tokens = whole_tokens(customer);
+	return customer->stats.waiting > tokens
+	    ? customer->stats.waiting - tokens
+	    : 0;
+}
+
+uint32_t
+admission_take_tokens(
+    admission_t *admission, const char *name, uint32_t wanted, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+	uint32_t taken = 0;
+
+	if (customer == NULL)
+		return 0;
+	advance(admission, customer, now);
+	/* Tokens of peers are not passed on: they could travel for ever. */
+	while (taken < wanted &&
+	    customer->tokens + TOKEN_EPSILON >= 1.0 + customer->stats.waiting) {
+		customer->tokens = fmax(0, customer->tokens - 1);
+		taken++;
+	}
+	return taken;
+}
+
+void
+admission_add_tokens(
+    admission_t *admission, const char *name, uint32_t tokens, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+
+	if (customer == NULL)
+		return;
+	if (now >= customer->moved_until)
+		customer->moved = 0;
+	customer->moved += tokens;
+	customer->moved_until = now + MS(ADMISSION_MOVED_MS);
+	advance(admission, customer, now);
+}
+
+void
+admission_refuse_lacking(admission_t *admission, const char *name, usec_t now)
+{
+	customer_t *customer = g_hash_table_lookup(admission->customers, name);
+	uint32_t lacking = admission_lacking(admission, name, now);
+
+	for (; lacking > 0; lacking--) {
+		waiter_t *waiter = g_sequence_get(g_sequence_iter_prev(
+		    g_sequence_get_end_iter(customer->waiting)));
+
+		customer->stats.refused_rate++;
+		push_action(admission, waiter, BW_E_RATE);
+		remove_waiter(admission, waiter);
+	}
+}
--- a/source/message/message_decode.c
+++ b/source/message/message_decode.c
@@ -224,6 +224,22 @@
 	pass_error(reader, &list);
 }
 
+static void
+decode_permit(permit_t *permit, reader_t *reader)
+{
+	int64_t rate;
+
+	permit->id = reader_uint(reader);
+	permit->tokens = read_uint32(reader);
+	read_name(reader, permit->loan.customer);
+	rate = reader_int(reader);
+	if (rate < 0)
+		reader->error = BW_E_PROTOCOL;
+	permit->loan.rate_per_s = (double)rate / 1000;
+	permit->loan.concurrency = read_uint32(reader);
+	permit->longest = reader_int(reader);
+}
+
 static void
 decode_fields(message_t *message, reader_t *reader)
 {
@@ -257,6 +273,10 @@
 		message->suspect.fingerprint = reader_uint(reader);
 		message->suspect.crash = reader_uint(reader);
 		return;
+	case MESSAGE_PERMIT_REQUEST:
+	case MESSAGE_PERMIT_REPLY:
+		decode_permit(&message->permit, reader);
+		return;
 	}
 	reader->error = BW_E_PROTOCOL;
 }
@@ -331,6 +351,8 @@
 	case MESSAGE_RESERVE_REQUEST:
 	case MESSAGE_RESERVE_REPLY:
 	case MESSAGE_SUSPECT_NOTICE:
+	case MESSAGE_PERMIT_REQUEST:
+	case MESSAGE_PERMIT_REPLY:
 		break;
 	}
 	g_free(message);
--- a/source/message/message_encode.c
+++ b/source/message/message_encode.c
@@ -120,6 +120,17 @@
 	}
 }
 
+static void
+encode_permit(const permit_t *permit, writer_t *writer)
+{
+	writer_uint(writer, permit->id);
+	writer_uint(writer, permit->tokens);
+	writer_text(writer, permit->loan.customer);
+	writer_int(writer, (int64_t)(permit->loan.rate_per_s * 1000));
+	writer_uint(writer, permit->loan.concurrency);
+	writer_int(writer, permit->longest);
+}
+
 #define ENVELOPE_FIELDS 5
 
 static size_t
@@ -145,6 +156,9 @@
 		return 1;
 	case MESSAGE_SUSPECT_NOTICE:
 		return 2;
+	case MESSAGE_PERMIT_REQUEST:
+	case MESSAGE_PERMIT_REPLY:
+		return 6;
 	}
 	return 0;
 }
@@ -188,5 +202,9 @@
 		writer_uint(writer, message->suspect.fingerprint);
 		writer_uint(writer, message->suspect.crash);
 		break;
+	case MESSAGE_PERMIT_REQUEST:
+	case MESSAGE_PERMIT_REPLY:
+		encode_permit(&message->permit, writer);
+		break;
 	}
 }
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -247,6 +247,7 @@
 	};
 
 	signal(SIGPIPE, SIG_IGN);
+	node->started_at = clock_monotonic();
 	node->loop = ev_default_loop(EVFLAG_AUTO);
 	blackboard_init(&node->board, settings);
 	node->http = http_client_create(node->loop);
@@ -258,6 +259,10 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->asks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	node->givers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->claims = claim_table_create();
 	config_create(node);
 	serve_create(node);
@@ -318,6 +323,8 @@
 	config_destroy(node);
 	g_hash_table_foreach(node->customers, free_customer, NULL);
 	g_hash_table_destroy(node->customers);
+	g_hash_table_destroy(node->asks);
+	g_hash_table_destroy(node->givers);
 	g_hash_table_destroy(node->forwarded);
 	g_hash_table_destroy(node->index_wait);
 	table_destroy(node->requests);
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -3,6 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* The first assignment of a cell waits until nodes that start together have
+ * heard of each other: whatever one node takes alone has to be given up again,
+ * with all the waits of that. */
+#define FIRST_PLAN_MS 500
+
 /* What a plan is made from; arrays live until the plan is made. */
 typedef struct {
 	planner_input_t input;
@@ -280,6 +285,15 @@
 	    expected, slice_from(write->text), on_written, write);
 }
 
+static usec_t
+plan_delay(const node_t *node, const planner_input_t *input)
+{
+	usec_t delay = planner_delay(input);
+
+	return node->board.assignment == NULL ? delay + MS(FIRST_PLAN_MS)
+					      : delay;
+}
+
 void
 assign_tick(node_t *node, usec_t now)
 {
@@ -296,7 +310,7 @@
 	else if (node->wanted_since == 0)
 		node->wanted_since = now;
 	if (plan != NULL && node->board.platform_reachable &&
-	    now - node->wanted_since >= planner_delay(&basis.input))
+	    now - node->wanted_since >= plan_delay(node, &basis.input))
 		write_plan(node, plan);
 	assignment_destroy(plan);
 	basis_clear(&basis);
@@ -322,6 +336,11 @@
 static void
 adopt_units(node_t *node, usec_t longest, usec_t now)
 {
+	if (own_units(node) == 0)
+		node->units_usable_at = 0;
+	else if (node->units_usable_at == 0)
+		node->units_usable_at =
+		    now + MS(LOAN_MS) + 2 * MS(DRIFT_MARGIN_MS) + longest;
 	allowance_set_units(node->board.allowance,
 	    allowance_unit_range(first_own_unit(node), own_units(node)),
 	    longest, now);
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -39,17 +39,6 @@
 	limits_apply(node, customer, now);
 }
 
-void
-limits_tick(node_t *node, usec_t now)
-{
-	const contract_store_t *store = node->board.contracts;
-
-	for (size_t i = 0; i < contract_store_count(store); i++)
-		limits_apply(
-		    node, contract_customer(contract_store_at(store, i)), now);
-	admission_tick(node->board.admission, now);
-}
-
 static size_t
 live_peers(const node_t *node)
 {
@@ -61,10 +50,22 @@
 	return live;
 }
 
+void
+limits_tick(node_t *node, usec_t now)
+{
+	const contract_store_t *store = node->board.contracts;
+
+	for (size_t i = 0; i < contract_store_count(store); i++)
+		limits_apply(
+		    node, contract_customer(contract_store_at(store, i)), now);
+	admission_set_asking(node->board.admission, live_peers(node) > 0);
+	admission_tick(node->board.admission, now);
+}
+
 /* What this node lacks of one customer's allowance. */
-static bool
-make_wish(node_t *node, const contract_t *contract, allowance_loan_t *wish,
-    usec_t now)
+bool
+limits_make_wish(node_t *node, const contract_t *contract,
+    allowance_loan_t *wish, usec_t now)
 {
 	const char *customer = contract_customer(contract);
 	admission_stats_t stats;
@@ -99,7 +100,8 @@
 		allowance_loan_t wish;
 
 		if (list->len == MESSAGE_MAX_LIST ||
-		    !make_wish(node, contract_store_at(store, i), &wish, now))
+		    !limits_make_wish(
+			node, contract_store_at(store, i), &wish, now))
 			continue;
 		if (peers > 1)
 			wish.rate_per_s /= (double)peers;
@@ -110,33 +112,38 @@
 	return count;
 }
 
+void
+limits_lend_one(node_t *node, const char *borrower, uint64_t incarnation,
+    const allowance_loan_t *wish, usec_t longest, allowance_loan_t *loan,
+    usec_t now)
+{
+	admission_stats_t stats;
+	double own = WISH_FACTOR *
+	    admission_demand(node->board.admission, wish->customer, now);
+
+	admission_get_stats(node->board.admission, wish->customer, &stats);
+	allowance_lend(node->board.allowance, borrower, incarnation, wish, own,
+	    stats.running + stats.waiting,
+	    MAX(longest, blackboard_longest(&node->board, now)), now, loan);
+	if (loan->rate_per_s > 0 || loan->concurrency > 0)
+		limits_apply(node, wish->customer, now);
+}
+
 uint32_t
 limits_lend(node_t *node, const heartbeat_t *heartbeat,
     allowance_loan_t **loans, usec_t now)
 {
-	usec_t longest =
-	    MAX(heartbeat->longest, blackboard_longest(&node->board, now));
 	uint32_t count = 0;
 
 	*loans = g_new0(allowance_loan_t, heartbeat->wish_count);
 	for (uint32_t i = 0; i < heartbeat->wish_count; i++) {
-		const allowance_loan_t *wish = &heartbeat->wishes[i];
 		allowance_loan_t *loan = &(*loans)[count];
-		admission_stats_t stats;
-		double own;
-
-		admission_get_stats(
-		    node->board.admission, wish->customer, &stats);
-		own = WISH_FACTOR *
-		    admission_demand(
-			node->board.admission, wish->customer, now);
-		allowance_lend(node->board.allowance, heartbeat->report.node,
-		    heartbeat->report.incarnation, wish, own,
-		    stats.running + stats.waiting, longest, now, loan);
-		if (loan->rate_per_s > 0 || loan->concurrency > 0) {
-			limits_apply(node, wish->customer, now);
+
+		limits_lend_one(node, heartbeat->report.node,
+		    heartbeat->report.incarnation, &heartbeat->wishes[i],
+		    heartbeat->longest, loan, now);
+		if (loan->rate_per_s > 0 || loan->concurrency > 0)
 			count++;
-		}
 	}
 	return count;
 }
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -125,11 +125,13 @@
 	case MEMBERSHIP_SILENT:
 		event_log(EVENT_PEER_SILENT, "%s", action->node);
 		query_peer_lost(node->queries, action->node, now);
+		permit_peer_lost(node, action->node, now);
 		return;
 	case MEMBERSHIP_REPLACED:
 		event_log(EVENT_PEER_REPLACED, "%s incarnation %llu",
 		    action->node, (unsigned long long)action->incarnation);
 		query_peer_lost(node->queries, action->node, now);
+		permit_peer_lost(node, action->node, now);
 		return;
 	case MEMBERSHIP_GONE:
 		event_log(EVENT_PEER_GONE, "%s incarnation %llu", action->node,
@@ -290,6 +292,12 @@
 		suspect_crashed(node->board.suspects,
 		    message->suspect.fingerprint, message->suspect.crash, now);
 		return;
+	case MESSAGE_PERMIT_REQUEST:
+		permit_asked(node, message, now);
+		return;
+	case MESSAGE_PERMIT_REPLY:
+		permit_answered(node, message, now);
+		return;
 	case MESSAGE_HEARTBEAT:
 		return; /* handled before the sender check */
 	}
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -85,6 +85,8 @@
 	GHashTable *forwarded;	/* id128_t of a reservation -> handle_t */
 	GHashTable *index_wait; /* index -> wait_t */
 	GHashTable *customers;	/* customer -> customer_stats_t */
+	GHashTable *asks;	/* customer -> question to a peer that runs */
+	GHashTable *givers;	/* customer -> peer that last gave tokens */
 
 	/* serving */
 	GHashTable *served;  /* service -> served_t */
@@ -103,6 +105,8 @@
 	bool write_running;
 	usec_t wanted_since; /* when a plan was first wanted; 0: none */
 	uint32_t units_closing;
+	usec_t units_usable_at; /* 0: this node owns no units */
+	usec_t started_at;
 	usec_t units_closed_at; /* 0: no units are being given up */
 
 	/* stopping */
@@ -151,6 +155,18 @@
     allowance_loan_t **loans, usec_t now);
 customer_stats_t *limits_customer(node_t *node, const char *customer);
 
+bool limits_make_wish(node_t *node, const contract_t *contract,
+    allowance_loan_t *wish, usec_t now);
+void limits_lend_one(node_t *node, const char *borrower, uint64_t incarnation,
+    const allowance_loan_t *wish, usec_t longest, allowance_loan_t *loan,
+    usec_t now);
+
+/* node_permit.c */
+void permit_ask(node_t *node, const char *customer, usec_t now);
+void permit_asked(node_t *node, const message_t *message, usec_t now);
+void permit_answered(node_t *node, const message_t *message, usec_t now);
+void permit_peer_lost(node_t *node, const char *peer, usec_t now);
+
 /* node_request.c */
 void request_handle(void *context, http_exchange_t *exchange);
 void request_refuse(request_t *request, int error, const char *detail);
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -288,6 +288,8 @@
 		request_refuse(request, result, NULL);
 	else if (result == 0)
 		start_admitted(request, now);
+	else
+		permit_ask(node, customer, now);
 }
 
 static int
--- a/source/node/node_status.c
+++ b/source/node/node_status.c
@@ -185,12 +185,24 @@
 	return text;
 }
 
+/* A node that gets no units, as in an outage of the platform, lives on what its
+ * peers lend after this time. */
+#define NO_UNITS_MS 5000
+
+static bool
+has_allowance(const node_t *node, usec_t now)
+{
+	if (node->units_usable_at == 0)
+		return now - node->started_at >= MS(NO_UNITS_MS);
+	return now >= node->units_usable_at;
+}
+
 bool
 status_is_ready(node_t *node, usec_t now)
 {
 	return node->board.state == NODE_STATE_READY &&
 	    !blackboard_is_isolated(&node->board, now) &&
-	    node->board.assignment != NULL;
+	    node->board.assignment != NULL && has_allowance(node, now);
 }
 
 static void
