--- a/source/routing/fair_queue.c
+++ b/source/routing/fair_queue.c
@@ -7,6 +7,9 @@
 
 #define VIRTUAL_UNIT ((int64_t)1 << 20) /* divided by the weight */
 
+/* Flows without elements that are kept while the queue is empty. */
+#define MAX_IDLE_FLOWS 256
+
 struct flow {
 	heap_node_t order; /* key: virtual time */
 	heap_t elements;
@@ -136,6 +139,8 @@
 	heap_remove(&flow->elements, node);
 	advance_flow(queue, flow);
 	count_removed(queue, flow);
+	if (queue->count == 0 && queue->order.count > MAX_IDLE_FLOWS)
+		first_flow(queue);
 	return node;
 }
 
--- a/source/routing/scheduler.c
+++ b/source/routing/scheduler.c
@@ -54,9 +54,10 @@
 	usec_t wait = scheduler_estimate_wait(scheduler, ahead);
 
 	/* With only the mean left, half of what an overloaded queue sends would
-	 * be too late. */
+	 * be too late; but a short deadline is no reason to refuse. */
 	if (wait > 0)
-		wait += MAX(scheduler->latency.p95, scheduler->latency.mean);
+		wait += MAX(scheduler->latency.mean,
+		    MIN(scheduler->latency.p95, (job->deadline - now) / 2));
 	return now + wait < job->deadline;
 }
 
--- a/source/routing/scheduler_attempts.c
+++ b/source/routing/scheduler_attempts.c
@@ -77,7 +77,7 @@
 	entry->running[entry->running_count++] = handle;
 	server_mask_add(&entry->tried, server);
 	count_start(scheduler, entry, options);
-	if (entry->job.kind == JOB_SHARD && !options.alone)
+	if (entry->job.kind == JOB_SHARD)
 		scheduler_arm_check(scheduler, attempt);
 	scheduler_push_action(scheduler, SCHEDULER_START, handle);
 	return attempt;
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -96,14 +96,14 @@
 	return bed->used_count++;
 }
 
-static const char *
-server_name(bed_t *bed, int letter)
+static const server_spec_t *
+find_spec(bed_t *bed, int letter)
 {
-	for (uint32_t i = 0; i < bed->service.server_count; i++)
-		if (strcmp(bed->service.servers[i].address,
-			bed->used[letter]) == 0)
-			return bed->service.servers[i].server;
-	return "none";
+	const server_spec_t *spec = bed->service.servers;
+
+	while (strcmp(spec->address, bed->used[letter]) != 0)
+		spec++;
+	return spec;
 }
 
 static int
@@ -206,7 +206,7 @@
 }
 
 static void
-apply_report(bed_t *bed, const step_t *step)
+apply_event(bed_t *bed, const step_t *step)
 {
 	scheduler_stats_t stats;
 
@@ -236,15 +236,6 @@
 		scheduler_get_stats(bed->scheduler, &stats);
 		assert_int_equal(stats.stale, step->a);
 		break;
-	default:
-		break;
-	}
-}
-
-static void
-apply_change(bed_t *bed, const step_t *step)
-{
-	switch (step->op) {
 	case LIMIT:
 		bed->limit = (uint32_t)step->a;
 		bed->longest = MS(step->b);
@@ -253,17 +244,13 @@
 		list_servers(bed, step->a, step->b);
 		break;
 	case UNLIST:
-		for (uint32_t i = 0; i < bed->service.server_count; i++)
-			if (strcmp(bed->service.servers[i].address,
-				bed->used[step->a]) == 0)
-				bed->service.servers[0] =
-				    bed->service.servers[i];
+		bed->service.servers[0] = *find_spec(bed, step->a);
 		bed->service.server_count = 1;
 		scheduler_set_servers(bed->scheduler, &bed->service, bed->now);
 		break;
 	case LEAVING:
 		scheduler_server_leaving(
-		    bed->scheduler, server_name(bed, step->a), bed->now);
+		    bed->scheduler, find_spec(bed, step->a)->server, bed->now);
 		break;
 	case PEER_CRASH:
 		suspect_crashed(bed->suspects, (uint64_t)step->a,
@@ -289,8 +276,7 @@
 		job.kind = JOB_RESERVATION;
 	if (step->op == SUBMIT || step->op == RESERVE || step->op == REFUSED)
 		error = scheduler_submit(bed->scheduler, &job, bed->now);
-	apply_report(bed, step);
-	apply_change(bed, step);
+	apply_event(bed, step);
 	run_scheduler(bed);
 	if (step->op == REFUSED)
 		snprintf(bed->actions, sizeof(bed->actions), "%s",
@@ -466,6 +452,22 @@
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 30, ""},
 	    {0, SUBMIT, 3, 200, ""},
 	    {25, END, 1, ATTEMPT_OK, "R1=ok R2=overloaded S3@a"}}},
+    {"the server with the fewest attempts is chosen", 3, 2, 3,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
+	    {0, SUBMIT, 3, 200, "S3@c"}}},
+    {"a retry prefers a slower server that was not tried", 2, 1, 2,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
+	    {5, END, 1, ATTEMPT_OK, "R1=ok"}, {90, END, 2, ATTEMPT_OK, "R2=ok"},
+	    {91, SUBMIT, 3, 300, "S3@a"},
+	    {92, END, 3, ATTEMPT_FAILED, "S3@b"}}},
+    {"what waits for a leaving server goes elsewhere", 2, 1, 2,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
+	    {1, END, 1, ATTEMPT_MISMATCH, "C1"}, {2, LEAVING, 1, 0, ""},
+	    {3, CONFIRM, 1, 0, "S1@a"}}},
+    {"no hedge while a job waits", 3, 2, 21,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
+	    {0, SUBMIT, 3, 200, "S3@c"}, {0, PEER_CRASH, 9, 1, ""},
+	    {0, SUBMIT, 9, 200, ""}, {11, RUN, 0, 0, ""}}},
     {"a failing server is chosen last", 1, 2, 1,
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, END, 1, ATTEMPT_FAILED, "S1@a"},
 	    {0, END, 2, ATTEMPT_FAILED, "R1=upstream_failed"},
--- a/tests/test_scheduler_model.c
+++ b/tests/test_scheduler_model.c
@@ -21,6 +21,7 @@
 #define MAX_RUNS 1024
 #define MAX_PROCESSES 256
 #define SERVERS 5
+#define START SECONDS(1000)
 #define KILLER 13 /* fingerprint of the request that kills servers */
 
 typedef struct {
@@ -79,10 +80,8 @@
 	uint64_t next_tag;
 	int incarnations;
 	int listed[SERVERS]; /* process of each server */
-	int kills;
-	int killer_runs; /* most that ran when a server was killed */
+	int kills;	     /* by the request that kills servers */
 	uint64_t first_attempts;
-	uint64_t late_cuts;
 	process_t processes[MAX_PROCESSES];
 	model_job_t jobs[MAX_JOBS];
 	run_t runs[MAX_RUNS];
@@ -435,8 +434,14 @@
 	bool killer = run->killer && run->running;
 
 	stop_run(model, run);
-	if (killer && model->processes[run->process].up)
-		kill_process(model, run->process);
+	if (!killer || !model->processes[run->process].up)
+		return;
+	kill_process(model, run->process);
+	model->kills++;
+	/* Those that ran at the first crash and one more, in each time of
+	 * refusal. */
+	assert_true(model->kills <=
+	    8 * (1 + (model->now - START) / SECONDS(SUSPECT_REFUSE_S)));
 }
 
 static void
@@ -632,7 +637,7 @@
 	clock_t begin = clock();
 
 	model->random = seed;
-	model->now = SECONDS(1000);
+	model->now = START;
 	model->limit = 2;
 	model->longest = MS(250);
 	model->suspects = suspect_list_create();
