--- a/include/bulrushwell/admission.h
+++ b/include/bulrushwell/admission.h
@@ -57,6 +57,17 @@
 void admission_set_allowance(admission_t *admission, const char *customer,
     double rate_per_s, uint32_t concurrency, usec_t now);
 
+/**
+ * admission_begin() - The first allowance of a customer that this node did not
+ * know before.
+ * @since: the node has held its units since then, so nobody else can have used
+ * them for this customer, and its bucket has filled since then
+ *
+ * Does nothing for a customer that is known.
+ */
+void admission_begin(admission_t *admission, const char *customer,
+    double rate_per_s, uint32_t concurrency, usec_t since, usec_t now);
+
 /**
  * admission_offer() - A request arrived.
  * @tag: given back in an action
--- a/include/bulrushwell/allowance.h
+++ b/include/bulrushwell/allowance.h
@@ -18,11 +18,18 @@
  * contract.
  *
  * A rate is divided and lent in whole quanta, each of which allows a burst of
- * at least one request: the contract's burst, max(1, floor(rate / 10)), is the
- * number of quanta. So the bursts of all nodes together are no more than the
- * contract's. A contract of less than 20 requests a second is one quantum,
- * held or borrowed by one node at a time.
+ * at least one request: the number of quanta is the contract's burst, a tenth
+ * of a second of its rate but at least ALLOWANCE_MIN_BURST. So the bursts of
+ * all nodes together are no more than the contract's.
  */
+
+/**
+ * ALLOWANCE_MIN_BURST - The fewest requests that a contract may send at once. A
+ * node without a quantum admits nothing; with 16, each of up to 16 nodes with
+ * equal units has one, however low the rate is.
+ */
+#define ALLOWANCE_MIN_BURST 16
+
 typedef struct allowance allowance_t;
 
 allowance_t *allowance_create(void);
@@ -49,6 +56,12 @@
 void allowance_set_units(
     allowance_t *allowance, uint64_t units, usec_t longest, usec_t now);
 
+/**
+ * allowance_units_since() - Since when this node's units give the rate that
+ * they give now; @now when it has none. See admission_begin().
+ */
+usec_t allowance_units_since(const allowance_t *allowance, usec_t now);
+
 /**
  * allowance_close_units() - Stops using and lending @units ahead of releasing
  * them. Replaces the units closed before: 0 opens all that are still owned.
--- a/source/admission/admission.c
+++ b/source/admission/admission.c
@@ -286,11 +286,10 @@
 	}
 }
 
-/* Refuses before it admits, so that no place goes to a late request. */
+/* Follows refuse_late(), so that no place goes to a late request. */
 static void
 advance(admission_t *admission, customer_t *customer, usec_t now)
 {
-	refuse_late(admission, now);
 	fill_bucket(customer, customer->rate, now);
 	admit_waiting(admission, customer);
 }
@@ -303,6 +302,7 @@
 
 	if (customer == NULL)
 		return;
+	refuse_late(admission, now);
 	fill_bucket(customer, fmin(customer->rate, rate_per_s), now);
 	customer->rate = rate_per_s;
 	customer->concurrency = concurrency;
@@ -310,6 +310,17 @@
 	advance(admission, customer, now);
 }
 
+void
+admission_begin(admission_t *admission, const char *name, double rate_per_s,
+    uint32_t concurrency, usec_t since, usec_t now)
+{
+	if (g_hash_table_contains(admission->customers, name))
+		return;
+	admission_set_allowance(
+	    admission, name, rate_per_s, concurrency, since);
+	admission_set_allowance(admission, name, rate_per_s, concurrency, now);
+}
+
 /* Whether a request that goes behind those with earlier deadlines can still
  * make its own: each round of @concurrency requests takes @needed. */
 static bool
@@ -352,6 +363,7 @@
 		return BW_E_CONFLICT;
 	stats = &customer->stats;
 	count_demand(customer, now);
+	refuse_late(admission, now);
 	advance(admission, customer, now);
 	if (now + needed > deadline)
 		return refuse(&stats->refused_deadline, BW_E_DEADLINE);
@@ -378,6 +390,7 @@
 	    "a request of %s ended that was not admitted", name);
 	if (customer == NULL || customer->stats.running == 0)
 		return;
+	refuse_late(admission, now);
 	customer->stats.running--;
 	advance(admission, customer, now);
 }
--- a/source/admission/allowance.c
+++ b/source/admission/allowance.c
@@ -133,8 +133,8 @@
 	part->concurrency = concurrency;
 	part->quanta = 0;
 	if (rate_per_s > 0)
-		part->quanta = (uint32_t)fmax(
-		    1, floor(rate_per_s * ADMISSION_BURST_SECONDS));
+		part->quanta = (uint32_t)fmax(ALLOWANCE_MIN_BURST,
+		    floor(rate_per_s * ADMISSION_BURST_SECONDS));
 	convert_grants(part, old_quantum);
 }
 
@@ -166,6 +166,17 @@
 	allowance->closed &= units;
 }
 
+usec_t
+allowance_units_since(const allowance_t *allowance, usec_t now)
+{
+	usec_t since = INT64_MIN;
+
+	for (uint32_t i = 0; i < ASSIGNMENT_UNITS; i++)
+		if ((allowance->owned & ~allowance->closed) >> i & 1)
+			since = MAX(since, allowance->rate_usable_at[i]);
+	return since == INT64_MIN || since > now ? now : since;
+}
+
 void
 allowance_close_units(allowance_t *allowance, uint64_t units)
 {
--- a/source/query/query.c
+++ b/source/query/query.c
@@ -361,7 +361,8 @@
 
 		if (shard->send != send)
 			continue;
-		shard->owing &= ~((uint64_t)1 << position);
+		if (!shard->owed_before)
+			shard->owing &= ~((uint64_t)1 << position);
 		if (shard->state == SHARD_PENDING)
 			fanout_take_back(query, shard);
 	}
--- a/source/query/query_fanout.c
+++ b/source/query/query_fanout.c
@@ -256,6 +256,7 @@
 
 		if (shard->state != SHARD_PENDING || shard->send != entry->send)
 			continue;
+		shard->owed_before = (shard->owing >> entry->node & 1) != 0;
 		shard->owing |= (uint64_t)1 << entry->node;
 		g_array_index(entry->shards, uint32_t, kept++) = number;
 	}
--- a/source/query/query_state.h
+++ b/source/query/query_state.h
@@ -30,8 +30,9 @@
 	uint32_t send; /* number of the latest SEND */
 	uint8_t node;  /* asked last, or NODE_NONE */
 	uint8_t sends;
-	uint8_t state;	/* shard_state_t */
-	uint8_t reason; /* missing_reason_t */
+	bool owed_before; /* that node owed it before the latest SEND */
+	uint8_t state;	  /* shard_state_t */
+	uint8_t reason;	  /* missing_reason_t */
 } shard_t;
 
 /* An action that waits to be drained. */
