--- a/include/bulrushwell/membership.h
+++ b/include/bulrushwell/membership.h
@@ -20,8 +20,9 @@
 #define MEMBERSHIP_MAX_PEERS 64
 
 /**
- * VM_LIST_LAG_MS - A VM that is listed at all is listed this long after its
- * processes start. Only used to prove gone what no list ever named.
+ * VM_LIST_LAG_MS - After this long, the VM list and the peers that were added
+ * are taken to name every process that has started. Only used to prove gone
+ * what no list ever named or no message ever came from.
  */
 #define VM_LIST_LAG_MS 60000
 
--- a/source/assignment/ledger.c
+++ b/source/assignment/ledger.c
@@ -98,7 +98,7 @@
 update_entry(entry_t *entry, usec_t now)
 {
 	if (entry->usable_at != 0 && now >= entry->usable_at) {
-		entry->usable = entry->share;
+		entry->usable = entry->closed ? 0 : entry->share;
 		entry->usable_at = 0;
 	}
 	for (guint i = entry->grants->len; i-- > 0;)
@@ -159,6 +159,16 @@
 	return total;
 }
 
+static uint32_t
+borrowed(const entry_t *entry)
+{
+	uint32_t total = 0;
+
+	for (guint i = 0; i < entry->loans->len; i++)
+		total += g_array_index(entry->loans, loan_t, i).slots;
+	return total;
+}
+
 void
 ledger_set_share(ledger_t *ledger, const char *service, uint32_t slots,
     usec_t longest, usec_t now)
@@ -199,9 +209,7 @@
 	limit = entry->usable > lent ? entry->usable - lent : 0;
 	INVARIANT(limit <= entry->share, "%s: own limit %u above share %u",
 	    service, limit, entry->share);
-	for (guint i = 0; i < entry->loans->len; i++)
-		limit += g_array_index(entry->loans, loan_t, i).slots;
-	return limit;
+	return limit + borrowed(entry);
 }
 
 /* Grants that end earlier and are no larger make no difference any more. */
@@ -279,8 +287,10 @@
 	if (entry == NULL)
 		return false;
 	update_entry(entry, now);
-	return entry->closed && entry->share > 0 && charged == 0 &&
-	    entry->grants->len == 0;
+	/* Until the share is usable, attempts of its former owner may run. The
+	 * lenders of loans wait for attempts that end after the loans. */
+	return entry->closed && entry->share > 0 && entry->usable_at == 0 &&
+	    charged <= borrowed(entry) && entry->grants->len == 0;
 }
 
 void
@@ -292,7 +302,6 @@
 		return;
 	entry->closed = true;
 	entry->usable = 0;
-	entry->usable_at = 0;
 }
 
 usec_t
--- a/source/membership/membership.c
+++ b/source/membership/membership.c
@@ -16,6 +16,7 @@
 	peer_t peer;	     /* first, so that membership_at() can cast */
 	uint64_t gone_below; /* earlier incarnations are proven gone */
 	usec_t vm_since;     /* when this VM was first named for the peer */
+	bool vm_listed;	     /* by membership_add(), not by the peer itself */
 	usec_t next_heartbeat;
 	uint64_t sent[SENDS_KEPT];
 	usec_t sent_at[SENDS_KEPT];
@@ -149,8 +150,10 @@
 	/* What the peer itself reports is newer than any list. */
 	if (entry->peer.incarnation != 0 && !entry->peer.gone)
 		return 0;
-	if (vm != NULL && vm[0] != '\0')
+	if (vm != NULL && vm[0] != '\0') {
 		set_vm(entry, vm, now);
+		entry->vm_listed = true;
+	}
 	if (data_centre != NULL && data_centre[0] != '\0')
 		g_strlcpy(entry->peer.data_centre, data_centre,
 		    sizeof(entry->peer.data_centre));
@@ -217,6 +220,7 @@
 	peer_t *peer = &entry->peer;
 
 	set_vm(entry, report->vm, now);
+	entry->vm_listed = false;
 	set_address(membership, entry, report->address);
 	g_strlcpy(
 	    peer->data_centre, report->data_centre, sizeof(peer->data_centre));
@@ -292,13 +296,14 @@
 }
 
 static void
-mark_gone(membership_t *membership, entry_t *entry)
+mark_gone(membership_t *membership, entry_t *entry, usec_t now)
 {
 	if (entry->peer.gone || entry->peer.incarnation == 0)
 		return;
 	entry->gone_below = entry->peer.incarnation + 1;
 	entry->peer.gone = true;
 	entry->peer.live = false;
+	entry->vm_since = now;
 	push_action(membership, MEMBERSHIP_GONE, entry);
 }
 
@@ -339,11 +344,11 @@
 		return;
 	}
 	if (found != NULL || was_seen || entry->peer.incarnation < youngest)
-		mark_gone(membership, entry);
-	/* Without an incarnation that was heard, only the VM's name is known,
-	 * which may be newer than the list. */
-	if ((entry->peer.incarnation == 0 || entry->peer.gone) &&
-	    now - entry->vm_since >= MS(VM_LIST_LAG_MS))
+		mark_gone(membership, entry, now);
+	/* Incarnations that were never heard are judged by the listed VM, once
+	 * the list of peers and the VM list must both have caught up with them.
+	 * The VM of an earlier incarnation says nothing of a later one. */
+	if (entry->vm_listed && now - entry->vm_since >= MS(VM_LIST_LAG_MS))
 		entry->gone_below = MAX(entry->gone_below, youngest);
 }
 
--- a/tests/lib/model_world.c
+++ b/tests/lib/model_world.c
@@ -94,8 +94,8 @@
 }
 
 /* Requests that ran at one moment; several events fall into one step. */
-static void
-check_cap(world_t *world, usec_t at)
+static uint32_t
+count_running(const world_t *world, usec_t at)
 {
 	uint32_t count = 0;
 
@@ -105,6 +105,14 @@
 
 		count += request->started_at <= at && at < request->at;
 	}
+	return count;
+}
+
+static void
+check_cap(world_t *world, usec_t at)
+{
+	uint32_t count = count_running(world, at);
+
 	world->most_running = MAX(world->most_running, count);
 	if (count > world->cap)
 		fail_msg("%u requests run on a server with %u slots at %.3f s",
@@ -126,10 +134,10 @@
 		world_send(world, &answer);
 		return;
 	}
-	/* Most run to their deadline, the worst case for the cap. */
 	run.started_at = request->at;
-	run.at +=
-	    world_percent(world, 70) ? left : world_between(world, 1, left);
+	run.at += world_percent(world, world->full_percent)
+	    ? left
+	    : world_between(world, 1, MIN(left, MS(20)));
 	g_array_append_val(world->running, run);
 	for (guint i = 0; i < world->running->len; i++) {
 		usec_t started_at =
@@ -178,7 +186,8 @@
 }
 
 /* Judges a change on the model's own knowledge: only a holder itself, or the
- * end of its process, reduces a share. */
+ * end of its process, reduces a share, and nobody uses what a holder gives up.
+ */
 static void
 check_change(world_t *world, const operation_t *write,
     const assignment_t *before, const assignment_t *after)
@@ -189,18 +198,21 @@
 
 	for (uint32_t i = 0; old != NULL && i < old->holder_count; i++) {
 		holder_t *holder = &old->holders[i];
-		holder_t *kept = new == NULL
-		    ? NULL
-		    : assignment_find_holder(
-			  new, holder->node, holder->incarnation);
+		holder_t *kept = assignment_find_holder(
+		    new, holder->node, holder->incarnation);
 
 		if (kept != NULL && kept->slots >= holder->slots)
 			continue;
-		if (write->incarnation != holder->incarnation &&
-		    world->callbacks.runs(world->callbacks.context,
+		if (!world->callbacks.runs(world->callbacks.context,
 			holder->node, holder->incarnation))
+			continue;
+		if (write->incarnation != holder->incarnation)
 			fail_msg("the share of %s was taken while it runs",
 			    holder->node);
+		if (count_running(world, world->now) + holder->slots >
+		    world->cap)
+			fail_msg(
+			    "%s gave up a share that was in use", holder->node);
 	}
 }
 
--- a/tests/test_share_model.c
+++ b/tests/test_share_model.c
@@ -26,7 +26,7 @@
 	bool runs;
 	bool paused;
 	bool stopping;
-	bool busy; /* has requests to dispatch */
+	uint32_t wanted; /* requests that it would run at once */
 	bool ready;
 	usec_t resumes_at;
 	usec_t restarts_at;
@@ -106,8 +106,9 @@
 	usec_t now;
 
 	node->offset = world_between(world, 0, SECONDS(1000));
-	node->rate = 0.99 + (double)world_random(world, 20001) / 1e6;
-	node->wall_error = world_between(world, MS(-25), MS(25));
+	/* The extremes are the worst cases. */
+	node->rate = 0.99 + 0.01 * (double)world_random(world, 3);
+	node->wall_error = world_percent(world, 50) ? MS(-25) : MS(25);
 	wall = world->now + node->wall_error;
 	node->incarnation = MAX(node->incarnation + 1,
 	    (uint64_t)(wall / USEC_PER_MS) << 20 |
@@ -117,7 +118,7 @@
 	node->paused = false;
 	node->stopping = false;
 	node->ready = false;
-	node->busy = world_percent(world, 50);
+	node->wanted = 0;
 	node->charged = 0;
 	node->held.id = 0;
 	node->call = 0;
@@ -253,8 +254,7 @@
 	    .from_incarnation = node->incarnation,
 	    .to_incarnation = message->from_incarnation,
 	    .id = message->id};
-	uint32_t queued = node->busy &&
-	    node->charged >= ledger_limit(node->ledger, WORLD_SERVICE, now);
+	uint32_t queued = node->wanted > node->charged;
 
 	if (membership_receive(node->membership, &message->report, true, now) !=
 	    0)
@@ -344,7 +344,7 @@
 	report->state = node->stopping ? NODE_STATE_STOPPING
 	    : node->ready	       ? NODE_STATE_READY
 				       : NODE_STATE_STARTING;
-	message.asks = node->busy &&
+	message.asks = node->wanted > 0 &&
 	    (is_serving(node) ||
 		(model->chaos && world_percent(&model->world, 5)));
 	world_send(&model->world, &message);
@@ -356,10 +356,9 @@
 	world_t *world = &model->world;
 	usec_t now = local_time(model, node);
 
-	while (node->busy && node->held.id == 0 &&
-	    node->charged < MAX_CHARGES &&
+	while (node->held.id == 0 && node->charged < node->wanted &&
 	    node->charged < ledger_limit(node->ledger, WORLD_SERVICE, now)) {
-		usec_t left = world_percent(world, 80)
+		usec_t left = world_percent(world, 90)
 		    ? model->longest
 		    : world_between(world, MS(1), model->longest);
 		message_t request = {.kind = MESSAGE_REQUEST,
@@ -436,7 +435,7 @@
 give_up_share(model_t *model, node_t *node, const planner_input_t *input)
 {
 	bool handover = model->chaos && is_serving(node) &&
-	    world_random(&model->world, 2000) == 0;
+	    world_random(&model->world, 300) == 0;
 
 	if (own_holder(node) == NULL)
 		return;
@@ -540,7 +539,10 @@
 		model->drops += action.kind == MEMBERSHIP_GONE;
 	}
 	if (!model->chaos)
-		node->busy = is_serving(node);
+		node->wanted = is_serving(node) ? model->world.cap : 0;
+	else if (world_random(&model->world, 100) == 0)
+		node->wanted =
+		    (uint32_t)world_random(&model->world, model->world.cap + 2);
 	dispatch(model, node);
 	if (!node->paused)
 		run_platform(model, node);
@@ -586,7 +588,7 @@
 static void
 fault_node(model_t *model, node_t *node, usec_t length)
 {
-	switch (world_random(&model->world, 6)) {
+	switch (world_random(&model->world, 5)) {
 	case 0:
 	case 1:
 		if (!node->runs || node->paused)
@@ -600,11 +602,8 @@
 	case 3:
 		end_node(model, node, MS(10));
 		return;
-	case 4:
-		node->stopping = true;
-		return;
 	default:
-		node->busy = !node->busy;
+		node->stopping = true;
 	}
 }
 
@@ -724,6 +723,7 @@
 	printf("seed %llu\n", (unsigned long long)seed);
 	world_init(&model->world, seed, caps[seed % 3], &callbacks);
 	model->longest = MS(deadlines[seed / 3 % 4]);
+	model->world.full_percent = seed % 2 == 0 ? 70 : 5;
 	model->fault_interval = intervals[seed / 12 % 2];
 	model->chaos = true;
 	for (int i = 0; i < WORLD_NODES; i++) {
