--- a/tests/lib/model_world.c
+++ b/tests/lib/model_world.c
@@ -22,7 +22,7 @@
 	world->running = g_array_new(FALSE, FALSE, sizeof(message_t));
 	world->operations = g_array_new(FALSE, FALSE, sizeof(operation_t));
 	world->vms = g_array_new(FALSE, FALSE, sizeof(vm_record_t));
-	world->server_wall = world_between(world, MS(-25), MS(25));
+	world->server_wall = world_percent(world, 50) ? MS(-25) : MS(25);
 	world->list_lag = world_between(world, 0, SECONDS(5));
 	world->listed_at = world->now;
 }
@@ -135,7 +135,7 @@
 		return;
 	}
 	run.started_at = request->at;
-	run.at += world_percent(world, world->full_percent)
+	run.at += world_random(world, 10000) < world->full_odds
 	    ? left
 	    : world_between(world, 1, MIN(left, MS(20)));
 	g_array_append_val(world->running, run);
--- a/tests/lib/model_world.h
+++ b/tests/lib/model_world.h
@@ -92,7 +92,7 @@
 	usec_t server_wall;
 	uint64_t next_id;
 	uint32_t most_running;
-	uint32_t full_percent; /* of requests that run to their deadline */
+	uint32_t full_odds; /* of 10,000 requests, run to their deadline */
 	/* platform */
 	GArray *operations;
 	char *text; /* of the assignment object, or NULL */
--- a/tests/test_share_model.c
+++ b/tests/test_share_model.c
@@ -58,7 +58,8 @@
 	world_t world;
 	usec_t longest;
 	bool chaos;
-	uint64_t fault_interval; /* mean steps between faults */
+	uint64_t fault_interval;  /* mean steps between faults */
+	uint64_t demand_interval; /* the same for changes of demand */
 	uint64_t calls;
 	uint64_t dispatched;
 	uint64_t loans;
@@ -107,7 +108,7 @@
 
 	node->offset = world_between(world, 0, SECONDS(1000));
 	/* The extremes are the worst cases. */
-	node->rate = 0.99 + 0.01 * (double)world_random(world, 3);
+	node->rate = world_percent(world, 50) ? 0.99 : 1.01;
 	node->wall_error = world_percent(world, 50) ? MS(-25) : MS(25);
 	wall = world->now + node->wall_error;
 	node->incarnation = MAX(node->incarnation + 1,
@@ -540,7 +541,7 @@
 	}
 	if (!model->chaos)
 		node->wanted = is_serving(node) ? model->world.cap : 0;
-	else if (world_random(&model->world, 100) == 0)
+	else if (world_random(&model->world, model->demand_interval) == 0)
 		node->wanted =
 		    (uint32_t)world_random(&model->world, model->world.cap + 2);
 	dispatch(model, node);
@@ -614,21 +615,28 @@
 	uint64_t to = world_random(world, WORLD_PLACES);
 	usec_t until = world->now + length;
 
-	switch (world_random(world, 7)) {
+	switch (world_random(world, 8)) {
 	case 0:
-	case 1:
 		world->cut_until[from][to] = until;
 		return;
+	case 1:
+		for (int i = 0; i < WORLD_NODES; i++)
+			world->cut_until[from][i] = until;
+		return;
 	case 2:
-		world->platform_cut_until[from % WORLD_NODES] = until;
+		for (int i = 0; i < WORLD_NODES; i++)
+			world->cut_until[i][to] = until;
 		return;
 	case 3:
-		world->down_until = until;
+		world->platform_cut_until[from % WORLD_NODES] = until;
 		return;
 	case 4:
-		world->platform_slow_until = until;
+		world->down_until = until;
 		return;
 	case 5:
+		world->platform_slow_until = until;
+		return;
+	case 6:
 		world->lose_answers_until = until;
 		return;
 	default:
@@ -723,7 +731,11 @@
 	printf("seed %llu\n", (unsigned long long)seed);
 	world_init(&model->world, seed, caps[seed % 3], &callbacks);
 	model->longest = MS(deadlines[seed / 3 % 4]);
-	model->world.full_percent = seed % 2 == 0 ? 70 : 5;
+	/* Long requests hold a slot all the time, or about half of it, so that
+	 * some begin at the very end of a loan. */
+	model->world.full_odds =
+	    seed % 2 == 0 ? 7000 : (uint32_t)(10000 * MS(15) / model->longest);
+	model->demand_interval = (uint64_t)(100 + model->longest / MS(5));
 	model->fault_interval = intervals[seed / 12 % 2];
 	model->chaos = true;
 	for (int i = 0; i < WORLD_NODES; i++) {
