--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -149,26 +149,27 @@
 
 /* Every node in turn gives up what is in excess, until none has any. */
 static assignment_t *
-settle(assignment_t *assignment, planner_input_t *input, int *rounds)
+settle(assignment_t *assignment, const planner_input_t *fleet, int *rounds)
 {
 	static const char *names[] = {"a", "b", "c", "d", "e", "f"};
 	size_t idle = 0;
 
-	for (*rounds = 0; idle < input->node_count; (*rounds)++) {
+	for (*rounds = 0; idle < fleet->node_count; (*rounds)++) {
+		planner_input_t input = *fleet;
 		name_t releasable;
 		const char *excess;
 		assignment_t *next;
 
 		assert_true(*rounds < 1000);
-		snprintf(input->self, NAME_SIZE, "%s",
-		    names[(size_t)*rounds % input->node_count]);
-		excess = planner_excess_service(assignment, input);
+		snprintf(input.self, NAME_SIZE, "%s",
+		    names[(size_t)*rounds % input.node_count]);
+		excess = planner_excess_service(assignment, &input);
 		if (excess != NULL)
 			snprintf(releasable, NAME_SIZE, "%s", excess);
-		input->releasable = &releasable;
-		input->releasable_count = excess != NULL;
-		input->release_units = planner_excess_units(assignment, input);
-		next = planner_plan(assignment, input);
+		input.releasable = &releasable;
+		input.releasable_count = excess != NULL;
+		input.release_units = planner_excess_units(assignment, &input);
+		next = planner_plan(assignment, &input);
 		idle = next == NULL ? idle + 1 : 0;
 		if (next != NULL) {
 			assignment_destroy(assignment);
