Name allowance units as bits in the assignment

Cause: units were counted, so their numbers shifted when another member's count changed; a node that had not adopted the new version then used integer parts of units that another node already owned. Change: the assignment carries each member's units as bits, the planner gives and releases single units, and a check refuses a unit held twice.

--- a/include/bulrushwell/assignment.h
+++ b/include/bulrushwell/assignment.h
@@ -12,9 +12,9 @@
  *
  * JSON: {"cell", "token", "members": [{"node", "incarnation", "units"}],
  * "services": [{"service", "slots", "connections", "holders": [{"node",
- * "incarnation", "slots", "connections"}]}]}. Incarnations are decimal text,
- * since JSON numbers lose 64-bit precision. The first holder is the serving
- * node, the next the standby.
+ * "incarnation", "slots", "connections"}]}]}. Incarnations and units are
+ * decimal text, since JSON numbers lose 64-bit precision. The first holder is
+ * the serving node, the next the standby.
  */
 #define ASSIGNMENT_MAX_HOLDERS 4
 #define ASSIGNMENT_UNITS 64 /* parts of each contract's allowance */
@@ -40,7 +40,7 @@
 typedef struct {
 	name_t node;
 	uint64_t incarnation;
-	uint32_t units;
+	uint64_t units; /* one bit for each unit */
 } assigned_member_t;
 
 /** typedef assignment_t - One version; members and services sorted by name. */
@@ -85,7 +85,11 @@
 holder_t *assignment_find_holder(
     assigned_service_t *service, const char *node, uint64_t incarnation);
 
-/** assignment_units() - Units held by one incarnation. */
+/** assignment_unit_bits() - The units held by one incarnation, as bits. */
+uint64_t assignment_unit_bits(
+    const assignment_t *assignment, const char *node, uint64_t incarnation);
+
+/** assignment_units() - The number of units held by one incarnation. */
 uint32_t assignment_units(
     const assignment_t *assignment, const char *node, uint64_t incarnation);
 
--- a/include/bulrushwell/planner.h
+++ b/include/bulrushwell/planner.h
@@ -25,7 +25,7 @@
 /**
  * struct planner_input - Everything that a plan depends on.
  * @releasable: names of services whose share this node may give up now
- * @release_units: units that this node has already stopped using
+ * @release_units: units (bits) that this node has already stopped using
  * @stopping: this node is stopping and gives up what is releasable
  *
  * An earlier incarnation of a listed node is gone as well.
@@ -41,7 +41,7 @@
 	size_t service_count;
 	const name_t *releasable;
 	size_t releasable_count;
-	uint32_t release_units;
+	uint64_t release_units;
 } planner_input_t;
 
 /**
@@ -66,7 +66,7 @@
  * planner_excess_units() - Units above this node's even part that it should
  * stop using and release, so that live members without units get some.
  */
-uint32_t planner_excess_units(
+uint64_t planner_excess_units(
     const assignment_t *current, const planner_input_t *input);
 
 /**
--- a/source/assignment/assignment.c
+++ b/source/assignment/assignment.c
@@ -117,8 +117,8 @@
 	return NULL;
 }
 
-uint32_t
-assignment_units(
+uint64_t
+assignment_unit_bits(
     const assignment_t *assignment, const char *node, uint64_t incarnation)
 {
 	for (uint32_t i = 0; i < assignment->member_count; i++) {
@@ -131,6 +131,14 @@
 	return 0;
 }
 
+uint32_t
+assignment_units(
+    const assignment_t *assignment, const char *node, uint64_t incarnation)
+{
+	return (uint32_t)__builtin_popcountll(
+	    assignment_unit_bits(assignment, node, incarnation));
+}
+
 static int
 compare_members(const assigned_member_t *a, const assigned_member_t *b)
 {
@@ -158,12 +166,12 @@
 			return refuse(why, why_size,
 			    "member %s is listed twice or out of order",
 			    member->node);
-		units += member->units;
+		if ((units & member->units) != 0)
+			return refuse(why, why_size,
+			    "member %s holds units of another member",
+			    member->node);
+		units |= member->units;
 	}
-	if (units > ASSIGNMENT_UNITS)
-		return refuse(why, why_size,
-		    "members hold %" PRIu64 " of %d units", units,
-		    ASSIGNMENT_UNITS);
 	return 0;
 }
 
--- a/source/assignment/assignment_json.c
+++ b/source/assignment/assignment_json.c
@@ -77,17 +77,27 @@
 }
 
 static uint64_t
-read_incarnation(parse_t *parse, const json_t *object)
+read_decimal(parse_t *parse, const json_t *object, const char *key)
 {
-	const char *text = read_text(parse, object, "incarnation");
+	const char *text = read_text(parse, object, key);
 	char again[INCARNATION_TEXT];
 	uint64_t value = strtoull(text, NULL, 10);
 
 	/* Printing it again refuses signs, spaces, leading zeros and numbers
 	 * above 64 bits, which strtoull() accepts. */
 	snprintf(again, sizeof(again), "%" PRIu64, value);
-	if (value == 0 || strcmp(text, again) != 0)
-		refuse(parse, "incarnation", "expected a decimal number");
+	if (strcmp(text, again) != 0)
+		refuse(parse, key, "expected a decimal number in a string");
+	return value;
+}
+
+static uint64_t
+read_incarnation(parse_t *parse, const json_t *object)
+{
+	uint64_t value = read_decimal(parse, object, "incarnation");
+
+	if (value == 0)
+		refuse(parse, "incarnation", "0 is no incarnation");
 	return value;
 }
 
@@ -113,7 +123,7 @@
 	check_object(parse, object, "members", 3);
 	read_name(parse, object, "node", member->node);
 	member->incarnation = read_incarnation(parse, object);
-	member->units = read_count(parse, object, "units", 0);
+	member->units = read_decimal(parse, object, "units");
 }
 
 static void
@@ -205,27 +215,27 @@
 }
 
 static json_t *
-print_incarnation(uint64_t incarnation)
+print_decimal(uint64_t value)
 {
 	char text[INCARNATION_TEXT];
 
-	snprintf(text, sizeof(text), "%" PRIu64, incarnation);
+	snprintf(text, sizeof(text), "%" PRIu64, value);
 	return json_string(text);
 }
 
 static json_t *
 print_member(const assigned_member_t *member)
 {
-	return json_pack("{s:s, s:o, s:I}", "node", member->node, "incarnation",
-	    print_incarnation(member->incarnation), "units",
-	    (json_int_t)member->units);
+	return json_pack("{s:s, s:o, s:o}", "node", member->node, "incarnation",
+	    print_decimal(member->incarnation), "units",
+	    print_decimal(member->units));
 }
 
 static json_t *
 print_holder(const holder_t *holder)
 {
 	return json_pack("{s:s, s:o, s:I, s:I}", "node", holder->node,
-	    "incarnation", print_incarnation(holder->incarnation), "slots",
+	    "incarnation", print_decimal(holder->incarnation), "slots",
 	    (json_int_t)holder->slots, "connections",
 	    (json_int_t)holder->connections);
 }
--- a/source/assignment/planner.c
+++ b/source/assignment/planner.c
@@ -52,10 +52,10 @@
 	return &draft->members[at];
 }
 
-static uint32_t
+static uint64_t
 drop_members(assignment_t *draft, const planner_input_t *input)
 {
-	uint32_t held = 0;
+	uint64_t held = 0;
 
 	for (uint32_t i = draft->member_count; i-- > 0;) {
 		assigned_member_t *member = &draft->members[i];
@@ -63,9 +63,8 @@
 		if (view_is_gone(input, member->node, member->incarnation))
 			member->units = 0;
 		else if (is_self(input, member->node, member->incarnation))
-			member->units -=
-			    MIN(member->units, input->release_units);
-		held += member->units;
+			member->units &= ~input->release_units;
+		held |= member->units;
 		if (member->units == 0)
 			remove_member(draft, i);
 	}
@@ -106,18 +105,21 @@
 static void
 plan_units(assignment_t *draft, const planner_input_t *input)
 {
-	uint32_t held = drop_members(draft, input);
+	uint64_t held = drop_members(draft, input);
 
-	for (; held < ASSIGNMENT_UNITS; held++) {
+	for (int unit = 0; unit < ASSIGNMENT_UNITS; unit++) {
 		const planner_node_t *node = fewest_units(draft, input);
+		uint64_t bit = (uint64_t)1 << unit;
 		assigned_member_t *member;
 
+		if ((held & bit) != 0)
+			continue;
 		if (node == NULL)
 			return;
 		member = find_or_add_member(draft, node);
 		if (member == NULL)
 			return;
-		member->units++;
+		member->units |= bit;
 	}
 }
 
@@ -447,16 +449,30 @@
 	return rank * MS(PLANNER_STEP_MS);
 }
 
-uint32_t
+/* The highest @count of the units in @bits. */
+static uint64_t
+highest_units(uint64_t bits, uint32_t count)
+{
+	uint32_t keep = (uint32_t)__builtin_popcountll(bits) - count;
+
+	for (; keep > 0; keep--)
+		bits &= bits - 1;
+	return bits;
+}
+
+uint64_t
 planner_excess_units(const assignment_t *current, const planner_input_t *input)
 {
 	uint32_t units, usable = 0, most, fewest = ASSIGNMENT_UNITS;
+	uint64_t bits;
 
 	if (current == NULL)
 		return 0;
-	units = assignment_units(current, input->self, input->self_incarnation);
+	bits =
+	    assignment_unit_bits(current, input->self, input->self_incarnation);
+	units = (uint32_t)__builtin_popcountll(bits);
 	if (input->stopping)
-		return units;
+		return bits;
 	for (size_t i = 0; i < input->node_count; i++) {
 		const planner_node_t *node = &input->nodes[i];
 
@@ -469,7 +485,7 @@
 	if (usable < 2 || fewest >= ASSIGNMENT_UNITS / usable)
 		return 0;
 	most = (ASSIGNMENT_UNITS + usable - 1) / usable;
-	return units > most ? units - most : 0;
+	return units > most ? highest_units(bits, units - most) : 0;
 }
 
 /* Whether moving this node's share of a service to the node that would get it
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -127,61 +127,30 @@
 		offer_release(node, basis->releasable, excess, now);
 }
 
-static uint32_t
+static uint64_t
 own_units(const node_t *node)
 {
 	if (node->board.assignment == NULL)
 		return 0;
-	return assignment_units(node->board.assignment,
+	return assignment_unit_bits(node->board.assignment,
 	    node->board.settings.node, node->board.incarnation);
 }
 
-/* Units are numbered through the members in their order. */
-static uint32_t
-first_own_unit(const node_t *node)
-{
-	const assignment_t *assignment = node->board.assignment;
-	uint32_t first = 0;
-
-	for (uint32_t i = 0; i < assignment->member_count; i++) {
-		const assigned_member_t *member = &assignment->members[i];
-
-		if (member->incarnation == node->board.incarnation &&
-		    strcmp(member->node, node->board.settings.node) == 0)
-			break;
-		first += member->units;
-	}
-	return first;
-}
-
-/* Stops using the last @count of this node's units. */
-static void
-close_units(node_t *node, uint32_t count)
-{
-	uint32_t last = first_own_unit(node) + own_units(node);
-
-	allowance_close_units(
-	    node->board.allowance, allowance_unit_range(last - count, count));
-}
-
 /* Units are closed first and released when nothing of them can be in use. */
-static uint32_t
+static uint64_t
 units_to_release(node_t *node, const plan_basis_t *basis, usec_t now)
 {
-	uint32_t excess = node->board.state == NODE_STATE_STOPPING
-	    ? own_units(node)
-	    : planner_excess_units(node->board.assignment, &basis->input);
+	bool stopping = node->board.state == NODE_STATE_STOPPING;
+	uint64_t excess =
+	    planner_excess_units(node->board.assignment, &basis->input);
 	usec_t wait = MS(LOAN_MS) + blackboard_longest(&node->board, now) +
-	    MS(DRIFT_MARGIN_MS);
+	    2 * MS(DRIFT_MARGIN_MS);
 
-	if (node->board.assignment == NULL || excess == 0 ||
-	    (node->board.state == NODE_STATE_STOPPING &&
-		table_count(node->requests) > 0)) {
-		node->units_closed_at = 0;
-		return 0;
-	}
-	if (node->units_closed_at == 0 || node->units_closing != excess) {
-		close_units(node, excess);
+	/* A stopping node needs its units until its last request has ended. */
+	if (stopping && table_count(node->requests) > 0)
+		excess = 0;
+	if (excess != node->units_closing) {
+		allowance_close_units(node->board.allowance, excess);
 		node->units_closing = excess;
 		node->units_closed_at = now;
 	}
@@ -341,9 +310,8 @@
 	else if (node->units_usable_at == 0)
 		node->units_usable_at =
 		    now + MS(LOAN_MS) + 2 * MS(DRIFT_MARGIN_MS) + longest;
-	allowance_set_units(node->board.allowance,
-	    allowance_unit_range(first_own_unit(node), own_units(node)),
-	    longest, now);
+	allowance_set_units(
+	    node->board.allowance, own_units(node), longest, now);
 }
 
 void
@@ -354,7 +322,6 @@
 	adopt_shares(node, longest, now);
 	adopt_units(node, longest, now);
 	node->wanted_since = 0;
-	node->units_closed_at = 0;
 }
 
 bool
--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -120,7 +120,8 @@
 	slice_t bytes = http_response_body(response);
 	attempt_outcome_t outcome = {
 	    .result = read_result(attempt, result, response),
-	    .http_status = http_response_status(response),
+	    .http_status =
+		result == HTTP_ANSWERED ? http_response_status(response) : 0,
 	    .announced_drain =
 		http_response_header(response, "X-Draining") != NULL,
 	    .reused = http_response_reused(response),
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -103,11 +103,11 @@
 
 	/* assignment */
 	bool write_running;
-	usec_t wanted_since; /* when a plan was first wanted; 0: none */
-	uint32_t units_closing;
+	usec_t wanted_since;	/* when a plan was first wanted; 0: none */
+	uint64_t units_closing; /* units that are being given up */
 	usec_t units_usable_at; /* 0: this node owns no units */
 	usec_t started_at;
-	usec_t units_closed_at; /* 0: no units are being given up */
+	usec_t units_closed_at;
 
 	/* stopping */
 	usec_t stop_at;
