Add assignment, planner, ledger and membership

The serving tier needs its pure decision modules: the assignment document, legal changes to it, shares and loans of slots, and evidence about peers.

A start before this node's own is no proof when only this node's process was restarted. - A later incarnation on another VM at another address replaces a peer only after the earlier one is proven gone (BW_E_CONFLICT until then).

--- a/include/bulrushwell/membership.h
+++ b/include/bulrushwell/membership.h
@@ -19,6 +19,13 @@
 #define LONE_MS 3000  /* without platform and peers the node is isolated */
 #define MEMBERSHIP_MAX_PEERS 64
 
+/**
+ * VM_LIST_LAG_MS - After this long, the VM list and the peers that were added
+ * are taken to name every process that has started. Only used to prove gone
+ * what no list ever named or no message ever came from.
+ */
+#define VM_LIST_LAG_MS 60000
+
 typedef enum {
 	NODE_STATE_STARTING,
 	NODE_STATE_READY,
@@ -84,15 +91,26 @@
     const char *node, const char *vm, uint64_t incarnation, usec_t now);
 void membership_destroy(membership_t *membership);
 
-/** membership_add() - Lists a peer; an address change reconnects. */
+/**
+ * membership_add() - Lists a peer; an address change reconnects.
+ * @vm, @data_centre: empty or NULL when unknown
+ *
+ * The node itself is ignored. What a peer reports of itself is not replaced
+ * while its incarnation is not proven gone.
+ *
+ * Return: 0, BW_E_INVALID or BW_E_FULL.
+ */
 int membership_add(membership_t *membership, const char *node, const char *vm,
     const char *data_centre, const char *address, usec_t now);
 
 /**
  * membership_receive() - A heartbeat arrived.
  *
- * Return: 0, BW_E_UNAUTHORISED for an unlisted peer when @authenticated is
- * false, BW_E_STALE for an earlier incarnation, or BW_E_FULL.
+ * Return: 0, BW_E_INVALID for a malformed report, BW_E_UNAUTHORISED for an
+ * unlisted peer when @authenticated is false, BW_E_STALE for an earlier
+ * incarnation or one that is proven gone, BW_E_CONFLICT when another VM at
+ * another address uses the name of a peer that is not proven gone or of this
+ * node, or BW_E_FULL.
  */
 int membership_receive(membership_t *membership, const peer_report_t *report,
     bool authenticated, usec_t now);
@@ -119,8 +137,10 @@
  *
  * A peer's VM that is listed as gone, or is not listed although it was before,
  * proves the peer gone. So does its absence when the list names this node's
- * own VM and the peer started earlier: the list has caught up with a later
- * start.
+ * own VM and the peer started VM_LIST_LAG_MS ago: an earlier start than this
+ * node's is no proof, since a list that lags may be older than the peer's VM
+ * when only the process of this node was restarted. Incarnations tell when a
+ * process started. An empty list is ignored.
  */
 void membership_set_vms(
     membership_t *membership, const vm_entry_t *vms, size_t count, usec_t now);
@@ -143,7 +163,8 @@
 
 /**
  * membership_is_gone() - Whether an incarnation of a node is proven gone; true
- * for incarnations earlier than the latest one heard at its address.
+ * for incarnations earlier than the latest one heard at its address, and for
+ * those of a listed peer that was never heard whose VM is proven gone.
  */
 bool membership_is_gone(
     const membership_t *membership, const char *node, uint64_t incarnation);
--- a/include/bulrushwell/planner.h
+++ b/include/bulrushwell/planner.h
@@ -24,7 +24,8 @@
 
 /**
  * struct planner_input - Everything that a plan depends on.
- * @releasable: names of services whose share this node may give up now
+ * @releasable: names of services whose share this node may give up now, by
+ * ledger_may_release(); a plan always gives them up
  * @release_units: units that this node has already stopped using
  * @stopping: this node is stopping and gives up what is releasable
  *
@@ -48,8 +49,10 @@
  * planner_plan() - The next version that this node wants.
  * @current: the assignment in force, or NULL when none exists
  *
- * Makes only legal changes: adds holders with free shares, reorders, drops
- * holders that are gone, and reduces shares and units of this node itself.
+ * Makes only legal changes: adds holders with free shares, adds a free share to
+ * a holder when two are live, reorders, drops holders that are gone, and drops
+ * shares and units of this node itself. The draft has neither version nor
+ * token.
  *
  * Return: a draft owned by the caller, or NULL when nothing is to change.
  */
@@ -72,7 +75,8 @@
 /**
  * planner_excess_service() - A service whose share this node should give up
  * because it holds more shares than its even part while another live ready node
- * holds fewer; NULL when balanced. Changes of less than two are ignored.
+ * holds fewer; NULL when balanced. Changes of less than two are ignored, and so
+ * are those that would leave both holders in one data centre.
  */
 const char *planner_excess_service(
     const assignment_t *current, const planner_input_t *input);
--- /dev/null
+++ b/source/membership/membership.c
@@ -0,0 +1,471 @@
+#include "bulrushwell/membership.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+
+#define SENDS_KEPT 8 /* heartbeats whose answer is still accepted */
+
+/* The low bits of an incarnation are random, the others the wall clock in ms at
+ * which the process started. */
+#define INCARNATION_RANDOM_BITS 20
+
+typedef struct {
+	peer_t peer;	     /* first, so that membership_at() can cast */
+	uint64_t gone_below; /* earlier incarnations are proven gone */
+	usec_t vm_since;     /* when this VM was first named for the peer */
+	bool vm_listed;	     /* by membership_add(), not by the peer itself */
+	usec_t next_heartbeat;
+	uint64_t sent[SENDS_KEPT];
+	usec_t sent_at[SENDS_KEPT];
+	uint32_t sends;
+} entry_t;
+
+struct membership {
+	name_t node;
+	name_t vm;
+	uint64_t incarnation;
+	usec_t created_at;
+	usec_t ticked_at;
+	usec_t silence_from; /* no peer is found silent before */
+	usec_t platform_heard_at;
+	usec_t peer_heard_at;
+	size_t count;
+	entry_t entries[MEMBERSHIP_MAX_PEERS];
+	GQueue *actions;
+};
+
+membership_t *
+membership_create(
+    const char *node, const char *vm, uint64_t incarnation, usec_t now)
+{
+	membership_t *membership = g_new0(membership_t, 1);
+
+	g_strlcpy(membership->node, node, sizeof(membership->node));
+	g_strlcpy(membership->vm, vm, sizeof(membership->vm));
+	membership->incarnation = incarnation;
+	membership->created_at = now;
+	membership->ticked_at = now;
+	membership->actions = g_queue_new();
+	return membership;
+}
+
+void
+membership_destroy(membership_t *membership)
+{
+	if (membership == NULL)
+		return;
+	g_queue_free_full(membership->actions, g_free);
+	g_free(membership);
+}
+
+static entry_t *
+find_entry(const membership_t *membership, const char *node)
+{
+	for (size_t i = 0; i < membership->count; i++)
+		if (strcmp(membership->entries[i].peer.node, node) == 0)
+			return (entry_t *)&membership->entries[i];
+	return NULL;
+}
+
+static membership_action_t *
+push_action(membership_t *membership, int kind, const entry_t *entry)
+{
+	membership_action_t *action = g_new0(membership_action_t, 1);
+
+	action->kind = kind;
+	g_strlcpy(action->node, entry->peer.node, sizeof(action->node));
+	action->incarnation = entry->peer.incarnation;
+	g_queue_push_tail(membership->actions, action);
+	return action;
+}
+
+/* A new entry; a full table gives up an unlisted peer that is gone. */
+static entry_t *
+add_entry(membership_t *membership, const char *node)
+{
+	entry_t *entry = NULL;
+
+	if (membership->count < MEMBERSHIP_MAX_PEERS)
+		entry = &membership->entries[membership->count++];
+	for (size_t i = 0; entry == NULL && i < membership->count; i++)
+		if (membership->entries[i].peer.gone &&
+		    !membership->entries[i].peer.listed)
+			entry = &membership->entries[i];
+	if (entry == NULL)
+		return NULL;
+	memset(entry, 0, sizeof(*entry));
+	g_strlcpy(entry->peer.node, node, sizeof(entry->peer.node));
+	return entry;
+}
+
+static bool
+is_optional_name(const char *text)
+{
+	name_t name;
+
+	return text == NULL || text[0] == '\0' || name_set(name, text) == 0;
+}
+
+static void
+set_address(membership_t *membership, entry_t *entry, const char *address)
+{
+	if (strcmp(entry->peer.address, address) == 0)
+		return;
+	g_strlcpy(entry->peer.address, address, sizeof(entry->peer.address));
+	push_action(membership, MEMBERSHIP_CONNECT, entry);
+}
+
+static void
+set_vm(entry_t *entry, const char *vm, usec_t now)
+{
+	if (strcmp(entry->peer.vm, vm) == 0)
+		return;
+	g_strlcpy(entry->peer.vm, vm, sizeof(entry->peer.vm));
+	entry->peer.vm_seen = false;
+	entry->vm_since = now;
+}
+
+int
+membership_add(membership_t *membership, const char *node, const char *vm,
+    const char *data_centre, const char *address, usec_t now)
+{
+	entry_t *entry = find_entry(membership, node);
+	address_t checked;
+	name_t name;
+
+	if (name_set(name, node) != 0 || !is_optional_name(vm) ||
+	    !is_optional_name(data_centre) ||
+	    address_set(checked, address) != 0)
+		return BW_E_INVALID;
+	if (strcmp(node, membership->node) == 0)
+		return 0;
+	if (entry == NULL)
+		entry = add_entry(membership, node);
+	if (entry == NULL)
+		return BW_E_FULL;
+	entry->peer.listed = true;
+	/* What the peer itself reports is newer than any list. */
+	if (entry->peer.incarnation != 0 && !entry->peer.gone)
+		return 0;
+	if (vm != NULL && vm[0] != '\0') {
+		set_vm(entry, vm, now);
+		entry->vm_listed = true;
+	}
+	if (data_centre != NULL && data_centre[0] != '\0')
+		g_strlcpy(entry->peer.data_centre, data_centre,
+		    sizeof(entry->peer.data_centre));
+	set_address(membership, entry, checked);
+	return 0;
+}
+
+static void
+hear(membership_t *membership, entry_t *entry, usec_t now)
+{
+	entry->peer.heard_at = now;
+	membership->peer_heard_at = now;
+	if (entry->peer.live)
+		return;
+	entry->peer.live = true;
+	push_action(membership, MEMBERSHIP_UP, entry);
+}
+
+/* Whether a process that reports itself as a later incarnation proves the known
+ * one gone: it answers at the same address or on the same VM, which runs one
+ * daemon. Two VMs with one node name are a mistake; the second waits until the
+ * first is proven gone. */
+static bool
+replaces(const entry_t *entry, const peer_report_t *report)
+{
+	return entry->peer.incarnation == 0 || entry->peer.gone ||
+	    strcmp(entry->peer.address, report->address) == 0 ||
+	    strcmp(entry->peer.vm, report->vm) == 0;
+}
+
+static void
+begin_incarnation(
+    membership_t *membership, entry_t *entry, uint64_t incarnation)
+{
+	bool replaced = entry->peer.incarnation != 0;
+
+	entry->peer.incarnation = incarnation;
+	entry->gone_below = MAX(entry->gone_below, incarnation);
+	entry->peer.gone = false;
+	entry->peer.live = false;
+	entry->sends = 0;
+	if (replaced)
+		push_action(membership, MEMBERSHIP_REPLACED, entry);
+}
+
+static int
+check_report(const peer_report_t *report)
+{
+	name_t name;
+	address_t address;
+
+	if (name_set(name, report->node) != 0 || report->incarnation == 0 ||
+	    name_set(name, report->vm) != 0 ||
+	    !is_optional_name(report->data_centre) ||
+	    address_set(address, report->address) != 0)
+		return BW_E_INVALID;
+	return 0;
+}
+
+static void
+store_report(membership_t *membership, entry_t *entry,
+    const peer_report_t *report, usec_t now)
+{
+	peer_t *peer = &entry->peer;
+
+	set_vm(entry, report->vm, now);
+	entry->vm_listed = false;
+	set_address(membership, entry, report->address);
+	g_strlcpy(
+	    peer->data_centre, report->data_centre, sizeof(peer->data_centre));
+	peer->state = report->state;
+	peer->assignment_version = report->assignment_version;
+	peer->contracts_digest = report->contracts_digest;
+	if (report->platform_age_ms >= 0 &&
+	    report->platform_age_ms <= now / USEC_PER_MS)
+		peer->platform_heard_at = MAX(
+		    peer->platform_heard_at, now - MS(report->platform_age_ms));
+	hear(membership, entry, now);
+}
+
+int
+membership_receive(membership_t *membership, const peer_report_t *report,
+    bool authenticated, usec_t now)
+{
+	entry_t *entry = find_entry(membership, report->node);
+
+	if (check_report(report) != 0)
+		return BW_E_INVALID;
+	if (strcmp(report->node, membership->node) == 0)
+		return BW_E_CONFLICT;
+	if (!authenticated && (entry == NULL || !entry->peer.listed))
+		return BW_E_UNAUTHORISED;
+	if (entry == NULL)
+		entry = add_entry(membership, report->node);
+	if (entry == NULL)
+		return BW_E_FULL;
+	if (report->incarnation < entry->gone_below ||
+	    report->incarnation < entry->peer.incarnation)
+		return BW_E_STALE;
+	if (report->incarnation > entry->peer.incarnation) {
+		if (!replaces(entry, report))
+			return BW_E_CONFLICT;
+		begin_incarnation(membership, entry, report->incarnation);
+	}
+	store_report(membership, entry, report, now);
+	return 0;
+}
+
+int
+membership_check_sender(membership_t *membership, const char *node,
+    uint64_t incarnation, usec_t now)
+{
+	entry_t *entry = find_entry(membership, node);
+
+	if (entry == NULL || incarnation > entry->peer.incarnation)
+		return BW_E_UNAUTHORISED;
+	if (incarnation < entry->peer.incarnation || entry->peer.gone)
+		return BW_E_STALE;
+	hear(membership, entry, now);
+	return 0;
+}
+
+int
+membership_receive_reply(membership_t *membership, const char *node,
+    uint64_t incarnation, uint64_t sequence, usec_t now, usec_t *asked_at)
+{
+	entry_t *entry = find_entry(membership, node);
+	int error = membership_check_sender(membership, node, incarnation, now);
+
+	if (error != 0)
+		return error;
+	for (uint32_t i = 0; i < SENDS_KEPT && i < entry->sends; i++) {
+		if (entry->sent[i] != sequence)
+			continue;
+		*asked_at = entry->sent_at[i];
+		entry->peer.round_trip = now - entry->sent_at[i];
+		return 0;
+	}
+	return BW_E_STALE;
+}
+
+static void
+mark_gone(membership_t *membership, entry_t *entry, usec_t now)
+{
+	if (entry->peer.gone || entry->peer.incarnation == 0)
+		return;
+	entry->gone_below = entry->peer.incarnation + 1;
+	entry->peer.gone = true;
+	entry->peer.live = false;
+	entry->vm_since = now;
+	push_action(membership, MEMBERSHIP_GONE, entry);
+}
+
+/* The earliest incarnation that a VM may have which is too young to be on the
+ * list that was read now. */
+static uint64_t
+youngest_listed(const membership_t *membership, usec_t now)
+{
+	uint64_t started_ms =
+	    membership->incarnation >> INCARNATION_RANDOM_BITS;
+	uint64_t now_ms = started_ms +
+	    (uint64_t)((now - membership->created_at) / USEC_PER_MS);
+
+	if (now_ms <= VM_LIST_LAG_MS)
+		return 0;
+	return (now_ms - VM_LIST_LAG_MS) << INCARNATION_RANDOM_BITS;
+}
+
+static const vm_entry_t *
+find_vm(const vm_entry_t *vms, size_t count, const char *vm)
+{
+	for (size_t i = 0; i < count; i++)
+		if (strcmp(vms[i].vm, vm) == 0)
+			return &vms[i];
+	return NULL;
+}
+
+static void
+judge_peer(membership_t *membership, entry_t *entry, const vm_entry_t *found,
+    uint64_t youngest, usec_t now)
+{
+	bool was_seen = entry->peer.vm_seen;
+
+	if (entry->peer.vm[0] == '\0')
+		return;
+	if (found != NULL && found->state != VM_GONE) {
+		entry->peer.vm_seen = true;
+		return;
+	}
+	if (found != NULL || was_seen || entry->peer.incarnation < youngest)
+		mark_gone(membership, entry, now);
+	/* Incarnations that were never heard are judged by the listed VM, once
+	 * the list of peers and the VM list must both have caught up with them.
+	 * The VM of an earlier incarnation says nothing of a later one. */
+	if (entry->vm_listed && now - entry->vm_since >= MS(VM_LIST_LAG_MS))
+		entry->gone_below = MAX(entry->gone_below, youngest);
+}
+
+void
+membership_set_vms(
+    membership_t *membership, const vm_entry_t *vms, size_t count, usec_t now)
+{
+	const vm_entry_t *own = find_vm(vms, count, membership->vm);
+	uint64_t youngest = 0;
+
+	/* This node runs on a VM, so an empty list is not a true one. */
+	if (count == 0)
+		return;
+	if (own != NULL && own->state != VM_GONE)
+		youngest = youngest_listed(membership, now);
+	for (size_t i = 0; i < membership->count; i++) {
+		entry_t *entry = &membership->entries[i];
+
+		judge_peer(membership, entry,
+		    find_vm(vms, count, entry->peer.vm), youngest, now);
+	}
+}
+
+void
+membership_platform_heard(membership_t *membership, usec_t now)
+{
+	membership->platform_heard_at = now;
+}
+
+/* The first sequence is the own incarnation: an answer to a heartbeat of an
+ * earlier process of this node then never matches one of this process. */
+static void
+send_heartbeat(membership_t *membership, entry_t *entry, usec_t now)
+{
+	uint32_t place = entry->sends++ % SENDS_KEPT;
+	membership_action_t *action;
+
+	if (entry->peer.sequence == 0)
+		entry->peer.sequence = membership->incarnation;
+	entry->peer.sequence++;
+	entry->peer.sequence_at = now;
+	entry->sent[place] = entry->peer.sequence;
+	entry->sent_at[place] = now;
+	entry->next_heartbeat = now + MS(HEARTBEAT_MS);
+	action = push_action(membership, MEMBERSHIP_SEND_HEARTBEAT, entry);
+	action->sequence = entry->peer.sequence;
+}
+
+void
+membership_tick(membership_t *membership, usec_t now)
+{
+	/* After a pause the messages of the peers still wait to be read. */
+	if (now - membership->ticked_at >= MS(SILENT_MS))
+		membership->silence_from = now + MS(HEARTBEAT_MS);
+	membership->ticked_at = now;
+	for (size_t i = 0; i < membership->count; i++) {
+		entry_t *entry = &membership->entries[i];
+		peer_t *peer = &entry->peer;
+
+		if (peer->live && now - peer->heard_at >= MS(SILENT_MS) &&
+		    now >= membership->silence_from) {
+			peer->live = false;
+			push_action(membership, MEMBERSHIP_SILENT, entry);
+		}
+		if (now >= entry->next_heartbeat)
+			send_heartbeat(membership, entry, now);
+	}
+}
+
+bool
+membership_next_action(membership_t *membership, membership_action_t *action)
+{
+	membership_action_t *next = g_queue_pop_head(membership->actions);
+
+	if (next == NULL)
+		return false;
+	*action = *next;
+	g_free(next);
+	return true;
+}
+
+const peer_t *
+membership_find(const membership_t *membership, const char *node)
+{
+	const entry_t *entry = find_entry(membership, node);
+
+	return entry != NULL ? &entry->peer : NULL;
+}
+
+size_t
+membership_count(const membership_t *membership)
+{
+	return membership->count;
+}
+
+const peer_t *
+membership_at(const membership_t *membership, size_t position)
+{
+	return &membership->entries[position].peer;
+}
+
+bool
+membership_is_isolated(const membership_t *membership, usec_t now)
+{
+	usec_t heard = MAX(membership->created_at,
+	    MAX(membership->platform_heard_at, membership->peer_heard_at));
+
+	return now - heard >= MS(LONE_MS);
+}
+
+bool
+membership_is_gone(
+    const membership_t *membership, const char *node, uint64_t incarnation)
+{
+	const entry_t *entry = find_entry(membership, node);
+
+	if (strcmp(node, membership->node) == 0)
+		return incarnation < membership->incarnation;
+	return entry != NULL && incarnation < entry->gone_below;
+}
