Add a seeded random model of shares under faults

Four nodes run the real modules on clocks skewed by 1 % against a modelled server, network and platform. Faults: lost, late and cut messages in one direction, pauses (also between check and dispatch), kills, restarts, replaced VMs, planned stops, handovers, the platform down, slow or cut off, lost answers, racing writers and a VM list that lags.

The model fails when more requests run on the server than its cap, when a share is taken from a process that still runs or given up while in use, and when a service is not served at its full cap within a bound after the faults.

--- /dev/null
+++ b/tests/lib/model_nodes.c
@@ -0,0 +1,535 @@
+#include "model_nodes.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "bulrushwell/planner.h"
+
+#define CALL_LIMIT SECONDS(1) /* then the answer counts as lost */
+
+usec_t
+model_local_time(const model_t *model, const node_t *node)
+{
+	return node->offset + (usec_t)((double)model->world.now * node->rate);
+}
+
+static holder_t *
+own_holder(const node_t *node)
+{
+	assigned_service_t *service = node->assignment == NULL
+	    ? NULL
+	    : assignment_find_service(node->assignment, WORLD_SERVICE);
+
+	return service == NULL
+	    ? NULL
+	    : assignment_find_holder(service, node->name, node->incarnation);
+}
+
+bool
+model_is_serving(const node_t *node)
+{
+	assigned_service_t *service = node->assignment == NULL
+	    ? NULL
+	    : assignment_find_service(node->assignment, WORLD_SERVICE);
+
+	return service != NULL && service->holder_count > 0 &&
+	    own_holder(node) == &service->holders[0];
+}
+
+void
+model_start_node(model_t *model, node_t *node)
+{
+	world_t *world = &model->world;
+	usec_t wall;
+	usec_t now;
+
+	node->offset = world_between(world, 0, SECONDS(1000));
+	/* The extremes are the worst cases. */
+	node->rate = world_percent(world, 50) ? 0.99 : 1.01;
+	node->wall_error = world_percent(world, 50) ? MS(-25) : MS(25);
+	wall = world->now + node->wall_error;
+	node->incarnation = MAX(node->incarnation + 1,
+	    (uint64_t)(wall / USEC_PER_MS) << 20 |
+		world_random(world, 1 << 20));
+	now = model_local_time(model, node);
+	node->runs = true;
+	node->paused = false;
+	node->stopping = false;
+	node->ready = false;
+	node->wanted = 0;
+	node->charged = 0;
+	node->held.id = 0;
+	node->call = 0;
+	node->next_read = now;
+	node->next_plan = now;
+	node->wanted_since = 0;
+	node->membership =
+	    membership_create(node->name, node->vm, node->incarnation, now);
+	node->ledger = ledger_create();
+	node->assignment = NULL;
+	node->inbox = g_array_new(FALSE, FALSE, sizeof(message_t));
+	for (int i = 0; i < WORLD_NODES; i++)
+		membership_add(node->membership, model->nodes[i].name, NULL,
+		    NULL, model->nodes[i].address, now);
+}
+
+void
+model_end_node(model_t *model, node_t *node, usec_t restart_after)
+{
+	if (!node->runs)
+		return;
+	node->runs = false;
+	node->restarts_at = model->world.now + restart_after;
+	membership_destroy(node->membership);
+	ledger_destroy(node->ledger);
+	assignment_destroy(node->assignment);
+	g_array_free(node->inbox, TRUE);
+}
+
+/* A new VM keeps the address or gets another. */
+void
+model_replace_vm(model_t *model, node_t *node)
+{
+	if (node->vm_number > 0)
+		world_end_vm(&model->world, node->vm);
+	if (node->vm_number == 0 || world_percent(&model->world, 50))
+		snprintf(node->address, sizeof(node->address), "10.0.%d.%u:700",
+		    node->place, node->vm_number % 250 + 1);
+	node->vm_number++;
+	snprintf(node->vm, sizeof(node->vm), "vm-%d-%u", node->place,
+	    node->vm_number);
+	world_start_vm(&model->world, node->place, node->vm);
+}
+
+static bool
+process_runs(void *context, const char *name, uint64_t incarnation)
+{
+	model_t *model = context;
+
+	for (int i = 0; i < WORLD_NODES; i++)
+		if (strcmp(model->nodes[i].name, name) == 0)
+			return model->nodes[i].runs &&
+			    model->nodes[i].incarnation == incarnation;
+	return false;
+}
+
+static void
+adopt(model_t *model, node_t *node, const operation_t *operation)
+{
+	assignment_t *assignment;
+	holder_t *holder;
+	char why[256];
+
+	if (operation->text == NULL ||
+	    (node->assignment != NULL &&
+		operation->version <= node->assignment->version))
+		return;
+	if (assignment_parse(slice_from(operation->text), operation->version,
+		&assignment, why, sizeof(why)) != 0)
+		fail_msg("adopted version: %s", why);
+	assignment_destroy(node->assignment);
+	node->assignment = assignment;
+	holder = own_holder(node);
+	ledger_set_share(node->ledger, WORLD_SERVICE,
+	    holder == NULL ? 0 : holder->slots, model->longest,
+	    model_local_time(model, node));
+}
+
+/* The platform's node objects carry the current VM and address of a node. */
+static void
+read_nodes(model_t *model, node_t *node, const operation_t *operation)
+{
+	usec_t now = model_local_time(model, node);
+
+	for (int i = 0; i < WORLD_NODES; i++) {
+		const node_t *peer = &model->nodes[i];
+
+		membership_add(node->membership, peer->name, peer->vm,
+		    peer->data_centre, peer->address, now);
+	}
+	membership_set_vms(
+	    node->membership, operation->vms, operation->vm_count, now);
+	membership_platform_heard(node->membership, now);
+}
+
+static void
+receive_answer(void *context, const operation_t *operation)
+{
+	model_t *model = context;
+	node_t *node = &model->nodes[operation->node];
+
+	if (!node->runs || node->paused || node->call != operation->id ||
+	    node->incarnation != operation->incarnation)
+		return;
+	node->call = 0;
+	adopt(model, node, operation);
+	read_nodes(model, node, operation);
+	node->ready = true;
+}
+
+static void
+call_platform(model_t *model, node_t *node, char *text, uint64_t expected)
+{
+	operation_t operation = {.node = node->place,
+	    .incarnation = node->incarnation,
+	    .id = ++model->calls,
+	    .write = text != NULL,
+	    .text = text,
+	    .expected = expected};
+
+	node->call = operation.id;
+	node->called_at = model_local_time(model, node);
+	world_call(&model->world, &operation);
+}
+
+static void
+receive_heartbeat(model_t *model, node_t *node, const message_t *message)
+{
+	usec_t now = model_local_time(model, node);
+	message_t reply = {.kind = MESSAGE_REPLY,
+	    .from = node->place,
+	    .to = message->from,
+	    .from_incarnation = node->incarnation,
+	    .to_incarnation = message->from_incarnation,
+	    .id = message->id};
+	uint32_t queued = node->wanted > node->charged;
+
+	if (membership_receive(node->membership, &message->report, true, now) !=
+	    0)
+		return;
+	if (message->asks && !node->stopping)
+		reply.slots = ledger_lend(node->ledger, WORLD_SERVICE,
+		    message->report.node, message->report.incarnation,
+		    node->charged, queued, model->longest, now);
+	world_send(&model->world, &reply);
+}
+
+static void
+receive_reply(model_t *model, node_t *node, const message_t *message)
+{
+	const char *lender = model->nodes[message->from].name;
+	usec_t now = model_local_time(model, node);
+	usec_t asked_at;
+
+	if (membership_receive_reply(node->membership, lender,
+		message->from_incarnation, message->id, now, &asked_at) != 0)
+		return;
+	ledger_receive_loan(
+	    node->ledger, WORLD_SERVICE, lender, message->slots, asked_at, now);
+	model->loans += message->slots > 0;
+}
+
+static void
+release_charge(node_t *node, uint32_t at)
+{
+	node->charges[at] = node->charges[--node->charged];
+}
+
+static void
+receive_server_answer(node_t *node, uint64_t id)
+{
+	for (uint32_t i = node->charged; i-- > 0;)
+		if (node->charges[i].id == id)
+			release_charge(node, i);
+}
+
+static void
+receive_message(model_t *model, node_t *node, const message_t *message)
+{
+	if (message->to_incarnation != 0 &&
+	    message->to_incarnation != node->incarnation)
+		return;
+	if (message->kind == MESSAGE_HEARTBEAT)
+		receive_heartbeat(model, node, message);
+	else if (message->kind == MESSAGE_REPLY)
+		receive_reply(model, node, message);
+	else
+		receive_server_answer(node, message->id);
+}
+
+static void
+deliver(void *context, const message_t *message)
+{
+	model_t *model = context;
+	node_t *node = &model->nodes[message->to];
+
+	if (!node->runs)
+		return;
+	if (node->paused)
+		g_array_append_val(node->inbox, *message);
+	else
+		receive_message(model, node, message);
+}
+
+static void
+send_heartbeat(model_t *model, node_t *node, const membership_action_t *action)
+{
+	message_t message = {.kind = MESSAGE_HEARTBEAT,
+	    .from = node->place,
+	    .from_incarnation = node->incarnation,
+	    .id = action->sequence};
+	peer_report_t *report = &message.report;
+
+	while (strcmp(model->nodes[message.to].name, action->node) != 0)
+		message.to++;
+	memcpy(report->node, node->name, sizeof(report->node));
+	memcpy(report->vm, node->vm, sizeof(report->vm));
+	memcpy(report->data_centre, node->data_centre,
+	    sizeof(report->data_centre));
+	memcpy(report->address, node->address, sizeof(report->address));
+	report->incarnation = node->incarnation;
+	report->platform_age_ms = -1;
+	report->state = node->stopping ? NODE_STATE_STOPPING
+	    : node->ready	       ? NODE_STATE_READY
+				       : NODE_STATE_STARTING;
+	message.asks = node->wanted > 0 &&
+	    (model_is_serving(node) ||
+		(model->chaos && world_percent(&model->world, 5)));
+	world_send(&model->world, &message);
+}
+
+static void
+dispatch(model_t *model, node_t *node)
+{
+	world_t *world = &model->world;
+	usec_t now = model_local_time(model, node);
+
+	while (node->held.id == 0 && node->charged < node->wanted &&
+	    node->charged < ledger_limit(node->ledger, WORLD_SERVICE, now)) {
+		usec_t left = world_percent(world, 90)
+		    ? model->longest
+		    : world_between(world, MS(1), model->longest);
+		message_t request = {.kind = MESSAGE_REQUEST,
+		    .from = node->place,
+		    .to = WORLD_SERVER,
+		    .from_incarnation = node->incarnation,
+		    .id = ++world->next_id,
+		    .deadline = world->now + node->wall_error + left};
+		charge_t *charge = &node->charges[node->charged++];
+
+		charge->id = request.id;
+		charge->given_up_at = now + left + left / DRIFT_FRACTION +
+		    MS(DRIFT_MARGIN_MS) + MS(5);
+		model->dispatched++;
+		if (model->chaos && world_random(world, 2000) == 0) {
+			node->held = request;
+			node->paused = true;
+			node->resumes_at =
+			    world->now + world_between(world, 0, SECONDS(2));
+			return;
+		}
+		world_send(world, &request);
+	}
+}
+
+static size_t
+fill_nodes(const model_t *model, const node_t *node, planner_node_t *nodes)
+{
+	size_t count = 1;
+
+	nodes[0] = (planner_node_t){.incarnation = node->incarnation,
+	    .live = true,
+	    .ready = node->ready && !node->stopping};
+	memcpy(nodes[0].node, node->name, sizeof(name_t));
+	memcpy(nodes[0].data_centre, node->data_centre, sizeof(name_t));
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const peer_t *peer = membership_at(node->membership, i);
+		planner_node_t *entry = &nodes[count++];
+
+		*entry = (planner_node_t){.incarnation = peer->incarnation,
+		    .live = peer->live,
+		    .ready = peer->state == NODE_STATE_READY,
+		    .gone = peer->gone};
+		memcpy(entry->node, peer->node, sizeof(name_t));
+		memcpy(entry->data_centre, peer->data_centre, sizeof(name_t));
+	}
+	return count;
+}
+
+/* A holder that was never heard is judged by its incarnation alone. */
+static void
+add_unheard_holders(
+    const node_t *node, planner_node_t *nodes, size_t node_count)
+{
+	assigned_service_t *service = node->assignment == NULL
+	    ? NULL
+	    : assignment_find_service(node->assignment, WORLD_SERVICE);
+
+	for (uint32_t i = 0; service != NULL && i < service->holder_count; i++)
+		for (size_t j = 0; j < node_count; j++) {
+			holder_t *holder = &service->holders[i];
+
+			if (strcmp(nodes[j].node, holder->node) != 0 ||
+			    nodes[j].incarnation >= holder->incarnation)
+				continue;
+			nodes[j].incarnation = holder->incarnation;
+			nodes[j].live = false;
+			nodes[j].gone = membership_is_gone(node->membership,
+			    holder->node, holder->incarnation);
+		}
+}
+
+static void
+give_up_share(model_t *model, node_t *node, const planner_input_t *input)
+{
+	bool handover = model->chaos && model_is_serving(node) &&
+	    world_random(&model->world, 300) == 0;
+
+	if (own_holder(node) == NULL)
+		return;
+	if (handover ||
+	    planner_excess_service(node->assignment, input) != NULL ||
+	    (node->stopping && !model_is_serving(node)))
+		ledger_close_share(node->ledger, WORLD_SERVICE);
+}
+
+static bool
+is_done(const node_t *node)
+{
+	return node->stopping && own_holder(node) == NULL &&
+	    node->charged == 0 &&
+	    (node->assignment == NULL ||
+		assignment_units(
+		    node->assignment, node->name, node->incarnation) == 0);
+}
+
+static void
+propose(model_t *model, node_t *node, const planner_input_t *input)
+{
+	usec_t now = model_local_time(model, node);
+	assignment_t *draft = planner_plan(node->assignment, input);
+
+	if (draft == NULL) {
+		node->wanted_since = 0;
+		return;
+	}
+	if (node->wanted_since == 0)
+		node->wanted_since = now;
+	/* Nodes that do not wait for their turn race. */
+	if (now - node->wanted_since >= planner_delay(input) ||
+	    (model->chaos && world_percent(&model->world, 20))) {
+		snprintf(draft->token, sizeof(draft->token), "%032llx",
+		    (unsigned long long)model->calls + 1);
+		call_platform(model, node, assignment_print(draft),
+		    node->assignment == NULL ? 0 : node->assignment->version);
+		model->releases += input->releasable_count;
+	}
+	assignment_destroy(draft);
+}
+
+static void
+plan(model_t *model, node_t *node)
+{
+	static const name_t releasable = WORLD_SERVICE;
+	planner_service_t service = {WORLD_SERVICE, model->world.cap, 40};
+	planner_node_t nodes[WORLD_NODES];
+	planner_input_t input = {.cell = "muscat",
+	    .self_incarnation = node->incarnation,
+	    .stopping = node->stopping,
+	    .nodes = nodes,
+	    .services = &service,
+	    .service_count = 1,
+	    .releasable = &releasable};
+
+	memcpy(input.self, node->name, sizeof(name_t));
+	input.node_count = fill_nodes(model, node, nodes);
+	add_unheard_holders(node, nodes, input.node_count);
+	give_up_share(model, node, &input);
+	input.releasable_count = ledger_may_release(node->ledger, WORLD_SERVICE,
+	    node->charged, model_local_time(model, node));
+	input.release_units = planner_excess_units(node->assignment, &input);
+	propose(model, node, &input);
+}
+
+static void
+run_platform(model_t *model, node_t *node)
+{
+	usec_t now = model_local_time(model, node);
+
+	if (node->call != 0 && now - node->called_at >= CALL_LIMIT)
+		node->call = 0;
+	if (node->call != 0)
+		return;
+	if (now >= node->next_read) {
+		node->next_read =
+		    now + world_between(&model->world, MS(50), MS(300));
+		call_platform(model, node, NULL, 0);
+	} else if (node->ready && now >= node->next_plan) {
+		node->next_plan =
+		    now + world_between(&model->world, MS(20), MS(100));
+		plan(model, node);
+	}
+}
+
+static void
+run_node(model_t *model, node_t *node)
+{
+	usec_t now = model_local_time(model, node);
+	membership_action_t action;
+
+	for (uint32_t i = node->charged; i-- > 0;)
+		if (now >= node->charges[i].given_up_at)
+			release_charge(node, i);
+	membership_tick(node->membership, now);
+	while (membership_next_action(node->membership, &action)) {
+		if (action.kind == MEMBERSHIP_SEND_HEARTBEAT)
+			send_heartbeat(model, node, &action);
+		model->drops += action.kind == MEMBERSHIP_GONE;
+	}
+	if (!model->chaos)
+		node->wanted = model_is_serving(node) ? model->world.cap : 0;
+	else if (world_random(&model->world, model->demand_interval) == 0)
+		node->wanted =
+		    (uint32_t)world_random(&model->world, model->world.cap + 2);
+	dispatch(model, node);
+	if (!node->paused)
+		run_platform(model, node);
+	if (!node->paused && is_done(node))
+		model_end_node(model, node,
+		    world_between(&model->world, MS(100), SECONDS(5)));
+}
+
+static void
+resume_node(model_t *model, node_t *node)
+{
+	GArray *inbox = node->inbox;
+
+	node->paused = false;
+	node->inbox = g_array_new(FALSE, FALSE, sizeof(message_t));
+	if (node->held.id != 0)
+		world_send(&model->world, &node->held);
+	node->held.id = 0;
+	for (guint i = 0; i < inbox->len; i++)
+		receive_message(
+		    model, node, &g_array_index(inbox, message_t, i));
+	g_array_free(inbox, TRUE);
+}
+
+void
+model_step_node(model_t *model, node_t *node)
+{
+	world_t *world = &model->world;
+
+	if (!node->runs && world->now >= node->restarts_at) {
+		if (world_percent(world, 50))
+			model_replace_vm(model, node);
+		model_start_node(model, node);
+	}
+	if (!node->runs)
+		return;
+	if (node->paused && world->now >= node->resumes_at)
+		resume_node(model, node);
+	if (!node->paused && (!model->chaos || world_percent(world, 80)))
+		run_node(model, node);
+}
+
+world_callbacks_t
+model_callbacks(model_t *model)
+{
+	return (world_callbacks_t){
+	    deliver, receive_answer, process_runs, model};
+}
