Check lengths in peer messages before unpacking; stop lending small rates

Change: codec_check() walks the bytes first and admits only arrays, integers and binary that fit. Cause 2: heartbeat loans moved the single part of a small contract around, and each move earned nothing for a while: 3 of 4 requests were answered at each node below the rate. Change: rate is lent from 100 requests a second on; below it tokens move on demand. Also: shares that are closed stay offered until the assignment drops them, and holders never heard are judged by the VM list.

--- a/include/bulrushwell/codec.h
+++ b/include/bulrushwell/codec.h
@@ -60,4 +60,13 @@
  */
 void reader_text(reader_t *reader, char *text, size_t size);
 
+/**
+ * codec_check() - Whether bytes are one value made of arrays, integers and
+ * binary only, whose stated lengths fit into the bytes that follow.
+ *
+ * The unpacker allocates an array as long as the bytes claim, so five bytes
+ * could ask it for gigabytes.
+ */
+bool codec_check(const char *data, size_t size);
+
 #endif
--- a/source/base/codec.c
+++ b/source/base/codec.c
@@ -167,3 +167,93 @@
 	memcpy(text, bytes.data, bytes.size);
 	text[bytes.size] = '\0';
 }
+
+/* Bytes that wait to be checked. */
+typedef struct {
+	const unsigned char *data;
+	size_t size;
+} rest_t;
+
+/* Reads a big-endian number of @width bytes. */
+static bool
+take_number(rest_t *rest, size_t width, uint64_t *number)
+{
+	if (rest->size < width)
+		return false;
+	*number = 0;
+	for (size_t i = 0; i < width; i++)
+		*number = *number << 8 | rest->data[i];
+	rest->data += width;
+	rest->size -= width;
+	return true;
+}
+
+static bool
+skip_bytes(rest_t *rest, uint64_t count)
+{
+	if (count > rest->size)
+		return false;
+	rest->data += count;
+	rest->size -= count;
+	return true;
+}
+
+/* Reads the head of one value and the bytes that belong to it alone.
+ * @elements: set to the number of values that follow as its elements */
+static bool
+skip_value(rest_t *rest, uint64_t *elements)
+{
+	uint64_t head, length;
+
+	*elements = 0;
+	if (!take_number(rest, 1, &head))
+		return false;
+	if (head <= 0x7f || head >= 0xe0)
+		return true; /* a small integer */
+	if (head >= 0x90 && head <= 0x9f) {
+		*elements = head & 0x0f;
+		return true;
+	}
+	switch (head) {
+	case 0xc4: /* binary with 1, 2 or 4 bytes of length */
+	case 0xc5:
+	case 0xc6:
+		return take_number(rest, (size_t)1 << (head - 0xc4), &length) &&
+		    skip_bytes(rest, length);
+	case 0xcc: /* unsigned, then signed, of 1, 2, 4 or 8 bytes */
+	case 0xcd:
+	case 0xce:
+	case 0xcf:
+		return skip_bytes(rest, (uint64_t)1 << (head - 0xcc));
+	case 0xd0:
+	case 0xd1:
+	case 0xd2:
+	case 0xd3:
+		return skip_bytes(rest, (uint64_t)1 << (head - 0xd0));
+	case 0xdc:
+		return take_number(rest, 2, elements);
+	case 0xdd:
+		return take_number(rest, 4, elements);
+	default:
+		return false;
+	}
+}
+
+bool
+codec_check(const char *data, size_t size)
+{
+	rest_t rest = {(const unsigned char *)data, size};
+	uint64_t open = 1; /* values that must still follow */
+
+	while (open > 0) {
+		uint64_t elements;
+
+		if (!skip_value(&rest, &elements))
+			return false;
+		open = open - 1 + elements;
+		/* Each value takes at least one byte. */
+		if (open > rest.size)
+			return false;
+	}
+	return rest.size == 0;
+}
--- a/source/message/message_decode.c
+++ b/source/message/message_decode.c
@@ -311,6 +311,8 @@
 	message_t *message = NULL;
 	size_t offset = 0;
 
+	if (!codec_check(data, size))
+		return NULL;
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, data, size, &offset) ==
 		MSGPACK_UNPACK_SUCCESS &&
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -259,6 +259,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->closed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->asks =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	node->givers =
@@ -323,6 +325,7 @@
 	config_destroy(node);
 	g_hash_table_foreach(node->customers, free_customer, NULL);
 	g_hash_table_destroy(node->customers);
+	g_hash_table_destroy(node->closed);
 	g_hash_table_destroy(node->asks);
 	g_hash_table_destroy(node->givers);
 	g_hash_table_destroy(node->forwarded);
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -55,6 +55,45 @@
 	}
 }
 
+/* A holder or member that this node has never heard: only the VM list can
+ * prove it gone. */
+static void
+note_unheard(
+    node_t *node, GArray *nodes, const char *name, uint64_t incarnation)
+{
+	for (guint i = 0; i < nodes->len; i++) {
+		planner_node_t *entry =
+		    &g_array_index(nodes, planner_node_t, i);
+
+		if (strcmp(entry->node, name) != 0 ||
+		    entry->incarnation >= incarnation)
+			continue;
+		entry->incarnation = incarnation;
+		entry->live = false;
+		entry->gone = membership_is_gone(
+		    node->board.membership, name, incarnation);
+	}
+}
+
+static void
+add_unheard(node_t *node, GArray *nodes)
+{
+	const assignment_t *assignment = node->board.assignment;
+
+	if (assignment == NULL)
+		return;
+	for (uint32_t i = 0; i < assignment->member_count; i++)
+		note_unheard(node, nodes, assignment->members[i].node,
+		    assignment->members[i].incarnation);
+	for (uint32_t i = 0; i < assignment->service_count; i++) {
+		const assigned_service_t *entry = &assignment->services[i];
+
+		for (uint32_t j = 0; j < entry->holder_count; j++)
+			note_unheard(node, nodes, entry->holders[j].node,
+			    entry->holders[j].incarnation);
+	}
+}
+
 static void
 add_services(node_t *node, GArray *services)
 {
@@ -79,29 +118,50 @@
 	return served != NULL ? scheduler_charged(served->scheduler) : 0;
 }
 
-/* Stops using a share and lists it as soon as it may be given up. */
+static bool
+holds(const node_t *node, assigned_service_t *service)
+{
+	return assignment_find_holder(service, node->board.settings.node,
+		   node->board.incarnation) != NULL;
+}
+
+/* While stopping, a share is given up once the assignment names another node
+ * first, so that peers route there. */
+static bool
+wants_release(const node_t *node, const assigned_service_t *entry)
+{
+	return node->board.state == NODE_STATE_STOPPING &&
+	    !blackboard_is_self(&node->board, &entry->holders[0]);
+}
+
+/* A share that was closed is offered until the assignment no longer has it:
+ * the write may be lost or lose a race. */
 static void
-offer_release(node_t *node, GArray *releasable, const char *service, usec_t now)
+offer_closed(
+    node_t *node, GArray *releasable, assigned_service_t *entry, usec_t now)
 {
 	name_t name = "";
 
-	ledger_close_share(node->board.ledger, service);
-	if (!ledger_may_release(node->board.ledger, service,
-		charged_attempts(node, service), now))
+	if (!holds(node, entry)) {
+		g_hash_table_remove(node->closed, entry->service);
+		return;
+	}
+	if (!g_hash_table_contains(node->closed, entry->service) ||
+	    !ledger_may_release(node->board.ledger, entry->service,
+		charged_attempts(node, entry->service), now))
 		return;
-	g_strlcpy(name, service, sizeof(name));
+	g_strlcpy(name, entry->service, sizeof(name));
 	g_array_append_val(releasable, name);
 }
 
-static bool
-holds(const node_t *node, assigned_service_t *service)
+static void
+close_share(node_t *node, const char *service)
 {
-	return assignment_find_holder(service, node->board.settings.node,
-		   node->board.incarnation) != NULL;
+	if (!g_hash_table_contains(node->closed, service))
+		g_hash_table_add(node->closed, g_strdup(service));
+	ledger_close_share(node->board.ledger, service);
 }
 
-/* While stopping, peers must have moved to another holder first: a share is
- * offered only when some other live holder can take over, or none exists. */
 static void
 add_releasable(node_t *node, plan_basis_t *basis, usec_t now)
 {
@@ -110,21 +170,16 @@
 
 	if (assignment == NULL)
 		return;
-	if (node->board.state == NODE_STATE_STOPPING) {
-		for (uint32_t i = 0; i < assignment->service_count; i++) {
-			assigned_service_t *entry = &assignment->services[i];
-
-			if (holds(node, entry) &&
-			    !blackboard_is_self(
-				&node->board, &entry->holders[0]))
-				offer_release(node, basis->releasable,
-				    entry->service, now);
-		}
-		return;
-	}
 	excess = planner_excess_service(assignment, &basis->input);
 	if (excess != NULL)
-		offer_release(node, basis->releasable, excess, now);
+		close_share(node, excess);
+	for (uint32_t i = 0; i < assignment->service_count; i++) {
+		assigned_service_t *entry = &assignment->services[i];
+
+		if (holds(node, entry) && wants_release(node, entry))
+			close_share(node, entry->service);
+		offer_closed(node, basis->releasable, entry, now);
+	}
 }
 
 static uint64_t
@@ -172,6 +227,7 @@
 	input->stopping = node->board.state == NODE_STATE_STOPPING;
 	add_self(node, basis->nodes);
 	add_peers(node, basis->nodes);
+	add_unheard(node, basis->nodes);
 	add_services(node, basis->services);
 	input->nodes = (planner_node_t *)(void *)basis->nodes->data;
 	input->node_count = basis->nodes->len;
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* Rate is lent only of contracts of at least this many requests a second. A
+ * part of a rate that changes hands earns nothing while its loan is in doubt,
+ * which starves a small contract; its tokens move one by one instead. */
+#define LOAN_MIN_RATE 100
+
 #define WISH_FACTOR 1.25 /* room above the demand seen, for its growth */
 
 customer_stats_t *
@@ -80,7 +85,7 @@
 	    admission_demand(node->board.admission, customer, now);
 	memset(wish, 0, sizeof(*wish));
 	strcpy(wish->customer, customer);
-	if (needed > rate)
+	if (needed > rate && contract_rate_per_s(contract) >= LOAN_MIN_RATE)
 		wish->rate_per_s = needed - rate;
 	if (stats.running + stats.waiting + 1 > concurrency && needed > 0)
 		wish->concurrency =
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -103,6 +103,7 @@
 
 	/* assignment */
 	bool write_running;
+	GHashTable *closed;	/* services whose share is being given up */
 	usec_t wanted_since;	/* when a plan was first wanted; 0: none */
 	uint64_t units_closing; /* units that are being given up */
 	usec_t units_usable_at; /* 0: this node owns no units */
--- a/source/node/node_stop.c
+++ b/source/node/node_stop.c
@@ -46,12 +46,24 @@
 	    claim_is_idle(node->claims) && !node->write_running;
 }
 
-/* Without the platform the shares cannot be given up; they stay reserved until
- * the platform or the VM list settles it. */
+static bool
+has_live_peer(const node_t *node)
+{
+	const membership_t *membership = node->board.membership;
+
+	for (size_t i = 0; i < membership_count(membership); i++)
+		if (membership_at(membership, i)->live)
+			return true;
+	return false;
+}
+
+/* Without the platform the shares cannot be given up, and without a peer nobody
+ * takes them; they stay reserved until the VM list proves this node gone. */
 static bool
 is_handed_over(node_t *node)
 {
-	return assign_is_released(node) || !node->board.platform_reachable;
+	return assign_is_released(node) || !node->board.platform_reachable ||
+	    !has_live_peer(node);
 }
 
 void
