Dispatch longer deadlines only after loans granted for shorter ones have ended

A lender waits for the longest deadline that it was told when it lent; a contract with a longer one that is adopted meanwhile let attempts outlive that wait. The node now dispatches with the least of what it stated in the last 500 ms, with a floor of 500 ms.

--- a/source/node/blackboard.c
+++ b/source/node/blackboard.c
@@ -1,5 +1,6 @@
 #include "blackboard.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "bulrushwell/id.h"
@@ -46,7 +47,25 @@
 usec_t
 blackboard_longest(const blackboard_t *board, usec_t now)
 {
-	return contract_store_longest_deadline(board->contracts, now);
+	return MAX(MS(LONGEST_FLOOR_MS),
+	    contract_store_longest_deadline(board->contracts, now));
+}
+
+void
+blackboard_note_longest(blackboard_t *board, usec_t now)
+{
+	board->stated[board->stated_next] = blackboard_longest(board, now);
+	board->stated_next = (board->stated_next + 1) % LONGEST_HISTORY;
+}
+
+usec_t
+blackboard_dispatch_longest(const blackboard_t *board, usec_t now)
+{
+	usec_t least = blackboard_longest(board, now);
+
+	for (int i = 0; i < LONGEST_HISTORY; i++)
+		least = MIN(least, board->stated[i]);
+	return MAX(least, MS(LONGEST_FLOOR_MS));
 }
 
 bool
--- a/source/node/blackboard.h
+++ b/source/node/blackboard.h
@@ -13,6 +13,9 @@
 #include "bulrushwell/settings.h"
 #include "bulrushwell/suspect.h"
 
+/** LONGEST_HISTORY - Ticks that cover LOAN_MS and one heartbeat more. */
+#define LONGEST_HISTORY 5
+
 /**
  * typedef blackboard_t - State that the controllers of a node share. Each
  * entry names the controller that writes it; all others only read.
@@ -33,14 +36,34 @@
 	suspect_list_t *suspects;    /* serving controller */
 	usec_t platform_heard_at;    /* platform events; 0: never */
 	bool platform_reachable;     /* platform events */
+	usec_t stated[LONGEST_HISTORY]; /* limits controller */
+	uint32_t stated_next;		/* limits controller */
 } blackboard_t;
 
 void blackboard_init(blackboard_t *board, const settings_t *settings);
 void blackboard_clear(blackboard_t *board);
 
-/** blackboard_longest() - The longest deadline in force. */
+/**
+ * LONGEST_FLOOR_MS - Nodes reckon with deadlines of at least this much, so that
+ * a first or shorter contract needs no change of what loans were granted for.
+ */
+#define LONGEST_FLOOR_MS 500
+
+/** blackboard_longest() - The longest deadline in force, as stated to peers. */
 usec_t blackboard_longest(const blackboard_t *board, usec_t now);
 
+/** blackboard_note_longest() - Called every NODE_TICK_MS. */
+void blackboard_note_longest(blackboard_t *board, usec_t now);
+
+/**
+ * blackboard_dispatch_longest() - The most time that an attempt may have left.
+ *
+ * The least of what was stated in the last LOAN_MS: a lender waits for the
+ * deadline that it was told when it lent, so a longer one is used only after
+ * all earlier loans have ended.
+ */
+usec_t blackboard_dispatch_longest(const blackboard_t *board, usec_t now);
+
 /** blackboard_is_self() - Whether a holder is this incarnation. */
 bool blackboard_is_self(const blackboard_t *board, const holder_t *holder);
 
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -63,6 +63,7 @@
 	for (size_t i = 0; i < contract_store_count(store); i++)
 		limits_apply(
 		    node, contract_customer(contract_store_at(store, i)), now);
+	blackboard_note_longest(&node->board, now);
 	admission_set_asking(node->board.admission, live_peers(node) > 0);
 	admission_tick(node->board.admission, now);
 }
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -10,6 +10,10 @@
 #define RESERVE_PREFIX "/v1/reserve/"
 #define BEARER "Bearer "
 
+/* The answer is put together this part of the deadline early, so that it
+ * reaches the caller in time. */
+#define RETURN_FRACTION 50
+
 /* A request that waits longer than this for its own deadline to be handled is
  * answered by request_tick(). */
 #define ANSWER_GRACE_MS 20
@@ -166,7 +170,7 @@
 			return BW_E_INVALID;
 		limit = MIN(limit, value);
 	}
-	*deadline = now + MS(limit);
+	*deadline = now + MS(limit) - MS(limit) / RETURN_FRACTION;
 	return 0;
 }
 
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -354,7 +354,7 @@
 void
 serve_settle(node_t *node, usec_t now)
 {
-	usec_t longest = blackboard_longest(&node->board, now);
+	usec_t longest = blackboard_dispatch_longest(&node->board, now);
 	GHashTableIter iter;
 	gpointer value;
 
