--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -205,7 +205,8 @@
 	if (stopping && table_count(node->requests) > 0)
 		excess = 0;
 	if (excess != node->units_closing) {
-		allowance_close_units(node->board.allowance, excess);
+		allowance_close_units(node->board.allowance, excess,
+		    blackboard_longest(&node->board, now), now);
 		node->units_closing = excess;
 		node->units_closed_at = now;
 	}
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -41,6 +41,10 @@
 	allowance_set_contract(node->board.allowance, customer,
 	    retired ? 0 : contract_rate_per_s(contract),
 	    retired ? 0 : contract_concurrency(contract), now);
+	admission_begin(node->board.admission, customer,
+	    allowance_rate(node->board.allowance, customer, now),
+	    allowance_concurrency(node->board.allowance, customer, now),
+	    allowance_units_since(node->board.allowance, now), now);
 	limits_apply(node, customer, now);
 }
 
