Ask servers for their health; register a node until the platform has its object

Cause 1: a server that announces its stop on /health only went on receiving work (test_process_health failed: 2 new requests after 3 s). Cause 2: a node that learned its configuration from peers during an outage never wrote its node object. Registration is now retried until it is stored.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -5,6 +5,52 @@
 
 #define WAKEUP_MIN_MS 1 /* bounds the rate of timer wakeups */
 
+static void
+on_registered(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	node_t *node = context;
+
+	node->registered = result == PLATFORM_OK;
+	node->registering = false;
+}
+
+/* Writes this node's object, so that others learn its address. */
+static void
+on_node_object(
+    void *context, platform_result_t result, uint64_t version, slice_t text)
+{
+	node_t *node = context;
+	const settings_t *settings = &node->board.settings;
+	char object[512];
+
+	if (result != PLATFORM_OK && result != PLATFORM_ABSENT) {
+		node->registering = false;
+		return;
+	}
+	snprintf(object, sizeof(object),
+	    "{\"node\":\"%s\",\"vm\":\"%s\",\"data_centre\":\"%s\","
+	    "\"address\":\"%s\",\"incarnation\":\"%llu\"}",
+	    settings->node, settings->vm, settings->data_centre,
+	    settings->peer_address,
+	    (unsigned long long)node->board.incarnation);
+	platform_write(node->platform, "node", settings->node,
+	    result == PLATFORM_OK ? version : 0, slice_from(object),
+	    on_registered, node);
+}
+
+/* A write whose answer is lost is made again; the object is the same. */
+static void
+register_node(node_t *node)
+{
+	if (node->registered || node->registering ||
+	    !node->board.platform_reachable)
+		return;
+	node->registering = true;
+	platform_read(node->platform, "node", node->board.settings.node,
+	    on_node_object, node);
+}
+
 /* Logs when the answer to the balancer's readiness check changes. */
 static void
 note_readiness(node_t *node, usec_t now)
@@ -29,9 +75,11 @@
 	if (node->board.state == NODE_STATE_STARTING &&
 	    node->board.config_known)
 		node->board.state = NODE_STATE_READY;
+	register_node(node);
 	peer_tick(node, now);
 	assign_tick(node, now);
 	limits_tick(node, now);
+	health_tick(node, now);
 	stop_tick(node, now);
 	note_readiness(node, now);
 }
@@ -138,43 +186,11 @@
 	node->board.platform_reachable = false;
 }
 
-static void
-on_registered(
-    void *context, platform_result_t result, uint64_t version, slice_t text)
-{
-	/* Another answer than OK is repaired by the next synchronisation. */
-}
-
-/* Writes this node's object, so that others learn its address. */
-static void
-on_node_object(
-    void *context, platform_result_t result, uint64_t version, slice_t text)
-{
-	node_t *node = context;
-	const settings_t *settings = &node->board.settings;
-	char object[512];
-
-	if (result != PLATFORM_OK && result != PLATFORM_ABSENT)
-		return;
-	snprintf(object, sizeof(object),
-	    "{\"node\":\"%s\",\"vm\":\"%s\",\"data_centre\":\"%s\","
-	    "\"address\":\"%s\",\"incarnation\":\"%llu\"}",
-	    settings->node, settings->vm, settings->data_centre,
-	    settings->peer_address,
-	    (unsigned long long)node->board.incarnation);
-	platform_write(node->platform, "node", settings->node,
-	    result == PLATFORM_OK ? version : 0, slice_from(object),
-	    on_registered, node);
-}
-
 static void
 on_platform_synced(void *context)
 {
 	node_t *node = context;
 
-	if (!node->board.config_known)
-		platform_read(node->platform, "node", node->board.settings.node,
-		    on_node_object, node);
 	node->board.config_known = true;
 }
 
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -50,6 +50,7 @@
 	name_t service;
 	scheduler_t *scheduler;
 	uint64_t spec_version; /* of the catalogue entry that was applied */
+	usec_t health_at;      /* when its servers were last asked */
 } served_t;
 
 /** typedef customer_stats_t - Counters and latencies of one customer. */
@@ -102,6 +103,8 @@
 	GHashTable *peer_versions; /* node -> its contract versions */
 
 	/* assignment */
+	bool registered; /* the platform has this node's object */
+	bool registering;
 	bool write_running;
 	GHashTable *closed;	/* services whose share is being given up */
 	usec_t wanted_since;	/* when a plan was first wanted; 0: none */
@@ -208,6 +211,9 @@
 void attempt_cancel(
     served_t *served, const scheduler_action_t *action, usec_t now);
 
+/* node_health.c */
+void health_tick(node_t *node, usec_t now);
+
 /* node_reserve.c */
 void reserve_start(request_t *request, usec_t now);
 void reserve_received_request(
