--- a/fakes/lib/upstream.c
+++ b/fakes/lib/upstream.c
@@ -91,17 +91,19 @@
 	upstream->faults.draining = draining;
 }
 
+/* Replaces one list of each named index. */
 static void
-set_versions(upstream_t *upstream, json_t *versions)
+set_lists(upstream_t *upstream, const json_t *order, const char *field)
 {
+	json_t *lists = json_object_get(order, field);
 	const char *name;
 	json_t *list;
 
-	json_object_foreach (versions, name, list) {
+	json_object_foreach (lists, name, list) {
 		json_t *index = json_object_get(upstream->indexes, name);
 
 		if (index != NULL)
-			json_object_set(index, "versions", list);
+			json_object_set(index, field, list);
 	}
 }
 
@@ -154,10 +156,12 @@
 	fake_read_bool(order, "draining", &draining);
 	fake_read_int(order, "drain_grace_ms", &faults->drain_grace_ms);
 	fake_read_int(order, "load", &faults->load);
+	fake_read_int(order, "pad_bytes", &faults->pad_bytes);
 	fake_read_int(order, "connect_ms", &upstream->connect_ms);
 	set_draining(upstream, draining);
 	set_text_faults(upstream, order);
-	set_versions(upstream, json_object_get(order, "versions"));
+	set_lists(upstream, order, "versions");
+	set_lists(upstream, order, "shards");
 	return true;
 }
 
@@ -166,7 +170,7 @@
 {
 	const char *incarnation =
 	    json_string_value(json_object_get(order, "restart"));
-	bool silence = false, valid;
+	bool silence = false, lost = false, valid;
 
 	if (incarnation != NULL && !restart(upstream, incarnation))
 		return false;
@@ -174,8 +178,11 @@
 	valid = set_locked(upstream, order);
 	g_mutex_unlock(&upstream->lock);
 	fake_read_bool(order, "silence_connections", &silence);
+	fake_read_bool(order, "lost", &lost);
 	if (silence)
 		fake_server_silence(upstream->http, NULL);
+	if (lost)
+		fake_server_stop(upstream->http);
 	fake_server_wake_all(upstream->http);
 	return valid;
 }
--- a/fakes/lib/upstream.h
+++ b/fakes/lib/upstream.h
@@ -36,6 +36,7 @@
 	char health[16];
 	int64_t drain_grace_ms; /* then new work is refused */
 	int64_t load;		/* reported by /load; -1: the lagging truth */
+	int64_t pad_bytes;	/* added to the body of a shard's reply */
 } upstream_faults_t;
 
 typedef struct {
--- a/fakes/lib/upstream_handle.c
+++ b/fakes/lib/upstream_handle.c
@@ -94,6 +94,25 @@
 	return done;
 }
 
+static void
+add_padding(upstream_t *upstream, GString *body)
+{
+	int64_t size;
+	gsize end;
+
+	g_mutex_lock(&upstream->lock);
+	size = upstream->faults.pad_bytes;
+	g_mutex_unlock(&upstream->lock);
+	if (size <= 0)
+		return;
+	g_string_truncate(body, body->len - 1);
+	g_string_append(body, ",\"pad\":\"");
+	end = body->len;
+	g_string_set_size(body, end + (gsize)size);
+	memset(body->str + end, 'x', (size_t)size);
+	g_string_append(body, "\"}");
+}
+
 static void
 fill_shard_reply(upstream_t *upstream, const fake_request_t *request,
     upstream_lie_t lie, fake_reply_t *reply)
@@ -112,6 +131,7 @@
 	    index, version, shard, upstream->server,
 	    (unsigned long long)XXH64(
 		request->body.data, request->body.size, 0));
+	add_padding(upstream, reply->body);
 	fake_reply_header(reply, "X-Request-Id", "%s",
 	    lie == LIE_REQUEST ? "00000000000000000000000000000000"
 		: id != NULL   ? id
--- /dev/null
+++ b/tests/lib/harness_load.c
@@ -0,0 +1,278 @@
+/* Checks of answers, and callers that query in the background. */
+#include "harness_query.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Where the shards of each version are. Version 8 is that of the tests that
+ * split and move shards; every other one is as the harness writes it. */
+static int
+service_of(int version, int total, int shard)
+{
+	if (version % 2 == 0 && total == QUERY_MAX_SHARDS)
+		return QUERY_SERVICES - shard / 2;
+	return shard + 1;
+}
+
+static void
+check_result(const json_t *entry, const coverage_t *coverage, const char *body)
+{
+	int shard = (int)json_integer_value(json_object_get(entry, "shard"));
+	const char *text = json_string_value(json_object_get(entry, "body"));
+	char hash[20], prefix[32];
+	json_t *said;
+
+	assert_non_null(text);
+	said = json_loads(text, 0, NULL);
+	if (said == NULL)
+		fail_msg("shard %d: the body is not whole: %s", shard, text);
+	snprintf(hash, sizeof(hash), "%016llx",
+	    (unsigned long long)XXH64(body, strlen(body), 0));
+	snprintf(prefix, sizeof(prefix), "slotplan-%d-",
+	    service_of(coverage->version, coverage->total, shard));
+	if (json_integer_value(json_object_get(said, "shard")) != shard ||
+	    json_integer_value(json_object_get(said, "version")) !=
+		coverage->version ||
+	    strcmp(json_string_value(json_object_get(said, "hash")), hash) !=
+		0 ||
+	    !g_str_has_prefix(
+		json_string_value(json_object_get(said, "server")), prefix))
+		fail_msg("shard %d, version %d, hash %s of %s: the server "
+			 "answered %s",
+		    shard, coverage->version, hash, prefix, text);
+	json_decref(said);
+}
+
+static void
+note_shard(bool *seen, const json_t *entry, int total)
+{
+	json_t *number = json_object_get(entry, "shard");
+	int shard = (int)json_integer_value(number);
+
+	assert_true(json_is_integer(number));
+	assert_in_range(shard, 0, total - 1);
+	if (seen[shard])
+		fail_msg("shard %d is listed twice", shard);
+	seen[shard] = true;
+}
+
+static void
+check_missing(const json_t *missing, coverage_t *coverage, bool *seen)
+{
+	size_t i;
+	json_t *entry;
+
+	json_array_foreach (missing, i, entry) {
+		const char *reason =
+		    json_string_value(json_object_get(entry, "reason"));
+
+		note_shard(seen, entry, coverage->total);
+		assert_non_null(reason);
+		assert_true(*reason != '\0');
+		g_strlcpy(coverage->reasons[json_integer_value(
+			      json_object_get(entry, "shard"))],
+		    reason, sizeof(coverage->reasons[0]));
+	}
+}
+
+static void
+check_time(const http_result_t *result, int deadline_ms)
+{
+	int64_t said =
+	    json_integer_value(json_object_get(result->json, "elapsed_ms"));
+
+	if (said > deadline_ms + QUERY_GRACE_MS ||
+	    result->elapsed > MS(deadline_ms + QUERY_GRACE_MS))
+		fail_msg("the answer came after %lld ms, it says %lld; the "
+			 "deadline was %d",
+		    (long long)(result->elapsed / USEC_PER_MS), (long long)said,
+		    deadline_ms);
+}
+
+coverage_t
+query_check_answer(
+    const http_result_t *result, const char *body, int deadline_ms)
+{
+	const json_t *stated = json_object_get(result->json, "coverage");
+	const json_t *results = json_object_get(result->json, "results");
+	const json_t *missing = json_object_get(stated, "missing");
+	bool seen[QUERY_MAX_SHARDS] = {0};
+	coverage_t coverage = {0};
+	size_t i;
+	json_t *entry;
+
+	if (result->status != 200)
+		fail_msg("status %d: %s", result->status, result->body->str);
+	coverage.version =
+	    (int)json_integer_value(json_object_get(result->json, "version"));
+	coverage.total =
+	    (int)json_integer_value(json_object_get(stated, "total"));
+	coverage.answered =
+	    (int)json_integer_value(json_object_get(stated, "answered"));
+	assert_in_range(coverage.total, 1, QUERY_MAX_SHARDS);
+	assert_int_equal(json_array_size(results), coverage.answered);
+	assert_int_equal(json_array_size(missing) + json_array_size(results),
+	    coverage.total);
+	assert_int_equal(
+	    json_is_true(json_object_get(result->json, "complete")),
+	    coverage.answered == coverage.total);
+	json_array_foreach (results, i, entry) {
+		note_shard(seen, entry, coverage.total);
+		check_result(entry, &coverage, body);
+	}
+	check_missing(missing, &coverage, seen);
+	check_time(result, deadline_ms);
+	return coverage;
+}
+
+void
+query_check_refusal(
+    const http_result_t *result, int status, const char *kind, bool not_run)
+{
+	const json_t *error = json_object_get(result->json, "error");
+	const char *said = json_string_value(json_object_get(error, "kind"));
+	const char *remedy =
+	    json_string_value(json_object_get(error, "remedy"));
+
+	if (result->status != status || said == NULL ||
+	    strcmp(said, kind) != 0 || remedy == NULL || *remedy == '\0')
+		fail_msg("expected %d %s, got %d: %.500s", status, kind,
+		    result->status, result->body->str);
+	assert_int_equal(
+	    json_is_true(json_object_get(error, "not_run")), not_run);
+	assert_true(
+	    json_integer_value(json_object_get(error, "retry_after_ms")) >= 0);
+}
+
+typedef struct {
+	char *body;
+	http_result_t result;
+} answer_t;
+
+struct load {
+	harness_t *harness;
+	unsigned int nodes;
+	gint stopping;
+	gint answers;
+	GMutex lock;
+	GPtrArray *collected;
+	GPtrArray *threads;
+};
+
+static gpointer
+run_caller(gpointer context)
+{
+	load_t *load = context;
+	int node = 0;
+
+	while (!g_atomic_int_get(&load->stopping)) {
+		answer_t *answer = g_new0(answer_t, 1);
+
+		do
+			node = (node + 1) % load->harness->node_count;
+		while ((load->nodes >> node & 1) == 0);
+		answer->body = query_new_body();
+		answer->result = query_post(load->harness, node, answer->body);
+		g_mutex_lock(&load->lock);
+		g_ptr_array_add(load->collected, answer);
+		g_mutex_unlock(&load->lock);
+		g_atomic_int_inc(&load->answers);
+	}
+	return NULL;
+}
+
+/* One at a time: a test that fails jumps over its load_stop(). */
+static load_t *running;
+
+static void
+join_callers(load_t *load)
+{
+	g_atomic_int_set(&load->stopping, 1);
+	for (guint i = 0; i < load->threads->len; i++)
+		g_thread_join(load->threads->pdata[i]);
+	running = NULL;
+}
+
+void
+load_abort(void)
+{
+	if (running != NULL)
+		join_callers(running);
+}
+
+load_t *
+load_start(harness_t *harness, int callers, unsigned int nodes)
+{
+	load_t *load = g_new0(load_t, 1);
+
+	assert_null(running);
+	running = load;
+	load->harness = harness;
+	load->nodes = nodes;
+	g_mutex_init(&load->lock);
+	load->collected = g_ptr_array_new();
+	load->threads = g_ptr_array_new();
+	for (int i = 0; i < callers; i++)
+		g_ptr_array_add(
+		    load->threads, g_thread_new("caller", run_caller, load));
+	return load;
+}
+
+void
+load_wait(load_t *load, int count)
+{
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	int wanted = g_atomic_int_get(&load->answers) + count;
+
+	while (g_atomic_int_get(&load->answers) < wanted) {
+		if (clock_monotonic() > until)
+			fail_msg(
+			    "no %d answers in %d ms", count, QUERY_ENOUGH_MS);
+		g_usleep(2000);
+	}
+}
+
+static void
+judge(const answer_t *answer, load_result_t *result)
+{
+	const json_t *error = json_object_get(answer->result.json, "error");
+	coverage_t coverage;
+
+	if (answer->result.status == 0) {
+		result->broken++;
+	} else if (answer->result.status == 200) {
+		coverage = query_check_answer(
+		    &answer->result, answer->body, QUERY_DEADLINE_MS);
+		if (coverage.answered == coverage.total)
+			result->complete++;
+		else
+			result->partial++;
+	} else if (json_is_true(json_object_get(error, "not_run"))) {
+		result->refused++;
+	} else {
+		fail_msg("status %d: %.500s", answer->result.status,
+		    answer->result.body->str);
+	}
+}
+
+load_result_t
+load_stop(load_t *load)
+{
+	load_result_t result = {0};
+
+	join_callers(load);
+	for (guint i = 0; i < load->collected->len; i++) {
+		answer_t *answer = load->collected->pdata[i];
+
+		judge(answer, &result);
+		http_result_clear(&answer->result);
+		g_free(answer->body);
+		g_free(answer);
+	}
+	g_ptr_array_free(load->collected, TRUE);
+	g_ptr_array_free(load->threads, TRUE);
+	g_free(load);
+	return result;
+}
--- /dev/null
+++ b/tests/lib/harness_query.c
@@ -0,0 +1,318 @@
+/* The tier of the query tests and the check of their ends. */
+#include "harness_query.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "bulrushwell/id.h"
+
+#define GROUP "slotplan"
+#define SLOTS 2
+#define CONNECTIONS 25
+#define SETTLE_MS 50
+
+static void
+append_overrun(GString *faults, harness_t *harness, const char *server,
+    const char *field, int64_t cap)
+{
+	char path[128];
+	json_t *record;
+	int64_t value;
+
+	snprintf(path, sizeof(path), "/fake/%s/record", server);
+	record = harness_fetch(harness->control, path);
+	value = json_integer_value(json_object_get(record, field));
+	if (value > cap)
+		g_string_append_printf(faults, "%s: %s is %lld, cap %lld; ",
+		    server, field, (long long)value, (long long)cap);
+	json_decref(record);
+}
+
+static void
+append_overruns(GString *faults, harness_t *harness)
+{
+	static const struct {
+		const char *field;
+		int64_t cap;
+	} caps[] = {{"max_running", SLOTS}, {"max_connections", CONNECTIONS},
+	    {"overruns", 0}, {"connection_overruns", 0}};
+	GHashTableIter iter;
+	gpointer server;
+
+	if (harness->upstream_process < 0 ||
+	    harness->processes[harness->upstream_process].pid == 0)
+		return;
+	g_hash_table_iter_init(&iter, harness->servers);
+	while (g_hash_table_iter_next(&iter, &server, NULL))
+		for (size_t i = 0; i < G_N_ELEMENTS(caps); i++)
+			append_overrun(faults, harness, server, caps[i].field,
+			    caps[i].cap);
+}
+
+/* A crash of a node, an aborted invariant or a sanitizer's finding. */
+static void
+append_ended_nodes(GString *faults, const harness_t *harness)
+{
+	for (int i = 0; i < harness->node_count; i++) {
+		const harness_node_t *node = &harness->nodes[i];
+		pid_t pid;
+		siginfo_t info = {0};
+
+		if (node->process < 0)
+			continue;
+		pid = harness->processes[node->process].pid;
+		if (pid > 0 &&
+		    waitid(P_PID, (id_t)pid, &info,
+			WEXITED | WNOHANG | WNOWAIT) == 0 &&
+		    info.si_pid == pid)
+			g_string_append_printf(faults,
+			    "%s ended with status %d; ", node->node,
+			    info.si_status);
+	}
+}
+
+int
+query_teardown(void **state)
+{
+	harness_t *harness = *state;
+	GString *faults = g_string_new(NULL);
+	char text[512];
+
+	load_abort();
+	append_ended_nodes(faults, harness);
+	append_overruns(faults, harness);
+	harness_teardown(state);
+	g_strlcpy(text, faults->str, sizeof(text));
+	g_string_free(faults, TRUE);
+	if (text[0] != '\0')
+		fail_msg("%s", text);
+	return 0;
+}
+
+const char *
+query_server(int service, int server)
+{
+	static char name[64];
+
+	snprintf(name, sizeof(name), GROUP "-%d-s%d", service, server);
+	return name;
+}
+
+void
+query_service_fault(harness_t *harness, int service, const char *order)
+{
+	for (int i = 1; i <= QUERY_SERVERS; i++)
+		harness_fault(harness, query_server(service, i), order);
+}
+
+void
+query_fault_all(harness_t *harness, const char *order)
+{
+	for (int i = 1; i <= QUERY_SERVICES; i++)
+		query_service_fault(harness, i, order);
+}
+
+void
+query_put_contract(harness_t *harness, const char *customer, const char *key,
+    double rate_per_s, int concurrency, int deadline_ms)
+{
+	const contract_spec_t spec = {.customer = customer,
+	    .key = key,
+	    .indexes = QUERY_INDEX,
+	    .services = "",
+	    .rate_per_s = rate_per_s,
+	    .concurrency = concurrency,
+	    .deadline_ms = deadline_ms,
+	    .repeat_window_h = 24};
+
+	harness_put_contract(harness, &spec);
+}
+
+static void
+start_servers(harness_t *harness, const world_t *world)
+{
+	const upstream_group_t group = {.name = GROUP,
+	    .services = QUERY_SERVICES,
+	    .servers = QUERY_SERVERS,
+	    .slots = SLOTS,
+	    .connections = CONNECTIONS,
+	    .connect_ms = 2,
+	    .p50_ms = world->p50_ms > 0 ? world->p50_ms : 4,
+	    .p99_ms = world->p99_ms > 0 ? world->p99_ms : 10,
+	    .indexed = true};
+	const upstream_set_t set = {.groups = &group,
+	    .group_count = 1,
+	    .index = QUERY_INDEX,
+	    .version = QUERY_VERSION,
+	    .delay_ms = 0.5,
+	    .seed = 11};
+
+	harness_start_upstreams(harness, &set);
+}
+
+void
+query_start_world(harness_t *harness, const world_t *world)
+{
+	g_setenv("BULRUSHWELL_FATAL_INVARIANTS", "1", TRUE);
+	harness_start_platform(harness);
+	start_servers(harness, world);
+	query_put_contract(harness, QUERY_CUSTOMER, QUERY_KEY, 20000, 2000,
+	    world->deadline_ms > 0 ? world->deadline_ms : QUERY_DEADLINE_MS);
+	harness_start_tier(harness, world->nodes);
+	for (int i = 0; i < world->nodes; i++)
+		query_wait_complete(harness, i, 3, QUERY_ENOUGH_MS);
+}
+
+void
+query_put_index(harness_t *harness, const version_map_t *maps, size_t count)
+{
+	json_t *versions = json_array();
+
+	for (size_t i = 0; i < count; i++) {
+		json_t *shards = json_array();
+
+		for (int j = 0; j < maps[i].shard_count; j++)
+			json_array_append_new(shards,
+			    json_sprintf(GROUP "-%d", maps[i].services[j]));
+		json_array_append_new(versions,
+		    json_pack("{s:i,s:o}", "version", maps[i].version, "shards",
+			shards));
+	}
+	harness_put_object(harness, "index", QUERY_INDEX,
+	    json_pack("{s:s,s:i,s:o}", "index", QUERY_INDEX, "current",
+		maps[count - 1].version, "versions", versions));
+}
+
+http_result_t
+query_post_as(
+    const char *address, const char *key, const char *body, int deadline_ms)
+{
+	char *authorization = g_strdup_printf("Authorization: Bearer %s", key);
+	char *deadline = g_strdup_printf("X-Deadline-Ms: %d", deadline_ms);
+	const char *headers[] = {
+	    authorization, deadline_ms > 0 ? deadline : NULL, NULL};
+	http_result_t result = harness_http("POST", address,
+	    "/v1/query/" QUERY_INDEX, headers, body, QUERY_ENOUGH_MS);
+
+	g_free(authorization);
+	g_free(deadline);
+	return result;
+}
+
+http_result_t
+query_post(harness_t *harness, int node, const char *body)
+{
+	return query_post_as(harness->nodes[node].caller, QUERY_KEY, body, 0);
+}
+
+char *
+query_new_body(void)
+{
+	static gint number;
+
+	return g_strdup_printf(
+	    "board %d of the test", g_atomic_int_add(&number, 1));
+}
+
+coverage_t
+query_check_complete(harness_t *harness, int node)
+{
+	char *body = query_new_body();
+	http_result_t result = query_post(harness, node, body);
+	coverage_t coverage =
+	    query_check_answer(&result, body, QUERY_DEADLINE_MS);
+
+	if (coverage.answered != coverage.total)
+		fail_msg("%d of %d shards answered: %s", coverage.answered,
+		    coverage.total, result.body->str);
+	http_result_clear(&result);
+	g_free(body);
+	return coverage;
+}
+
+/* Whether an answer is complete; else @why says what came instead. */
+static bool
+is_complete(harness_t *harness, int node, char *why, size_t why_size)
+{
+	char *body = query_new_body();
+	http_result_t result = query_post(harness, node, body);
+	bool complete = false;
+	coverage_t coverage;
+
+	if (result.status == 200) {
+		coverage = query_check_answer(&result, body, 10000);
+		complete = coverage.answered == coverage.total;
+	}
+	snprintf(why, why_size, "%d %.300s", result.status, result.body->str);
+	http_result_clear(&result);
+	g_free(body);
+	return complete;
+}
+
+void
+query_wait_complete(harness_t *harness, int node, int times, int timeout_ms)
+{
+	usec_t until = clock_monotonic() + MS(timeout_ms);
+	int in_row = 0;
+	char why[320];
+
+	while (in_row < times) {
+		in_row = is_complete(harness, node, why, sizeof(why))
+		    ? in_row + 1
+		    : 0;
+		if (in_row < times && clock_monotonic() > until)
+			fail_msg("%s gives no complete answers after %d ms: %s",
+			    harness->nodes[node].node, timeout_ms, why);
+		if (in_row == 0)
+			g_usleep(5000);
+	}
+}
+
+double
+query_metric(harness_t *harness, int node, const char *line)
+{
+	http_result_t result =
+	    harness_http("GET", harness->nodes[node].operator_address,
+		"/metrics", NULL, NULL, QUERY_ENOUGH_MS);
+	char **lines = g_strsplit(result.body->str, "\n", -1);
+	double sum = 0;
+
+	assert_int_equal(result.status, 200);
+	for (int i = 0; lines[i] != NULL; i++)
+		if (g_str_has_prefix(lines[i], line) &&
+		    strrchr(lines[i], ' ') != NULL)
+			sum += atof(strrchr(lines[i], ' '));
+	g_strfreev(lines);
+	http_result_clear(&result);
+	return sum;
+}
+
+void
+query_wait_metric(harness_t *harness, int node, const char *line, double wanted)
+{
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+
+	while (query_metric(harness, node, line) < wanted) {
+		if (clock_monotonic() > until)
+			fail_msg("%s stays below %g", line, wanted);
+		g_usleep(5000);
+	}
+}
+
+int64_t
+query_settled_requests(harness_t *harness)
+{
+	int64_t seen = -1, now = harness_record_sum(harness, "requests");
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+
+	/* Hedged and cancelled attempts may still arrive. */
+	while (now != seen && clock_monotonic() < until) {
+		seen = now;
+		g_usleep(SETTLE_MS * 1000);
+		now = harness_record_sum(harness, "requests");
+	}
+	return now;
+}
