Give the remaining time as retry_after_ms of a crashing request

suspect_retry_after() returns a moment on the monotonic clock, and the refusal printed that moment as a duration: a caller was told to wait 2209434 ms where at most 60000 are left.

The refusal now prints the time that remains.

Measured: test_process_servers/a_crashing_request_is_contained failed with "2209434 is not within the range 1-60000" before and passes in 3 of 3 runs after.

--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -74,8 +74,10 @@
 		wait =
 		    admission_retry_after(node->board.admission, customer, now);
 	else if (error == BW_E_SUSPECT)
-		wait = suspect_retry_after(
-		    node->board.suspects, request->fingerprint, now);
+		wait = MAX(suspect_retry_after(node->board.suspects,
+			       request->fingerprint, now) -
+			now,
+		    0);
 	if (request->exchange != NULL)
 		request_answer_error(
 		    request->exchange, error, detail, wait / USEC_PER_MS);
