Test reservations at most once under kills, pauses and store faults

Real processes: the serving node ends or is paused before the claim, between claim and dispatch, after it and before the outcome is stored; the store is down, slow, refuses or loses answers; servers freeze or close. The stand-in of the platform can hold the answers of claim writes, so that a node can be ended between claim and dispatch.

--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -21,6 +21,7 @@
 typedef struct {
 	bool down;
 	bool stall_watches;
+	bool hold_claims; /* claim writes take effect but wait for the answer */
 	int64_t slow_ms;
 	int64_t lose_answers;
 	int64_t refuse_writes;
@@ -36,6 +37,7 @@
 	json_t *next_vms; /* visible from next_vms_at */
 	usec_t next_vms_at;
 	uint64_t reads, writes, watches, conflicts;
+	uint64_t claim_calls; /* counted on arrival */
 } platform_t;
 
 static platform_t platform;
@@ -51,6 +53,17 @@
 	return down;
 }
 
+static bool
+is_holding(void)
+{
+	bool holding;
+
+	g_mutex_lock(&platform.lock);
+	holding = platform.faults.hold_claims;
+	g_mutex_unlock(&platform.lock);
+	return holding;
+}
+
 static object_t *
 find_object(const char *kind, const char *name)
 {
@@ -190,6 +203,10 @@
 	write_object(kind, name, &condition, value, reply);
 	g_mutex_unlock(&platform.lock);
 	fake_server_wake_all(platform.server);
+	while (strcmp(kind, "claim") == 0 && is_holding() &&
+	    !fake_server_is_stopping(platform.server))
+		fake_connection_wait(
+		    request->connection, clock_monotonic() + SECONDS(1));
 }
 
 static gint
@@ -359,6 +376,7 @@
 	g_mutex_lock(&platform.lock);
 	fake_read_bool(order, "down", &platform.faults.down);
 	fake_read_bool(order, "stall_watches", &platform.faults.stall_watches);
+	fake_read_bool(order, "hold_claims", &platform.faults.hold_claims);
 	fake_read_int(order, "slow_ms", &platform.faults.slow_ms);
 	fake_read_int(order, "lose_answers", &platform.faults.lose_answers);
 	fake_read_int(order, "refuse_writes", &platform.faults.refuse_writes);
@@ -375,10 +393,12 @@
 {
 	g_mutex_lock(&platform.lock);
 	fake_reply_json(reply, 200,
-	    json_pack("{s:I,s:I,s:I,s:I}", "reads", (json_int_t)platform.reads,
-		"writes", (json_int_t)platform.writes, "watches",
+	    json_pack("{s:I,s:I,s:I,s:I,s:I}", "reads",
+		(json_int_t)platform.reads, "writes",
+		(json_int_t)platform.writes, "watches",
 		(json_int_t)platform.watches, "conflicts",
-		(json_int_t)platform.conflicts));
+		(json_int_t)platform.conflicts, "claim_calls",
+		(json_int_t)platform.claim_calls));
 	g_mutex_unlock(&platform.lock);
 }
 
@@ -452,6 +472,8 @@
 	}
 	g_mutex_lock(&platform.lock);
 	slow = MS(platform.faults.slow_ms);
+	platform.claim_calls +=
+	    g_str_has_prefix(request->path, "/v1/objects/claim/");
 	g_mutex_unlock(&platform.lock);
 	if (slow > 0 && !is_down())
 		fake_connection_sleep(
--- a/tests/lib/harness.h
+++ b/tests/lib/harness.h
@@ -37,6 +37,10 @@
 	address_t caller;
 	address_t operator_address;
 	address_t peer;
+	address_t platform; /* empty: the platform's own address */
+	address_t peer_via[HARNESS_MAX_NODES]; /* of each other node; empty: its
+						  own */
+	const char *peer_key_file;
 	process_t process; /* -1 while it does not run */
 } harness_node_t;
 
@@ -98,6 +102,7 @@
 /** typedef http_result_t - An answer; status 0 when there was none. */
 typedef struct {
 	int status;
+	bool refused; /* no connection was made */
 	GString *body;
 	GHashTable *headers; /* lower-case name -> value */
 	json_t *json;	     /* NULL when the body is not JSON */
@@ -189,6 +194,15 @@
 
 uint64_t harness_put_contract(harness_t *harness, const contract_spec_t *spec);
 
+/**
+ * harness_name_nodes() - Chooses names and addresses of a tier that is started
+ * node by node, and lists its VMs.
+ */
+void harness_name_nodes(harness_t *harness, int nodes);
+
+/** harness_list_vms() - Sets the VM list; @gone is a mask of ended nodes. */
+void harness_list_vms(harness_t *harness, unsigned gone, int lag_ms);
+
 /** harness_start_tier() - Starts nodes and waits until they are ready. */
 void harness_start_tier(harness_t *harness, int nodes);
 
--- a/tests/lib/harness_http.c
+++ b/tests/lib/harness_http.c
@@ -120,6 +120,7 @@
 	CURL *curl = curl_easy_init();
 	usec_t start = clock_monotonic();
 	long status = 0;
+	CURLcode code;
 
 	result.body = g_string_new(NULL);
 	result.headers =
@@ -135,7 +136,9 @@
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, result.body);
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, result.headers);
-	if (curl_easy_perform(curl) == CURLE_OK)
+	code = curl_easy_perform(curl);
+	result.refused = code == CURLE_COULDNT_CONNECT;
+	if (code == CURLE_OK)
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	result.status = (int)status;
 	result.elapsed = clock_monotonic() - start;
--- a/tests/lib/harness_tier.c
+++ b/tests/lib/harness_tier.c
@@ -311,10 +311,12 @@
 	for (int i = 0; i < harness->node_count; i++) {
 		const harness_node_t *node = &harness->nodes[i];
 
+		const char *via = harness->nodes[self].peer_via[i];
+
 		if (i != self)
 			g_string_append_printf(flag, "%s%s@%s",
 			    flag->str[flag->len - 1] == '=' ? "" : ",",
-			    node->node, node->peer);
+			    node->node, via[0] != '\0' ? via : node->peer);
 	}
 	return g_string_free(flag, FALSE);
 }
@@ -332,8 +334,12 @@
 	    g_strdup_printf("--caller-address=%s", node->caller),
 	    g_strdup_printf("--operator-address=%s", node->operator_address),
 	    g_strdup_printf("--peer-address=%s", node->peer),
-	    g_strdup_printf("--platform=%s", harness->platform),
+	    g_strdup_printf("--platform=%s",
+		node->platform[0] != '\0' ? node->platform : harness->platform),
 	    peers_flag(harness, node_number),
+	    node->peer_key_file != NULL
+		? g_strdup_printf("--peer-key-file=%s", node->peer_key_file)
+		: NULL,
 	    NULL,
 	};
 
@@ -357,18 +363,19 @@
 	harness->nodes[node].process = -1;
 }
 
-static void
-list_vms(harness_t *harness)
+void
+harness_list_vms(harness_t *harness, unsigned gone, int lag_ms)
 {
 	json_t *vms = json_array();
 	json_t *order;
 	char *text;
 
 	for (int i = 0; i < harness->node_count; i++)
-		json_array_append_new(vms,
-		    json_pack("{s:s,s:s}", "vm", harness->nodes[i].vm, "state",
-			"live"));
-	order = json_pack("{s:o}", "vms", vms);
+		if ((gone & 1u << i) == 0)
+			json_array_append_new(vms,
+			    json_pack("{s:s,s:s}", "vm", harness->nodes[i].vm,
+				"state", "live"));
+	order = json_pack("{s:o,s:i}", "vms", vms, "lag_ms", lag_ms);
 	text = json_dumps(order, JSON_COMPACT);
 	harness_order(harness->platform, "/fake/vms", text);
 	json_decref(order);
@@ -376,11 +383,10 @@
 }
 
 void
-harness_start_tier(harness_t *harness, int nodes)
+harness_name_nodes(harness_t *harness, int nodes)
 {
 	assert_true(nodes <= HARNESS_MAX_NODES);
-	harness->node_count = nodes;
-	for (int i = 0; i < nodes; i++) {
+	for (int i = harness->node_count; i < nodes; i++) {
 		harness_node_t *node = &harness->nodes[i];
 
 		snprintf(node->node, sizeof(node->node), "node-%d", i + 1);
@@ -389,7 +395,14 @@
 		harness_free_address(node->operator_address);
 		harness_free_address(node->peer);
 	}
-	list_vms(harness);
+	harness->node_count = nodes;
+	harness_list_vms(harness, 0, 0);
+}
+
+void
+harness_start_tier(harness_t *harness, int nodes)
+{
+	harness_name_nodes(harness, nodes);
 	for (int i = 0; i < nodes; i++)
 		harness_start_node(harness, i);
 	for (int i = 0; i < nodes; i++)
--- /dev/null
+++ b/tests/lib/load.c
@@ -0,0 +1,535 @@
+/* Callers of the process tests. */
+#include "load.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define MAX_THREADS 16
+#define RATE_PAUSE_US 10000
+
+typedef struct {
+	char key[64];
+	enum { KEY_DONE, KEY_NOT_RUN, KEY_OPEN } outcome;
+} used_key_t;
+
+struct load {
+	GMutex lock;
+	bool stopping;
+	bool reserve;
+	int pause_ms;
+	unsigned nodes;
+	int node_count;
+	address_t addresses[HARNESS_MAX_NODES];
+	int next; /* call number, which chooses the node */
+	load_counts_t counts;
+	GArray *keys; /* used_key_t */
+	int thread_count;
+	GThread *threads[MAX_THREADS];
+};
+
+/* Whether a server's text names the body that was sent. */
+static bool
+has_hash(const char *text, const char *body)
+{
+	char hash[64];
+
+	snprintf(hash, sizeof(hash), "\"hash\":\"%016llx\"",
+	    (unsigned long long)XXH64(body, strlen(body), 0));
+	return text != NULL && strstr(text, hash) != NULL;
+}
+
+static bool
+is_true_result(const json_t *result, const char *body)
+{
+	const char *text = json_string_value(json_object_get(result, "body"));
+	char shard[64];
+
+	snprintf(shard, sizeof(shard), "\"shard\":%lld,",
+	    (long long)json_integer_value(json_object_get(result, "shard")));
+	return has_hash(text, body) && strstr(text, shard) != NULL;
+}
+
+static void
+read_query_answer(const json_t *json, const char *body, reply_t *reply)
+{
+	const json_t *results = json_object_get(json, "results");
+	json_t *missing = NULL;
+	int answered = -1, total = -1, complete = 0;
+
+	if (json_unpack((json_t *)json, "{s:b,s:{s:i,s:i,s:o}}", "complete",
+		&complete, "coverage", "answered", &answered, "total", &total,
+		"missing", &missing) != 0) {
+		reply->wrong = true;
+		return;
+	}
+	reply->complete = complete;
+	reply->wrong = (size_t)answered != json_array_size(results) ||
+	    (size_t)(total - answered) != json_array_size(missing) ||
+	    complete != (answered == total) || total == 0;
+	for (size_t i = 0; i < json_array_size(results); i++)
+		if (!is_true_result(json_array_get(results, i), body))
+			reply->wrong = true;
+}
+
+static void
+read_error(const json_t *json, reply_t *reply)
+{
+	const json_t *error = json_object_get(json, "error");
+	const char *kind = json_string_value(json_object_get(error, "kind"));
+
+	g_strlcpy(reply->kind, kind != NULL ? kind : "", sizeof(reply->kind));
+	reply->not_run = json_is_true(json_object_get(error, "not_run"));
+	reply->wrong = kind == NULL;
+}
+
+static reply_t
+call(const char *address, const char *path, const char *key, const char *body)
+{
+	const char *headers[] = {
+	    "Authorization: Bearer " LOAD_SECRET, key, NULL};
+	http_result_t result =
+	    harness_http("POST", address, path, headers, body, LOAD_CALL_MS);
+	reply_t reply = {.status = result.status, .refused = result.refused};
+
+	if (result.status == 200 && key == NULL) {
+		read_query_answer(result.json, body, &reply);
+	} else if (result.status == 200) {
+		const char *text =
+		    json_string_value(json_object_get(result.json, "body"));
+
+		reply.repeated =
+		    json_is_true(json_object_get(result.json, "repeated"));
+		reply.wrong = !has_hash(text, body);
+		g_strlcpy(
+		    reply.body, text != NULL ? text : "", sizeof(reply.body));
+	} else if (result.status != 0) {
+		read_error(result.json, &reply);
+	}
+	http_result_clear(&result);
+	return reply;
+}
+
+static reply_t
+call_query(const char *address, const char *body)
+{
+	return call(address, "/v1/query/" LOAD_INDEX, NULL, body);
+}
+
+static reply_t
+call_reserve(const char *address, const char *key, const char *body)
+{
+	char header[128];
+
+	snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
+	return call(address, "/v1/reserve/" LOAD_SERVICE, header, body);
+}
+
+static bool
+is_rate_refusal(const reply_t *reply)
+{
+	return reply->status == 429 && reply->not_run;
+}
+
+reply_t
+load_query(const char *address, const char *body)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+	reply_t reply = call_query(address, body);
+
+	while (is_rate_refusal(&reply) && clock_monotonic() < until) {
+		g_usleep(RATE_PAUSE_US);
+		reply = call_query(address, body);
+	}
+	return reply;
+}
+
+reply_t
+load_reserve(const char *address, const char *key, const char *body)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+	reply_t reply = call_reserve(address, key, body);
+
+	while (is_rate_refusal(&reply) && clock_monotonic() < until) {
+		g_usleep(RATE_PAUSE_US);
+		reply = call_reserve(address, key, body);
+	}
+	return reply;
+}
+
+static gpointer
+run_caller(gpointer context)
+{
+	caller_t *caller = context;
+
+	caller->reply =
+	    load_reserve(caller->address, caller->key, caller->body);
+	return NULL;
+}
+
+caller_t *
+caller_begin(const char *address, const char *key, const char *body)
+{
+	caller_t *caller = g_new0(caller_t, 1);
+
+	g_strlcpy(caller->address, address, sizeof(caller->address));
+	g_strlcpy(caller->key, key, sizeof(caller->key));
+	g_strlcpy(caller->body, body, sizeof(caller->body));
+	caller->thread = g_thread_new("caller", run_caller, caller);
+	return caller;
+}
+
+reply_t
+caller_end(caller_t *caller)
+{
+	reply_t reply;
+
+	g_thread_join(caller->thread);
+	reply = caller->reply;
+	g_free(caller);
+	return reply;
+}
+
+void
+load_make_key(char key[64], const char *text)
+{
+	snprintf(
+	    key, 64, "%lld-%s", (long long)(clock_wall() / USEC_PER_SEC), text);
+}
+
+static bool
+is_open(const reply_t *reply)
+{
+	return strcmp(reply->kind, "outcome_unknown") == 0 ||
+	    strcmp(reply->kind, "in_progress") == 0;
+}
+
+/* Called with the lock held. */
+static void
+count_reply(load_t *load, const reply_t *reply)
+{
+	load_counts_t *counts = &load->counts;
+
+	counts->sent++;
+	counts->wrong += reply->wrong;
+	if (reply->refused)
+		counts->refused++;
+	else if (reply->status == 0)
+		counts->cut++;
+	else if (reply->status == 200 && (load->reserve || reply->complete))
+		counts->complete++;
+	else if (reply->status == 200)
+		counts->partial++;
+	else if (reply->not_run)
+		counts->not_run++;
+	else if (is_open(reply))
+		counts->unknown++;
+	else
+		counts->failed++;
+}
+
+/* The next node of the mask, or -1 when there is none. Lock held. */
+static int
+choose_node(load_t *load)
+{
+	for (int i = 0; i < load->node_count; i++) {
+		int node = load->next++ % load->node_count;
+
+		if ((load->nodes & 1u << node) != 0)
+			return node;
+	}
+	return -1;
+}
+
+static void
+call_once(load_t *load, int node, int number)
+{
+	used_key_t used = {.outcome = KEY_OPEN};
+	char body[64];
+	reply_t reply;
+
+	snprintf(body, sizeof(body), "board %d", number);
+	if (load->reserve) {
+		char text[32];
+
+		snprintf(text, sizeof(text), "load-%d", number);
+		load_make_key(used.key, text);
+		reply = call_reserve(load->addresses[node], used.key, body);
+	} else {
+		reply = call_query(load->addresses[node], body);
+	}
+	if (reply.status == 200)
+		used.outcome = KEY_DONE;
+	else if (reply.refused || reply.not_run)
+		used.outcome = KEY_NOT_RUN;
+	g_mutex_lock(&load->lock);
+	count_reply(load, &reply);
+	g_array_append_val(load->keys, used);
+	g_mutex_unlock(&load->lock);
+}
+
+static gpointer
+run_load(gpointer context)
+{
+	load_t *load = context;
+
+	for (;;) {
+		int node, number;
+
+		g_mutex_lock(&load->lock);
+		node = load->stopping ? -2 : choose_node(load);
+		number = load->next;
+		g_mutex_unlock(&load->lock);
+		if (node == -2)
+			return NULL;
+		if (node >= 0)
+			call_once(load, node, number);
+		g_usleep((gulong)load->pause_ms * 1000);
+	}
+}
+
+load_t *
+load_start(
+    harness_t *harness, bool reserve, unsigned nodes, int threads, int pause_ms)
+{
+	load_t *load = g_new0(load_t, 1);
+
+	g_mutex_init(&load->lock);
+	load->reserve = reserve;
+	load->nodes = nodes;
+	load->pause_ms = pause_ms;
+	load->node_count = HARNESS_MAX_NODES;
+	load->keys = g_array_new(FALSE, FALSE, sizeof(used_key_t));
+	for (int i = 0; i < HARNESS_MAX_NODES; i++)
+		memcpy(
+		    load->addresses[i], harness->nodes[i].caller, ADDRESS_SIZE);
+	load->thread_count = threads;
+	for (int i = 0; i < threads; i++)
+		load->threads[i] = g_thread_new("load", run_load, load);
+	return load;
+}
+
+void
+load_set_nodes(load_t *load, unsigned nodes)
+{
+	g_mutex_lock(&load->lock);
+	load->nodes = nodes;
+	g_mutex_unlock(&load->lock);
+}
+
+load_counts_t
+load_counts(load_t *load)
+{
+	load_counts_t counts;
+
+	g_mutex_lock(&load->lock);
+	counts = load->counts;
+	g_mutex_unlock(&load->lock);
+	return counts;
+}
+
+void
+load_wait(load_t *load, int count)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+	int wanted = load_counts(load).complete + count;
+
+	while (load_counts(load).complete < wanted) {
+		if (clock_monotonic() > until)
+			fail_msg("the callers get no complete answers");
+		g_usleep(5000);
+	}
+}
+
+static GHashTable *
+sum_executions(harness_t *harness)
+{
+	GHashTable *sums =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTableIter iter;
+	gpointer server;
+
+	g_hash_table_iter_init(&iter, harness->servers);
+	while (g_hash_table_iter_next(&iter, &server, NULL)) {
+		json_t *record = harness_record(harness, server);
+		const char *key;
+		json_t *count;
+
+		json_object_foreach (
+		    json_object_get(record, "executions"), key, count)
+			g_hash_table_insert(sums, g_strdup(key),
+			    GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(
+						sums, key)) +
+				(int)json_integer_value(count)));
+		json_decref(record);
+	}
+	return sums;
+}
+
+static void
+check_executions(harness_t *harness, const GArray *keys)
+{
+	static const struct {
+		int least;
+		int most;
+	} allowed[] = {
+	    [KEY_DONE] = {1, 1}, [KEY_NOT_RUN] = {0, 0}, [KEY_OPEN] = {0, 1}};
+	GHashTable *sums = sum_executions(harness);
+
+	for (guint i = 0; i < keys->len; i++) {
+		const used_key_t *used = &g_array_index(keys, used_key_t, i);
+		int count =
+		    GPOINTER_TO_INT(g_hash_table_lookup(sums, used->key));
+
+		if (count < allowed[used->outcome].least ||
+		    count > allowed[used->outcome].most)
+			fail_msg("key %s with outcome %d ran %d times",
+			    used->key, (int)used->outcome, count);
+	}
+	g_hash_table_destroy(sums);
+}
+
+load_counts_t
+load_stop(harness_t *harness, load_t *load)
+{
+	load_counts_t counts;
+
+	g_mutex_lock(&load->lock);
+	load->stopping = true;
+	g_mutex_unlock(&load->lock);
+	for (int i = 0; i < load->thread_count; i++)
+		g_thread_join(load->threads[i]);
+	counts = load->counts;
+	if (load->reserve)
+		check_executions(harness, load->keys);
+	g_array_free(load->keys, TRUE);
+	g_mutex_clear(&load->lock);
+	g_free(load);
+	print_message("%s: %d sent, %d complete, %d partial, %d not run, "
+		      "%d unknown, %d failed, %d cut, %d refused, %d wrong\n",
+	    counts.partial < 0 ? "" : "callers", counts.sent, counts.complete,
+	    counts.partial, counts.not_run, counts.unknown, counts.failed,
+	    counts.cut, counts.refused, counts.wrong);
+	return counts;
+}
+
+void
+load_start_world(harness_t *harness, int deadline_ms)
+{
+	static const upstream_group_t groups[] = {
+	    {.name = "slotplan",
+		.services = 4,
+		.servers = 2,
+		.slots = 2,
+		.connections = 16,
+		.p50_ms = 3,
+		.p99_ms = 9,
+		.indexed = true},
+	    {.name = LOAD_SERVICE,
+		.services = 1,
+		.servers = 2,
+		.slots = 2,
+		.connections = 16,
+		.p50_ms = 3,
+		.p99_ms = 9},
+	};
+	const upstream_set_t set = {.groups = groups,
+	    .group_count = G_N_ELEMENTS(groups),
+	    .index = LOAD_INDEX,
+	    .version = 7,
+	    .seed = 1};
+	const contract_spec_t contract = {LOAD_CUSTOMER, LOAD_SECRET,
+	    LOAD_INDEX, LOAD_SERVICE, 20000, 400, deadline_ms, 24, false};
+
+	harness_start_platform(harness);
+	harness_start_upstreams(harness, &set);
+	harness_put_contract(harness, &contract);
+}
+
+void
+load_start_tier(harness_t *harness, int nodes, int deadline_ms)
+{
+	load_start_world(harness, deadline_ms);
+	harness_start_tier(harness, nodes);
+	for (int i = 0; i < nodes; i++)
+		load_wait_complete(harness, i);
+	load_wait_serving(harness, LOAD_SERVICE, ~0u);
+}
+
+void
+load_wait_complete(harness_t *harness, int node)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+	reply_t reply;
+
+	do {
+		reply = load_query(harness->nodes[node].caller, "first board");
+		if (reply.complete && !reply.wrong)
+			return;
+		g_usleep(10000);
+	} while (clock_monotonic() < until);
+	fail_msg("%s answers no complete query: %d %s",
+	    harness->nodes[node].node, reply.status, reply.kind);
+}
+
+static int
+find_node(const harness_t *harness, const char *name)
+{
+	for (int i = 0; i < harness->node_count; i++)
+		if (strcmp(harness->nodes[i].node, name) == 0)
+			return i;
+	return -1;
+}
+
+/* The holder of a service in the stored assignment, or -1. */
+static int
+stored_holder(harness_t *harness, const char *service)
+{
+	http_result_t result = harness_http("GET", harness->platform,
+	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
+	const json_t *list =
+	    json_object_get(json_object_get(result.json, "value"), "services");
+	int node = -1;
+
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *entry = json_array_get(list, i);
+		const json_t *holder =
+		    json_array_get(json_object_get(entry, "holders"), 0);
+		const char *name =
+		    json_string_value(json_object_get(entry, "service"));
+		const char *serving =
+		    json_string_value(json_object_get(holder, "node"));
+
+		if (name != NULL && serving != NULL &&
+		    strcmp(name, service) == 0)
+			node = find_node(harness, serving);
+	}
+	http_result_clear(&result);
+	return node;
+}
+
+int
+load_wait_serving(harness_t *harness, const char *service, unsigned among)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+
+	do {
+		int node = stored_holder(harness, service);
+
+		if (node >= 0 && (among & 1u << node) != 0)
+			return node;
+		g_usleep(10000);
+	} while (clock_monotonic() < until);
+	fail_msg("%s is served by none of the nodes %x", service, among);
+	return -1;
+}
+
+void
+load_check_caps(harness_t *harness)
+{
+	assert_int_equal(harness_record_sum(harness, "overruns"), 0);
+	assert_int_equal(harness_record_sum(harness, "connection_overruns"), 0);
+	assert_true(harness_record_max(harness, "max_running") <= 2);
+	assert_true(harness_record_max(harness, "max_connections") <= 16);
+}
