--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -125,13 +125,33 @@
 		   node->board.incarnation) != NULL;
 }
 
+/* Whether another holder has been first for long enough to have the use of its
+ * own share; until then this node serves or lends what it holds. */
+static bool
+is_replaced(node_t *node, const assigned_service_t *entry, usec_t now)
+{
+	const usec_t *since =
+	    g_hash_table_lookup(node->behind_since, entry->service);
+
+	if (blackboard_is_self(&node->board, &entry->holders[0])) {
+		g_hash_table_remove(node->behind_since, entry->service);
+		return false;
+	}
+	if (since == NULL) {
+		g_hash_table_insert(node->behind_since,
+		    g_strdup(entry->service), g_memdup2(&now, sizeof(now)));
+		return false;
+	}
+	return now - *since >= blackboard_handover(&node->board, now);
+}
+
 /* While stopping, a share is given up once the assignment names another node
- * first, so that peers route there. */
+ * first and peers route there. */
 static bool
-wants_release(const node_t *node, const assigned_service_t *entry)
+wants_release(node_t *node, const assigned_service_t *entry, usec_t now)
 {
 	return node->board.state == NODE_STATE_STOPPING &&
-	    !blackboard_is_self(&node->board, &entry->holders[0]);
+	    is_replaced(node, entry, now);
 }
 
 /* A share that was closed is offered until the assignment no longer has it:
@@ -176,7 +196,7 @@
 	for (uint32_t i = 0; i < assignment->service_count; i++) {
 		assigned_service_t *entry = &assignment->services[i];
 
-		if (holds(node, entry) && wants_release(node, entry))
+		if (holds(node, entry) && wants_release(node, entry, now))
 			close_share(node, entry->service);
 		offer_closed(node, basis->releasable, entry, now);
 	}
