--- a/tests/lib/traffic.c
+++ b/tests/lib/traffic.c
@@ -221,9 +221,6 @@
 	counts->wrong += reply->wrong;
 	if (reply->kind[0] != '\0')
 		strcpy(load->last_error, reply->kind);
-	if (g_getenv("BW_TRACE") != NULL && reply->kind[0] != '\0')
-		fprintf(stderr, "%lld %s %s\n", (long long)clock_wall() / 1000,
-		    load->reserve ? "R" : "Q", reply->kind);
 	if (reply->refused)
 		counts->refused++;
 	else if (reply->status == 0)
@@ -423,11 +420,11 @@
 	g_array_free(load->keys, TRUE);
 	g_mutex_clear(&load->lock);
 	g_free(load);
-	print_message("%s: %d sent, %d complete, %d partial, %d not run, "
+	print_message("callers: %d sent, %d complete, %d partial, %d not run, "
 		      "%d unknown, %d failed, %d cut, %d refused, %d wrong\n",
-	    counts.partial < 0 ? "" : "callers", counts.sent, counts.complete,
-	    counts.partial, counts.not_run, counts.unknown, counts.failed,
-	    counts.cut, counts.refused, counts.wrong);
+	    counts.sent, counts.complete, counts.partial, counts.not_run,
+	    counts.unknown, counts.failed, counts.cut, counts.refused,
+	    counts.wrong);
 	return counts;
 }
 
