Keep a stopping node serving until its standby has its share back

A planned stop moved all requests to the standby at once. The standby had lent its share to the serving node and could not use it for the loan's time plus the longest deadline (about 1.4 s at 1,000 ms), and the stopping node closed its own share instead of lending it, so nobody could serve: requests waited in the queue until their deadline. Messages still queued at the end of the process were dropped as well.

A stopping node now goes on serving or lends its share until another holder has been first for that long; a standby lends nothing to a node that stops; peers leave a stopping node after the same time; during an outage the node stays until they have. Peer sockets linger for 500 ms at the end.

--- a/source/net/peer_socket.c
+++ b/source/net/peer_socket.c
@@ -13,6 +13,7 @@
 #define HEARTBEAT_INTERVAL_MS 500
 #define HEARTBEAT_TIMEOUT_MS 1500
 #define TCP_MAX_RETRANSMIT_MS 2000
+#define LINGER_MS 500	      /* at the end, for the last replies to leave */
 #define MESSAGES_PER_TURN 256 /* then other watchers get their turn */
 
 /* A watched ZeroMQ socket. Its file descriptor signals changes, not levels,
@@ -285,8 +286,14 @@
 void
 peer_socket_destroy(peer_socket_t *socket)
 {
+	GHashTableIter iter;
+	gpointer dealer;
+
 	if (socket == NULL)
 		return;
+	g_hash_table_iter_init(&iter, socket->dealers);
+	while (g_hash_table_iter_next(&iter, NULL, &dealer))
+		set_int(dealer, ZMQ_LINGER, LINGER_MS);
 	g_hash_table_destroy(socket->dealers);
 	watch_stop(&socket->router);
 	watch_stop(&socket->zap);
--- a/source/node/blackboard.c
+++ b/source/node/blackboard.c
@@ -28,6 +28,8 @@
 	board->allowance = allowance_create();
 	board->admission = admission_create();
 	board->suspects = suspect_list_create();
+	board->stopping_since =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
@@ -41,6 +43,7 @@
 	allowance_destroy(board->allowance);
 	admission_destroy(board->admission);
 	suspect_list_destroy(board->suspects);
+	g_hash_table_destroy(board->stopping_since);
 }
 
 usec_t
@@ -62,21 +65,52 @@
 	return membership_is_isolated(board->membership, now);
 }
 
+void
+blackboard_note_stopping(
+    blackboard_t *board, const char *node, bool stopping, usec_t now)
+{
+	if (!stopping)
+		g_hash_table_remove(board->stopping_since, node);
+	else if (!g_hash_table_contains(board->stopping_since, node))
+		g_hash_table_insert(board->stopping_since, g_strdup(node),
+		    g_memdup2(&now, sizeof(now)));
+}
+
+usec_t
+blackboard_handover(const blackboard_t *board, usec_t now)
+{
+	usec_t longest = blackboard_longest(board, now);
+	usec_t returned = MS(LOAN_MS) + longest + longest / DRIFT_FRACTION +
+	    MS(DRIFT_MARGIN_MS) + 2 * MS(HEARTBEAT_MS);
+
+	return MIN(returned, MS(HANDOVER_MAX_MS));
+}
+
+/* Whether a holder's stop has come so far that its standby can serve. */
+static bool
+is_leaving(const blackboard_t *board, const char *node, usec_t now)
+{
+	const usec_t *since = g_hash_table_lookup(board->stopping_since, node);
+
+	return since != NULL && now - *since >= blackboard_handover(board, now);
+}
+
 static bool
 is_usable(
-    const blackboard_t *board, const holder_t *holder, bool accept_stopping)
+    const blackboard_t *board, const holder_t *holder, bool accept_leaving)
 {
 	const peer_t *peer;
 
 	if (holder->slots == 0)
 		return false;
+	if (!accept_leaving &&
+	    is_leaving(board, holder->node, clock_monotonic()))
+		return false;
 	if (blackboard_is_self(board, holder))
-		return accept_stopping || board->state != NODE_STATE_STOPPING;
+		return true;
 	peer = membership_find(board->membership, holder->node);
-	if (peer == NULL || !peer->live ||
-	    peer->incarnation != holder->incarnation)
-		return false;
-	return accept_stopping || peer->state != NODE_STATE_STOPPING;
+	return peer != NULL && peer->live &&
+	    peer->incarnation == holder->incarnation;
 }
 
 const char *
--- a/source/node/blackboard.h
+++ b/source/node/blackboard.h
@@ -1,6 +1,7 @@
 #ifndef NODE_BLACKBOARD_H
 #define NODE_BLACKBOARD_H
 
+#include <glib.h>
 #include <stdbool.h>
 
 #include "bulrushwell/admission.h"
@@ -33,8 +34,15 @@
 	suspect_list_t *suspects;    /* serving controller */
 	usec_t platform_heard_at;    /* platform events; 0: never */
 	bool platform_reachable;     /* platform events */
+	GHashTable *stopping_since;  /* peer controller; node -> usec_t */
 } blackboard_t;
 
+/**
+ * HANDOVER_MAX_MS - Bounds the first phase of a planned stop, so that shares
+ * that were lent during it return before the stop is over.
+ */
+#define HANDOVER_MAX_MS 5000
+
 void blackboard_init(blackboard_t *board, const settings_t *settings);
 void blackboard_clear(blackboard_t *board);
 
@@ -47,12 +55,24 @@
 /** blackboard_is_isolated() - Neither platform nor peers have been heard. */
 bool blackboard_is_isolated(const blackboard_t *board, usec_t now);
 
+/** blackboard_note_stopping() - Whether a node says that it is stopping. */
+void blackboard_note_stopping(
+    blackboard_t *board, const char *node, bool stopping, usec_t now);
+
+/**
+ * blackboard_handover() - How long a stopping node goes on serving.
+ *
+ * What its standby lent it before the stop is usable by the standby again only
+ * after the loan and the longest deadline; until then nobody else could serve.
+ */
+usec_t blackboard_handover(const blackboard_t *board, usec_t now);
+
 /**
  * blackboard_route() - The node that serves a service now.
  * @except: a node to leave out, or NULL
  *
- * The first live holder that is not stopping, else the first live one; NULL
- * when there is none.
+ * The first live holder that is not past its handover, else the first live
+ * one; NULL when there is none.
  */
 const char *blackboard_route(
     const blackboard_t *board, const char *service, const char *except);
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -258,6 +258,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->behind_since =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->claims = claim_table_create();
 	config_create(node);
 	serve_create(node);
@@ -320,6 +322,7 @@
 	g_hash_table_destroy(node->customers);
 	g_hash_table_destroy(node->forwarded);
 	g_hash_table_destroy(node->index_wait);
+	g_hash_table_destroy(node->behind_since);
 	table_destroy(node->requests);
 	table_destroy(node->reservations);
 	blackboard_clear(&node->board);
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -95,8 +95,27 @@
 		   node->board.incarnation) != NULL;
 }
 
-/* While stopping, peers must have moved to another holder first: a share is
- * offered only when some other live holder can take over, or none exists. */
+/* Whether another holder has been first for long enough to have the use of its
+ * own share; until then this node serves or lends what it holds. */
+static bool
+is_replaced(node_t *node, const assigned_service_t *entry, usec_t now)
+{
+	const usec_t *since =
+	    g_hash_table_lookup(node->behind_since, entry->service);
+
+	if (blackboard_is_self(&node->board, &entry->holders[0])) {
+		g_hash_table_remove(node->behind_since, entry->service);
+		return false;
+	}
+	if (since == NULL) {
+		g_hash_table_insert(node->behind_since,
+		    g_strdup(entry->service), g_memdup2(&now, sizeof(now)));
+		return false;
+	}
+	return now - *since >= blackboard_handover(&node->board, now);
+}
+
+/* While stopping, peers must have moved to another holder first. */
 static void
 add_releasable(node_t *node, plan_basis_t *basis, usec_t now)
 {
@@ -109,9 +128,7 @@
 		for (uint32_t i = 0; i < assignment->service_count; i++) {
 			assigned_service_t *entry = &assignment->services[i];
 
-			if (holds(node, entry) &&
-			    !blackboard_is_self(
-				&node->board, &entry->holders[0]))
+			if (holds(node, entry) && is_replaced(node, entry, now))
 				offer_release(node, basis->releasable,
 				    entry->service, now);
 		}
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -186,6 +186,10 @@
 
 	if (!may_lend_to(node, service, heartbeat->report.node))
 		return 0;
+	/* This node takes over: its share must return before. */
+	if (heartbeat->report.state == NODE_STATE_STOPPING &&
+	    node->board.state != NODE_STATE_STOPPING)
+		return 0;
 	if (served != NULL) {
 		scheduler_get_stats(served->scheduler, &stats);
 		charged = scheduler_charged(served->scheduler);
@@ -232,6 +236,8 @@
 		node->dropped_messages++;
 		return;
 	}
+	blackboard_note_stopping(&node->board, message->sender,
+	    heartbeat->report.state == NODE_STATE_STOPPING, now);
 	drain_membership(node, now);
 	config_compare(node, heartbeat);
 	answer_heartbeat(node, heartbeat, now);
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -108,6 +108,7 @@
 	/* stopping */
 	usec_t stop_at;
 	usec_t last_request_at;
+	GHashTable *behind_since; /* service -> usec_t; not its first holder */
 	bool stop_cut;
 	bool was_ready;
 	uint64_t dropped_messages;
--- a/source/node/node_stop.c
+++ b/source/node/node_stop.c
@@ -25,6 +25,8 @@
 	}
 	node->board.state = NODE_STATE_STOPPING;
 	node->stop_at = now;
+	blackboard_note_stopping(
+	    &node->board, node->board.settings.node, true, now);
 	node->last_request_at = now;
 	http_server_set_closing(node->callers);
 	event_log(EVENT_NODE_STOPPING, "%u requests run",
@@ -49,9 +51,14 @@
 /* Without the platform the shares cannot be given up; they stay reserved until
  * the platform or the VM list settles it. */
 static bool
-is_handed_over(node_t *node)
+is_handed_over(node_t *node, usec_t now)
 {
-	return assign_is_released(node) || !node->board.platform_reachable;
+	/* Peers must have moved to the standby before this node is silent. */
+	usec_t moved = node->stop_at + blackboard_handover(&node->board, now) +
+	    MS(QUIET_MS);
+
+	return assign_is_released(node) ||
+	    (!node->board.platform_reachable && now >= moved);
 }
 
 void
@@ -64,7 +71,7 @@
 	http_server_close_listener(node->callers);
 	limit = MS(BALANCER_MS) + blackboard_longest(&node->board, now) +
 	    MS(FINISH_MS);
-	if (is_finished(node) && is_handed_over(node)) {
+	if (is_finished(node) && is_handed_over(node, now)) {
 		event_log(EVENT_HANDOVER, "%s",
 		    assign_is_released(node) ? "all shares are given up"
 					     : "the platform is down");
