--- a/tests/lib/load.c
+++ b/tests/lib/load.c
@@ -24,6 +24,7 @@
 	address_t addresses[HARNESS_MAX_NODES];
 	int next; /* call number, which chooses the node */
 	load_counts_t counts;
+	char last_error[32];
 	GArray *keys; /* used_key_t */
 	int thread_count;
 	GThread *threads[MAX_THREADS];
@@ -68,6 +69,11 @@
 	reply->wrong = (size_t)answered != json_array_size(results) ||
 	    (size_t)(total - answered) != json_array_size(missing) ||
 	    complete != (answered == total) || total == 0;
+	if (!complete)
+		g_strlcpy(reply->kind,
+		    json_string_value(
+			json_object_get(json_array_get(missing, 0), "reason")),
+		    sizeof(reply->kind));
 	for (size_t i = 0; i < json_array_size(results); i++)
 		if (!is_true_result(json_array_get(results, i), body))
 			reply->wrong = true;
@@ -213,6 +219,8 @@
 
 	counts->sent++;
 	counts->wrong += reply->wrong;
+	if (reply->kind[0] != '\0')
+		strcpy(load->last_error, reply->kind);
 	if (reply->refused)
 		counts->refused++;
 	else if (reply->status == 0)
@@ -337,7 +345,12 @@
 
 	while (load_counts(load).complete < wanted) {
 		if (clock_monotonic() > until)
-			fail_msg("the callers get no complete answers");
+			fail_msg("the callers get no complete answers: "
+				 "%d sent, %d complete, %d partial, "
+				 "%d not run, last error %s",
+			    load_counts(load).sent, load_counts(load).complete,
+			    load_counts(load).partial,
+			    load_counts(load).not_run, load->last_error);
 		g_usleep(5000);
 	}
 }
@@ -406,11 +419,11 @@
 	g_array_free(load->keys, TRUE);
 	g_mutex_clear(&load->lock);
 	g_free(load);
-	print_message("%s: %d sent, %d complete, %d partial, %d not run, "
+	print_message("callers: %d sent, %d complete, %d partial, %d not run, "
 		      "%d unknown, %d failed, %d cut, %d refused, %d wrong\n",
-	    counts.partial < 0 ? "" : "callers", counts.sent, counts.complete,
-	    counts.partial, counts.not_run, counts.unknown, counts.failed,
-	    counts.cut, counts.refused, counts.wrong);
+	    counts.sent, counts.complete, counts.partial, counts.not_run,
+	    counts.unknown, counts.failed, counts.cut, counts.refused,
+	    counts.wrong);
 	return counts;
 }
 
--- a/tests/lib/load.h
+++ b/tests/lib/load.h
@@ -22,7 +22,7 @@
 	bool refused; /* no connection was made */
 	bool wrong;   /* an answer to another request, or false coverage */
 	bool not_run;
-	char kind[32]; /* of an error */
+	char kind[32]; /* of an error, or why a first shard is missing */
 	bool complete; /* of a query */
 	bool repeated; /* of a reservation */
 	char body[128];
