Read the wall clock before the other when stating deadlines

The absolute deadline of an attempt was the wall clock plus the time left at an earlier reading of the monotonic clock. A pause between the two readings moved the deadline by its own length, so that a server ran, beyond the shares then in force, what it should have refused as late. deadline_to_wall() reads the wall clock first: a pause makes the deadline earlier.

--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -182,6 +182,13 @@
 void serve_flush(node_t *node);
 bool serve_is_idle(node_t *node);
 usec_t serve_next_wakeup(node_t *node);
+
+/**
+ * deadline_to_wall() - A deadline on the wall clock. That clock is read before
+ * the other: a pause in between then makes the deadline earlier, and work that
+ * is sent after a pause is refused as late.
+ */
+usec_t deadline_to_wall(usec_t deadline);
 usec_t deadline_from_message(
     usec_t remaining, usec_t wall_deadline, usec_t now);
 
--- a/source/node/node_query.c
+++ b/source/node/node_query.c
@@ -106,7 +106,7 @@
 	shards->weight =
 	    MAX(1, (uint32_t)contract_rate_per_s(request->contract));
 	shards->remaining = action->deadline - now;
-	shards->wall_deadline = clock_wall() + shards->remaining;
+	shards->wall_deadline = deadline_to_wall(action->deadline);
 	shards->fingerprint = request->fingerprint;
 	shards->body = body_slice(request->body);
 	shards->groups = make_groups(action, &shards->group_count);
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -112,6 +112,14 @@
 		apply_catalogue(served, now);
 }
 
+usec_t
+deadline_to_wall(usec_t deadline)
+{
+	usec_t wall = clock_wall();
+
+	return wall + deadline - clock_monotonic();
+}
+
 usec_t
 deadline_from_message(usec_t remaining, usec_t wall_deadline, usec_t now)
 {
