--- a/tests/lib/load.c
+++ b/tests/lib/load.c
@@ -468,6 +468,7 @@
 	for (int i = 0; i < nodes; i++)
 		load_wait_complete(harness, i);
 	load_wait_serving(harness, LOAD_SERVICE, ~0u);
+	load_wait_members(harness, nodes);
 }
 
 void
@@ -486,6 +487,35 @@
 	    harness->nodes[node].node, reply.status, reply.kind);
 }
 
+static int
+count_members(harness_t *harness)
+{
+	http_result_t result = harness_http("GET", harness->platform,
+	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
+	const json_t *list =
+	    json_object_get(json_object_get(result.json, "value"), "members");
+	int count = 0;
+
+	for (size_t i = 0; i < json_array_size(list); i++)
+		count += json_integer_value(json_object_get(
+			     json_array_get(list, i), "units")) > 0;
+	http_result_clear(&result);
+	return count;
+}
+
+void
+load_wait_members(harness_t *harness, int count)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+
+	while (count_members(harness) < count) {
+		if (clock_monotonic() > until)
+			fail_msg("%d nodes have units, not %d",
+			    count_members(harness), count);
+		g_usleep(10000);
+	}
+}
+
 static int
 find_node(const harness_t *harness, const char *name)
 {
