--- a/tests/test_allowance_model.c
+++ b/tests/test_allowance_model.c
@@ -29,7 +29,8 @@
 	uint64_t incarnation;
 	uint32_t adopted; /* version of the assignment */
 	uint64_t closed;
-	uint64_t released; /* written, and not adopted yet */
+	uint64_t released; /* by a version that is not adopted yet */
+	uint32_t released_in;
 	allowance_t *allowance;
 	admission_t *admission;
 } node_t;
@@ -166,7 +167,9 @@
 static usec_t
 some_time(model_t *model)
 {
-	return MIN(LONGEST, 1 + below(model, 2 * (uint32_t)LONGEST));
+	usec_t time = 1 + below(model, 2 * (uint32_t)LONGEST);
+
+	return MIN(LONGEST, time);
 }
 
 static void
@@ -339,7 +342,9 @@
 	if (node->adopted == model->version)
 		return;
 	node->adopted += 1 + below(model, model->version - node->adopted);
-	node->released &= units_at(model, node->adopted)[position];
+	node->closed &= units_at(model, node->adopted)[position];
+	if (node->adopted >= node->released_in)
+		node->released = 0;
 	refresh(model, position);
 	allowance_set_units(node->allowance,
 	    units_at(model, node->adopted)[position], LONGEST,
@@ -347,6 +352,19 @@
 	refresh(model, position);
 }
 
+/* Units that this node has released stay closed until it knows the outcome. */
+static void
+close_units(model_t *model, uint32_t position, uint64_t units)
+{
+	node_t *node = &model->nodes[position];
+
+	node->closed =
+	    (node->released | units) & units_at(model, node->adopted)[position];
+	allowance_close_units(
+	    node->allowance, node->closed, LONGEST, local(model, node));
+	refresh(model, position);
+}
+
 /* A holder closes units, changes its mind, or releases what it closed; any node
  * takes what is free. */
 static void
@@ -357,22 +375,17 @@
 
 	switch (below(model, 4)) {
 	case 0:
-		node->closed = node->released |
-		    (below(model, 4) == 0 ? 0 : some_units(model));
-		allowance_close_units(
-		    node->allowance, node->closed, LONGEST, local(model, node));
-		refresh(model, position);
+		close_units(model, position,
+		    below(model, 4) == 0 ? 0 : some_units(model));
 		break;
 	case 1:
-		if (below(model, 2) == 0) {
-			node->closed |= some_units(model);
-			allowance_close_units(node->allowance, node->closed,
-			    LONGEST, local(model, node));
-			refresh(model, position);
-		}
+		if (below(model, 2) == 0)
+			close_units(
+			    model, position, node->closed | some_units(model));
 		node->released =
 		    node->closed & units_at(model, node->adopted)[position];
 		write_units(model, position, node->released, 0);
+		node->released_in = model->version;
 		break;
 	default:
 		for (uint32_t i = 0; i < NODES; i++)
