--- a/source/claim/document_codec.c
+++ b/source/claim/claim_document_codec.c
@@ -1,5 +1,5 @@
 /* One entry of a claim object as JSON. */
-#include "document_codec.h"
+#include "claim_document_codec.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -15,8 +15,15 @@
     [ENTRY_RELEASED] = "released",
 };
 
+bool
+claim_document_can_store(slice_t body)
+{
+	return body.size <= CLAIM_MAX_BODY &&
+	    g_utf8_validate_len(body.data, body.size, NULL);
+}
+
 char *
-document_print_entry(const entry_spec_t *spec)
+claim_document_print_entry(const entry_spec_t *spec)
 {
 	id128_t digest_id = {spec->digest[0], spec->digest[1]};
 	char digest[ID128_TEXT], token[ID128_TEXT];
@@ -24,8 +31,7 @@
 	json_t *body = NULL, *entry;
 	char *text;
 
-	/* NULL when the bytes are not text that JSON can hold. */
-	if (spec->body != NULL && memchr(bytes.data, '\0', bytes.size) == NULL)
+	if (spec->body != NULL)
 		body = json_stringn(bytes.data, bytes.size);
 	id128_format(digest_id, digest);
 	id128_format(spec->token, token);
@@ -98,7 +104,7 @@
 }
 
 bool
-document_read_entry(const json_t *json, entry_spec_t *spec)
+claim_document_read_entry(const json_t *json, entry_spec_t *spec)
 {
 	id128_t digest;
 
