Hold shard replies for up to 10 ms; forget jobs of cancelled queries

Each reply left in a message of its own, and a message costs wakeups of two ZeroMQ threads and of the receiving node. Replies to one query now wait up to 10 ms for each other; the last one owed, an error, and any reply near the deadline leave at once, so that no query waits for them.

The state that this keeps for each query also names its jobs. Jobs of a cancelled query end without a reply and stayed in the table of origins for ever; after 200,000 of them the node would have refused every shard. They are removed now, and bulrushwell_jobs_open shows their number. test_process_cancel fails without the change.

--- a/source/node/node_metrics.c
+++ b/source/node/node_metrics.c
@@ -130,6 +130,8 @@
 	    (unsigned long long)query_unmatched(node->queries));
 	g_string_append_printf(
 	    out, "bulrushwell_requests_open %u\n", table_count(node->requests));
+	g_string_append_printf(
+	    out, "bulrushwell_jobs_open %u\n", table_count(node->origins));
 }
 
 static void
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -92,7 +92,8 @@
 	GHashTable *served;  /* service -> served_t */
 	table_t *origins;    /* who asked for a job */
 	table_t *attempts;   /* attempts in flight */
-	GHashTable *batches; /* shard replies that leave together */
+	GHashTable *batches; /* query -> shard replies that leave together */
+	GQueue held;	     /* batches with replies, in the order they leave */
 	claim_table_t *claims;
 	table_t *reservations;
 
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -5,6 +5,11 @@
 #define MAX_ORIGINS 200000
 #define MAX_ATTEMPTS 65536
 
+/* Replies wait this long for others to the same query; the last one that this
+ * node owes, and any error, leaves at once. Each message costs two wakeups of
+ * ZeroMQ's thread and one of the receiving node. */
+#define REPLY_HOLD_MS 10
+
 /* Who waits for a job. */
 typedef struct {
 	job_kind_t kind;
@@ -22,14 +27,21 @@
 	body_t *body;
 } batch_entry_t;
 
-/* Replies to one query of one node that leave in one message. */
+/* Replies to one query of one node that leave in one message. It lives from
+ * the first request for shards of the query to the last reply or the
+ * cancellation. */
 typedef struct {
 	name_t requester;
 	id128_t query;
 	name_t index;
 	uint64_t version;
 	usec_t wait;
+	usec_t deadline;
+	uint32_t owed; /* shards without a reply */
+	usec_t due;    /* while it has entries: when they leave */
+	GList link;    /* in node->held while it has entries */
 	GArray *entries;
+	GArray *origins; /* handles of the jobs, ended ones included */
 } batch_t;
 
 static void
@@ -40,6 +52,7 @@
 	for (guint i = 0; i < batch->entries->len; i++)
 		body_drop(g_array_index(batch->entries, batch_entry_t, i).body);
 	g_array_free(batch->entries, TRUE);
+	g_array_free(batch->origins, TRUE);
 	g_free(batch);
 }
 
@@ -51,6 +64,7 @@
 	node->attempts = attempt_table_create(MAX_ATTEMPTS);
 	node->batches = g_hash_table_new_full(
 	    id128_hash, id128_key_equal, NULL, free_batch);
+	g_queue_init(&node->held);
 }
 
 void
@@ -123,7 +137,7 @@
 }
 
 static batch_t *
-find_batch(node_t *node, const origin_t *origin)
+find_or_add_batch(node_t *node, const origin_t *origin)
 {
 	batch_t *batch = g_hash_table_lookup(node->batches, &origin->query);
 
@@ -134,28 +148,57 @@
 	strcpy(batch->index, origin->index);
 	batch->query = origin->query;
 	batch->version = origin->version;
+	batch->link.data = batch;
 	batch->entries = g_array_new(FALSE, TRUE, sizeof(batch_entry_t));
+	batch->origins = g_array_new(FALSE, FALSE, sizeof(handle_t));
 	g_hash_table_insert(node->batches, &batch->query, batch);
 	return batch;
 }
 
+static bool
+is_local(const node_t *node, const origin_t *origin)
+{
+	return strcmp(origin->requester, node->board.settings.node) == 0;
+}
+
+/* Decides when the replies of @batch leave; @urgent: at once. */
+static void
+schedule_batch(node_t *node, batch_t *batch, bool urgent, usec_t now)
+{
+	if (batch->entries->len == 1) {
+		batch->due = now + MS(REPLY_HOLD_MS);
+		g_queue_push_tail_link(&node->held, &batch->link);
+	}
+	if (urgent || batch->owed == 0 ||
+	    now + 2 * MS(REPLY_HOLD_MS) >= batch->deadline) {
+		batch->due = now;
+		g_queue_unlink(&node->held, &batch->link);
+		g_queue_push_head_link(&node->held, &batch->link);
+	}
+}
+
 static void
 reply_shard(
     node_t *node, const origin_t *origin, int error, body_t *body, usec_t wait)
 {
-	batch_t *batch;
+	batch_t *batch = find_or_add_batch(node, origin);
 	batch_entry_t entry = {origin->shard, error, NULL};
+	usec_t now = clock_monotonic();
 
-	if (strcmp(origin->requester, node->board.settings.node) == 0) {
+	INVARIANT(
+	    batch->owed > 0, "shard %u was replied to twice", origin->shard);
+	batch->owed -= batch->owed > 0;
+	if (is_local(node, origin)) {
 		query_reply(node->queries, origin->query, origin->requester,
-		    origin->shard, origin->version, error, body,
-		    clock_monotonic());
+		    origin->shard, origin->version, error, body, now);
+		if (batch->owed == 0)
+			g_hash_table_remove(node->batches, &batch->query);
 		return;
 	}
-	batch = find_batch(node, origin);
 	batch->wait = MAX(batch->wait, wait);
 	entry.body = body_keep(body);
 	g_array_append_val(batch->entries, entry);
+	schedule_batch(node, batch, error != 0, now);
 }
 
 static void
@@ -183,18 +226,33 @@
 	g_free(reply->entries);
 }
 
+/* The bodies belong to the entries. */
+static void
+clear_batch(batch_t *batch)
+{
+	for (guint i = 0; i < batch->entries->len; i++)
+		body_drop(g_array_index(batch->entries, batch_entry_t, i).body);
+	g_array_set_size(batch->entries, 0);
+	batch->wait = 0;
+}
+
 void
 serve_flush(node_t *node)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	if (g_hash_table_size(node->batches) == 0)
-		return;
-	g_hash_table_iter_init(&iter, node->batches);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		send_batch(node, value);
-	g_hash_table_remove_all(node->batches);
+	usec_t now = clock_monotonic();
+	GList *link;
+
+	while ((link = g_queue_peek_head_link(&node->held)) != NULL) {
+		batch_t *batch = link->data;
+
+		if (batch->due > now)
+			return;
+		g_queue_unlink(&node->held, link);
+		send_batch(node, batch);
+		clear_batch(batch);
+		if (batch->owed == 0)
+			g_hash_table_remove(node->batches, &batch->query);
+	}
 }
 
 static int
@@ -219,9 +277,22 @@
 	error = scheduler_submit(served->scheduler, job, now);
 	if (error != 0)
 		table_remove(node->origins, handle);
+	else if (origin->kind == JOB_SHARD)
+		g_array_append_val(
+		    find_or_add_batch(node, origin)->origins, handle);
 	return error;
 }
 
+/* Notes that this node owes the requester one more reply. */
+static void
+expect_reply(node_t *node, const origin_t *origin, usec_t deadline)
+{
+	batch_t *batch = find_or_add_batch(node, origin);
+
+	batch->owed++;
+	batch->deadline = deadline;
+}
+
 static void
 submit_shard(
     node_t *node, const char *service, job_t *job, origin_t *origin, usec_t now)
@@ -264,6 +335,7 @@
 		for (uint32_t j = 0; j < group->shard_count; j++) {
 			job.shard = group->shards[j];
 			origin.shard = job.shard;
+			expect_reply(node, &origin, job.deadline);
 			submit_shard(node, group->service, &job, &origin, now);
 		}
 	}
@@ -280,18 +352,6 @@
 	return submit(node, service, &copy, &origin, now);
 }
 
-void
-serve_cancel(node_t *node, id128_t query, usec_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->served);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		scheduler_cancel_query(
-		    ((served_t *)value)->scheduler, query, now);
-}
-
 static void
 end_job(served_t *served, const scheduler_action_t *action)
 {
@@ -351,6 +411,39 @@
 	}
 }
 
+/* Cancelled jobs end without a reply, so what is kept for them goes here. */
+static void
+forget_query(node_t *node, id128_t query)
+{
+	batch_t *batch = g_hash_table_lookup(node->batches, &query);
+
+	if (batch == NULL)
+		return;
+	for (guint i = 0; i < batch->origins->len; i++)
+		table_remove(
+		    node->origins, g_array_index(batch->origins, handle_t, i));
+	if (batch->entries->len > 0)
+		g_queue_unlink(&node->held, &batch->link);
+	g_hash_table_remove(node->batches, &query);
+}
+
+void
+serve_cancel(node_t *node, id128_t query, usec_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->served);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		served_t *served = value;
+
+		scheduler_cancel_query(served->scheduler, query, now);
+		/* Replies to jobs that ended before still need their origin. */
+		drain_scheduler(served, now);
+	}
+	forget_query(node, query);
+}
+
 void
 serve_settle(node_t *node, usec_t now)
 {
@@ -374,9 +467,16 @@
 {
 	usec_t earliest =
 	    ledger_next_change(node->board.ledger, clock_monotonic());
+	const GList *held = g_queue_peek_head_link(&node->held);
 	GHashTableIter iter;
 	gpointer value;
 
+	if (held != NULL) {
+		usec_t due = ((const batch_t *)held->data)->due;
+
+		if (earliest == 0 || due < earliest)
+			earliest = due;
+	}
 	g_hash_table_iter_init(&iter, node->served);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		usec_t when =
--- /dev/null
+++ b/tests/test_process_cancel.c
@@ -0,0 +1,126 @@
+/* Guards the serving nodes' table of jobs: jobs of cancelled queries that stay
+ * in it would fill it, and the node would then refuse every query. */
+#include "lib/harness.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NODES 2
+#define SERVICES 4
+#define QUERIES 5
+#define ENOUGH_MS 20000
+
+static void
+start(harness_t *harness)
+{
+	static const upstream_group_t group = {.name = "part",
+	    .services = SERVICES,
+	    .servers = 2,
+	    .slots = 2,
+	    .connections = 25,
+	    .p50_ms = 1,
+	    .p99_ms = 2,
+	    .indexed = true};
+	static const upstream_set_t set = {.groups = &group,
+	    .group_count = 1,
+	    .index = "parts",
+	    .version = 1,
+	    .seed = 1};
+	static const contract_spec_t contract = {.customer = "acme",
+	    .key = "acme-key",
+	    .indexes = "parts",
+	    .services = "",
+	    .rate_per_s = 1000,
+	    .concurrency = 100,
+	    .deadline_ms = 300,
+	    .repeat_window_h = 1};
+
+	harness_start_platform(harness);
+	harness_start_upstreams(harness, &set);
+	harness_put_contract(harness, &contract);
+	harness_start_tier(harness, NODES);
+}
+
+static int
+ask(harness_t *harness, int node)
+{
+	static const char *const headers[] = {
+	    "Authorization: Bearer acme-key", NULL};
+	http_result_t result = harness_http("POST", harness->nodes[node].caller,
+	    "/v1/query/parts", headers, "board", ENOUGH_MS);
+	int status = result.status;
+
+	http_result_clear(&result);
+	return status;
+}
+
+/* Until a query is admitted: the allowance of a new contract needs time. */
+static void
+ask_until_answered(harness_t *harness, int node)
+{
+	for (int i = 0; i < 200; i++) {
+		if (ask(harness, node) == 200)
+			return;
+		usleep(100000);
+	}
+	fail_msg("node %d answers no query", node);
+}
+
+static long
+jobs_open(harness_t *harness, int node)
+{
+	static const char name[] = "bulrushwell_jobs_open ";
+	http_result_t result =
+	    harness_http("GET", harness->nodes[node].operator_address,
+		"/metrics", NULL, NULL, ENOUGH_MS);
+	const char *found;
+	long count;
+
+	assert_int_equal(result.status, 200);
+	found = strstr(result.body->str, name);
+	assert_non_null(found);
+	count = strtol(found + strlen(name), NULL, 10);
+	http_result_clear(&result);
+	return count;
+}
+
+static void
+cancelled_queries_leave_no_jobs(void **state)
+{
+	harness_t *harness = *state;
+
+	start(harness);
+	for (int node = 0; node < NODES; node++)
+		ask_until_answered(harness, node);
+	for (int i = 1; i <= SERVICES; i++) {
+		char server[32];
+
+		for (int replica = 1; replica <= 2; replica++) {
+			snprintf(
+			    server, sizeof(server), "part-%d-s%d", i, replica);
+			harness_fault(harness, server, "{\"freeze\":true}");
+		}
+	}
+	for (int i = 0; i < QUERIES; i++)
+		for (int node = 0; node < NODES; node++)
+			ask(harness, node);
+	for (int node = 0; node < NODES; node++) {
+		int tries = 100;
+
+		while (jobs_open(harness, node) != 0 && tries-- > 0)
+			usleep(100000);
+		assert_int_equal(jobs_open(harness, node), 0);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(cancelled_queries_leave_no_jobs),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
