List the wishes for allowance once for all heartbeats of a tick

Each heartbeat to each peer went through all contracts, so the cost of a node grew with contracts times peers.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -269,6 +269,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	node->givers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->wishes = g_array_new(FALSE, TRUE, sizeof(allowance_loan_t));
 	node->claims = claim_table_create();
 	config_create(node);
 	serve_create(node);
@@ -329,6 +330,7 @@
 	config_destroy(node);
 	g_hash_table_foreach(node->customers, free_customer, NULL);
 	g_hash_table_destroy(node->customers);
+	g_array_free(node->wishes, TRUE);
 	g_hash_table_destroy(node->asks);
 	g_hash_table_destroy(node->givers);
 	g_hash_table_destroy(node->forwarded);
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -88,14 +88,14 @@
 	return wish->rate_per_s > 0 || wish->concurrency > 0;
 }
 
-uint32_t
-limits_list_wishes(node_t *node, allowance_loan_t **wishes, usec_t now)
+static void
+list_wishes(node_t *node, usec_t now)
 {
 	const contract_store_t *store = node->board.contracts;
-	GArray *list = g_array_new(FALSE, TRUE, sizeof(allowance_loan_t));
+	GArray *list = node->wishes;
 	size_t peers = live_peers(node);
-	uint32_t count;
 
+	g_array_set_size(list, 0);
 	for (size_t i = 0; i < contract_store_count(store); i++) {
 		allowance_loan_t wish;
 
@@ -107,9 +107,17 @@
 			wish.rate_per_s /= (double)peers;
 		g_array_append_val(list, wish);
 	}
-	count = list->len;
-	*wishes = (allowance_loan_t *)(void *)g_array_free(list, FALSE);
-	return count;
+}
+
+uint32_t
+limits_list_wishes(node_t *node, allowance_loan_t **wishes, usec_t now)
+{
+	if (node->wishes_at != now) {
+		list_wishes(node, now);
+		node->wishes_at = now;
+	}
+	*wishes = (allowance_loan_t *)(void *)node->wishes->data;
+	return node->wishes->len;
 }
 
 void
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -100,7 +100,6 @@
 	    limits_list_wishes(node, &heartbeat->wishes, now);
 	peer_send(node, peer, &message);
 	g_free(heartbeat->loans);
-	g_free(heartbeat->wishes);
 }
 
 static void
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -85,8 +85,10 @@
 	GHashTable *forwarded;	/* id128_t of a reservation -> handle_t */
 	GHashTable *index_wait; /* index -> wait_t */
 	GHashTable *customers;	/* customer -> customer_stats_t */
-	GHashTable *asks;	/* customer -> question to a peer that runs */
-	GHashTable *givers;	/* customer -> peer that last gave tokens */
+	GArray *wishes;		/* allowance_loan_t, as of wishes_at */
+	usec_t wishes_at;
+	GHashTable *asks;   /* customer -> question to a peer that runs */
+	GHashTable *givers; /* customer -> peer that last gave tokens */
 
 	/* serving */
 	GHashTable *served;  /* service -> served_t */
@@ -150,6 +152,8 @@
 void limits_tick(node_t *node, usec_t now);
 void limits_contract_changed(
     node_t *node, const contract_t *contract, usec_t now);
+
+/* Listed once for all heartbeats of one tick; the node owns the list. */
 uint32_t limits_list_wishes(
     node_t *node, allowance_loan_t **wishes, usec_t now);
 uint32_t limits_lend(node_t *node, const heartbeat_t *heartbeat,
