--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -274,8 +274,8 @@
 	list_services | awk -v r="$1" '{ print $1 "-" r }'
 }
 
-# Sums of the counters of the nodes and servers, as "name value" lines.
-snapshot() {
+# Sums of the counters of the nodes, as "name value" lines.
+snapshot_nodes() {
 	local n
 	for n in $(seq "$nodes"); do
 		kill -0 "${node_pids[n]}" 2>/dev/null || continue
@@ -295,6 +295,11 @@
 	  sum[name] += $2 }
 	END { for (name in sum) printf "%s %.6f\n", name, sum[name]
 	    printf "max_charged %d\n", max }'
+}
+
+# The same of nodes, servers and the platform.
+snapshot() {
+	snapshot_nodes
 	curl -fs "http://$control/fake/{$servers}/record" | jq -rs '
 	    ["requests", "connections_made", "late", "expired", "overruns",
 	    "shed", "cancelled", "connection_overruns"][] as $f |
