--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -29,7 +29,7 @@
 
 /* Replies to one query of one node that leave in one message. It lives from
  * the first request for shards of the query to the last reply or the
- * cancellation. */
+ * cancellation. A query that is retried on another version has a new id. */
 typedef struct {
 	name_t requester;
 	id128_t query;
