--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* Rate is lent only of contracts of at least this many requests a second. A
+ * part of a rate that changes hands earns nothing while its loan is in doubt,
+ * which starves a small contract; its tokens move one by one instead. */
+#define LOAN_MIN_RATE 100
+
 #define WISH_FACTOR 1.25 /* room above the demand seen, for its growth */
 
 customer_stats_t *
@@ -36,6 +41,10 @@
 	allowance_set_contract(node->board.allowance, customer,
 	    retired ? 0 : contract_rate_per_s(contract),
 	    retired ? 0 : contract_concurrency(contract), now);
+	admission_begin(node->board.admission, customer,
+	    allowance_rate(node->board.allowance, customer, now),
+	    allowance_concurrency(node->board.allowance, customer, now),
+	    allowance_units_since(node->board.allowance, now), now);
 	limits_apply(node, customer, now);
 }
 
@@ -58,6 +67,7 @@
 	for (size_t i = 0; i < contract_store_count(store); i++)
 		limits_apply(
 		    node, contract_customer(contract_store_at(store, i)), now);
+	blackboard_note_longest(&node->board, now);
 	admission_set_asking(node->board.admission, live_peers(node) > 0);
 	admission_tick(node->board.admission, now);
 }
@@ -80,7 +90,7 @@
 	    admission_demand(node->board.admission, customer, now);
 	memset(wish, 0, sizeof(*wish));
 	strcpy(wish->customer, customer);
-	if (needed > rate)
+	if (needed > rate && contract_rate_per_s(contract) >= LOAN_MIN_RATE)
 		wish->rate_per_s = needed - rate;
 	if (stats.running + stats.waiting + 1 > concurrency && needed > 0)
 		wish->concurrency =
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -10,6 +10,10 @@
 #define RESERVE_PREFIX "/v1/reserve/"
 #define BEARER "Bearer "
 
+/* The answer is put together this part of the deadline early, so that it
+ * reaches the caller in time. */
+#define RETURN_FRACTION 50
+
 /* A request that waits longer than this for its own deadline to be handled is
  * answered by request_tick(). */
 #define ANSWER_GRACE_MS 20
@@ -74,8 +78,10 @@
 		wait =
 		    admission_retry_after(node->board.admission, customer, now);
 	else if (error == BW_E_SUSPECT)
-		wait = suspect_retry_after(
-		    node->board.suspects, request->fingerprint, now);
+		wait = MAX(suspect_retry_after(node->board.suspects,
+			       request->fingerprint, now) -
+			now,
+		    0);
 	if (request->exchange != NULL)
 		request_answer_error(
 		    request->exchange, error, detail, wait / USEC_PER_MS);
@@ -166,7 +172,7 @@
 			return BW_E_INVALID;
 		limit = MIN(limit, value);
 	}
-	*deadline = now + MS(limit);
+	*deadline = now + MS(limit) - MS(limit) / RETURN_FRACTION;
 	return 0;
 }
 
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -447,7 +447,7 @@
 void
 serve_settle(node_t *node, usec_t now)
 {
-	usec_t longest = blackboard_longest(&node->board, now);
+	usec_t longest = blackboard_dispatch_longest(&node->board, now);
 	GHashTableIter iter;
 	gpointer value;
 
