--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -310,12 +310,6 @@
 	    "/proc/$upstream_pid/stat"
 }
 
-# Peak of concurrent requests over the cap, over all servers.
-worst_running() {
-	curl -fs "http://$control/fake/{$servers}/record" |
-	    jq -rs '[.[].max_running] | max'
-}
-
 # difference BEFORE AFTER: "name delta" lines.
 difference() {
 	awk 'NR == FNR { old[$1] = $2; next }
--- a/bench/load.c
+++ b/bench/load.c
@@ -34,11 +34,11 @@
 	uint64_t useful; /* complete within the deadline */
 	uint64_t shards_answered;
 	uint64_t shards_total;
-	usec_t last_incomplete; /* scheduled time, from the start */
-	json_t *refused;	/* kind -> count */
-	json_t *errors;		/* kind -> count */
-	histogram_t *latency;	/* of answers, microseconds */
-	histogram_t *lag;	/* from the scheduled time to sending */
+	json_t *incomplete;   /* their scheduled times in ms from the start */
+	json_t *refused;      /* kind -> count */
+	json_t *errors;	      /* kind -> count */
+	histogram_t *latency; /* of answers, microseconds */
+	histogram_t *lag;     /* from the scheduled time to sending */
 } caller_t;
 
 typedef struct {
@@ -167,8 +167,8 @@
 	else
 		read_error(caller, http_response_body(response));
 	if (caller->complete == complete)
-		caller->last_incomplete =
-		    MAX(caller->last_incomplete, call->scheduled - load.start);
+		json_array_append_new(caller->incomplete,
+		    json_integer((call->scheduled - load.start) / USEC_PER_MS));
 	g_free(call);
 	load.open--;
 	stop_when_done();
@@ -282,6 +282,7 @@
 	    : g_strdup_printf("/v1/query/%s", index);
 	caller->refused = json_object();
 	caller->errors = json_object();
+	caller->incomplete = json_array();
 	caller->latency = histogram_create();
 	caller->lag = histogram_create();
 	return true;
@@ -329,7 +330,7 @@
 	    : (double)caller->shards_answered / (double)caller->shards_total;
 
 	return json_pack("{s:s,s:f,s:I,s:I,s:I,s:O,s:O,s:I,s:f,s:f,s:f,s:f,s:f,"
-			 "s:f,s:I}",
+			 "s:f,s:O}",
 	    "name", caller->name, "rate", caller->rate, "sent",
 	    (json_int_t)caller->sent, "complete", (json_int_t)caller->complete,
 	    "partial", (json_int_t)caller->partial, "refused", caller->refused,
@@ -338,8 +339,8 @@
 	    coverage, "p50_ms", quantile_ms(caller->latency, 0.5), "p99_ms",
 	    quantile_ms(caller->latency, 0.99), "p999_ms",
 	    quantile_ms(caller->latency, 0.999), "send_lag_p99_ms",
-	    quantile_ms(caller->lag, 0.99), "last_incomplete_ms",
-	    (json_int_t)(caller->last_incomplete / USEC_PER_MS));
+	    quantile_ms(caller->lag, 0.99), "incomplete_ms",
+	    caller->incomplete);
 }
 
 static void
