Take a refused connection as proof that a silent peer's process has ended

Change: a silent peer's address is probed; two refusals prove the incarnation gone. The floor of the longest deadline goes from 500 to 250 ms, which every loan waits for.

--- a/include/bulrushwell/membership.h
+++ b/include/bulrushwell/membership.h
@@ -145,6 +145,13 @@
 void membership_set_vms(
     membership_t *membership, const vm_entry_t *vms, size_t count, usec_t now);
 
+/**
+ * membership_refused() - The peer's address refused a connection: no process
+ * listens there. Proves the incarnation gone unless the peer is live.
+ */
+void membership_refused(membership_t *membership, const char *node,
+    uint64_t incarnation, usec_t now);
+
 void membership_platform_heard(membership_t *membership, usec_t now);
 
 /** membership_tick() - Sends heartbeats and notices silence. */
--- a/source/membership/membership.c
+++ b/source/membership/membership.c
@@ -307,6 +307,17 @@
 	push_action(membership, MEMBERSHIP_GONE, entry);
 }
 
+void
+membership_refused(membership_t *membership, const char *node,
+    uint64_t incarnation, usec_t now)
+{
+	entry_t *entry = find_entry(membership, node);
+
+	if (entry != NULL && !entry->peer.live &&
+	    entry->peer.incarnation == incarnation)
+		mark_gone(membership, entry, now);
+}
+
 /* The earliest incarnation that a VM may have which is too young to be on the
  * list that was read now. */
 static uint64_t
--- a/source/node/blackboard.h
+++ b/source/node/blackboard.h
@@ -55,7 +55,7 @@
  * LONGEST_FLOOR_MS - Nodes reckon with deadlines of at least this much, so that
  * a first or shorter contract needs no change of what loans were granted for.
  */
-#define LONGEST_FLOOR_MS 500
+#define LONGEST_FLOOR_MS 250
 
 /** blackboard_longest() - The longest deadline in force, as stated to peers. */
 usec_t blackboard_longest(const blackboard_t *board, usec_t now);
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -82,6 +82,7 @@
 		node->board.state = NODE_STATE_READY;
 	register_node(node);
 	peer_tick(node, now);
+	probe_tick(node);
 	assign_tick(node, now);
 	limits_tick(node, now);
 	health_tick(node, now);
@@ -291,6 +292,7 @@
 
 	node->behind_since =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	probe_create(node);
 	node->claims = claim_table_create();
 	config_create(node);
 	serve_create(node);
@@ -354,6 +356,7 @@
 	g_array_free(node->wishes, TRUE);
 
 	g_hash_table_destroy(node->closed);
+	g_hash_table_destroy(node->probes);
 	g_hash_table_destroy(node->asks);
 	g_hash_table_destroy(node->givers);
 	g_hash_table_destroy(node->forwarded);
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -108,6 +108,7 @@
 	/* assignment */
 	bool registered; /* the platform has this node's object */
 	bool registering;
+	GHashTable *probes; /* node -> probe of a silent peer */
 	bool write_running;
 	GHashTable *closed;	/* services whose share is being given up */
 	usec_t wanted_since;	/* when a plan was first wanted; 0: none */
@@ -217,6 +218,10 @@
 void attempt_cancel(
     served_t *served, const scheduler_action_t *action, usec_t now);
 
+/* node_probe.c */
+void probe_create(node_t *node);
+void probe_tick(node_t *node);
+
 /* node_health.c */
 void health_tick(node_t *node, usec_t now);
 
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -235,6 +235,28 @@
 	membership_destroy(membership);
 }
 
+/* Only a silent peer's own incarnation is judged by a refused connection. */
+static void
+refused_connections_prove_a_silent_peer_gone(void **state)
+{
+	membership_t *membership = create_with_peer();
+	peer_report_t report = make_report("vm-1", "10.0.0.1:700", 5);
+
+	membership_receive(membership, &report, true, SECONDS(1));
+	membership_refused(membership, report.node, 5, SECONDS(1) + MS(10));
+	assert_false(membership_is_gone(membership, report.node, 5));
+	membership_tick(membership, SECONDS(1) + MS(200));
+	membership_tick(membership, SECONDS(1) + MS(400));
+	membership_refused(membership, report.node, 4, SECONDS(1) + MS(410));
+	assert_false(membership_is_gone(membership, report.node, 5));
+	membership_refused(membership, report.node, 5, SECONDS(1) + MS(420));
+	assert_true(membership_is_gone(membership, report.node, 5));
+	assert_int_equal(
+	    membership_receive(membership, &report, true, SECONDS(1) + MS(430)),
+	    BW_E_STALE);
+	membership_destroy(membership);
+}
+
 static void
 silence_and_isolation_are_noticed(void **state)
 {
@@ -276,6 +298,7 @@
 	    cmocka_unit_test(unlisted_peers_need_authentication),
 	    cmocka_unit_test(vm_lists_prove_only_what_they_show),
 	    cmocka_unit_test(answers_match_recent_heartbeats),
+	    cmocka_unit_test(refused_connections_prove_a_silent_peer_gone),
 	    cmocka_unit_test(silence_and_isolation_are_noticed),
 	};
 
