--- a/tests/test_process_config.c
+++ b/tests/test_process_config.c
@@ -523,7 +523,7 @@
 	harness_t *harness = *state;
 	test_peer_t peer;
 	int64_t first, retired;
-	char *text;
+	char *text, *old;
 
 	load_start_world(harness, DEADLINE_MS);
 	harness_name_nodes(harness, 2);
@@ -532,20 +532,24 @@
 	    harness->nodes[0].operator_address, "/healthz", 200, ENOUGH_MS);
 	first = put_contract(harness, "kiln", false);
 	text = contract_text(harness, "kiln");
+	old = contract_text(harness, LOAD_CUSTOMER);
 	retired = put_contract(harness, "kiln", true);
 	wait_adopted(harness, 0, "kiln", retired);
 	peer = open_peer(
 	    "node-2", "vm-2", harness->nodes[1].peer, harness->nodes[0].peer);
 	wait_peer_live(harness, &peer);
 	push_contract(&peer, "kiln", (uint64_t)first, text);
-	push_contract(&peer, "kiln", (uint64_t)retired, text);
 	free(text);
+	push_contract(&peer, LOAD_CUSTOMER, 1, old);
+	free(old);
 	put_contract(harness, "later", false);
 	text = contract_text(harness, "later");
 	push_contract(&peer, "later", 1000000, text);
 	free(text);
 	wait_adopted(harness, 0, "later", 1000000);
 	assert_int_equal(adopted_version(harness, 0, "kiln"), retired);
+	assert_int_equal(adopted_version(harness, 0, LOAD_CUSTOMER),
+	    stored_version(harness, LOAD_CUSTOMER));
 	close_peer(&peer);
 }
 
