Wait for two holders of each service before faults begin

A service whose only holder was killed during an outage cannot be served, which is no fault of the tier.

--- a/tests/lib/load.c
+++ b/tests/lib/load.c
@@ -487,20 +487,27 @@
 	    harness->nodes[node].node, reply.status, reply.kind);
 }
 
-static int
-count_members(harness_t *harness)
+/* Whether so many nodes have units and each service has two holders. */
+static bool
+is_settled(harness_t *harness, int members)
 {
 	http_result_t result = harness_http("GET", harness->platform,
 	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
-	const json_t *list =
-	    json_object_get(json_object_get(result.json, "value"), "members");
+	const json_t *value = json_object_get(result.json, "value");
+	const json_t *list = json_object_get(value, "members");
+	const json_t *services = json_object_get(value, "services");
 	int count = 0;
+	bool settled = json_array_size(services) > 0;
 
 	for (size_t i = 0; i < json_array_size(list); i++)
 		count += json_integer_value(json_object_get(
 			     json_array_get(list, i), "units")) > 0;
+	for (size_t i = 0; i < json_array_size(services); i++)
+		if (json_array_size(json_object_get(
+			json_array_get(services, i), "holders")) < 2)
+			settled = false;
 	http_result_clear(&result);
-	return count;
+	return settled && count >= members;
 }
 
 void
@@ -508,10 +515,10 @@
 {
 	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
 
-	while (count_members(harness) < count) {
+	while (!is_settled(harness, count)) {
 		if (clock_monotonic() > until)
-			fail_msg("%d nodes have units, not %d",
-			    count_members(harness), count);
+			fail_msg("the assignment of %d nodes does not settle",
+			    count);
 		g_usleep(10000);
 	}
 }
--- a/tests/lib/load.h
+++ b/tests/lib/load.h
@@ -100,7 +100,10 @@
 /** load_start_world() - The same without nodes. */
 void load_start_world(harness_t *harness, int deadline_ms);
 
-/** load_wait_members() - Until so many nodes have a part of the allowance. */
+/**
+ * load_wait_members() - Until so many nodes have a part of the allowance and
+ * each service has a serving node and a standby.
+ */
 void load_wait_members(harness_t *harness, int count);
 
 /** load_wait_complete() - Until the node answers a complete query. */
--- a/tests/test_process_reserve.c
+++ b/tests/test_process_reserve.c
@@ -467,7 +467,7 @@
 
 	/* Warm connections first. */
 	for (int i = 0; i < 4; i++) {
-		char key[64], text[16];
+		char key[64], text[32];
 
 		snprintf(text, sizeof(text), "warm-%d", i);
 		load_make_key(key, text);
