--- a/tests/lib/traffic.c
+++ b/tests/lib/traffic.c
@@ -469,6 +469,7 @@
 	for (int i = 0; i < nodes; i++)
 		traffic_wait_complete(harness, i);
 	traffic_wait_serving(harness, LOAD_SERVICE, ~0u);
+	traffic_wait_members(harness, nodes);
 }
 
 void
@@ -488,6 +489,42 @@
 	    harness->nodes[node].node, reply.status, reply.kind);
 }
 
+/* Whether so many nodes have units and each service has two holders. */
+static bool
+is_settled(harness_t *harness, int members)
+{
+	http_result_t result = harness_http("GET", harness->platform,
+	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
+	const json_t *value = json_object_get(result.json, "value");
+	const json_t *list = json_object_get(value, "members");
+	const json_t *services = json_object_get(value, "services");
+	int count = 0;
+	bool settled = json_array_size(services) > 0;
+
+	for (size_t i = 0; i < json_array_size(list); i++)
+		count += json_integer_value(json_object_get(
+			     json_array_get(list, i), "units")) > 0;
+	for (size_t i = 0; i < json_array_size(services); i++)
+		if (json_array_size(json_object_get(
+			json_array_get(services, i), "holders")) < 2)
+			settled = false;
+	http_result_clear(&result);
+	return settled && count >= members;
+}
+
+void
+traffic_wait_members(harness_t *harness, int count)
+{
+	usec_t until = clock_monotonic() + MS(LOAD_CALL_MS);
+
+	while (!is_settled(harness, count)) {
+		if (clock_monotonic() > until)
+			fail_msg("the assignment of %d nodes does not settle",
+			    count);
+		g_usleep(10000);
+	}
+}
+
 static int
 find_node(const harness_t *harness, const char *name)
 {
--- a/tests/lib/traffic.h
+++ b/tests/lib/traffic.h
@@ -100,6 +100,12 @@
 /** traffic_start_world() - The same without nodes. */
 void traffic_start_world(harness_t *harness, int deadline_ms);
 
+/**
+ * traffic_wait_members() - Until so many nodes have a part of the allowance and
+ * each service has a serving node and a standby.
+ */
+void traffic_wait_members(harness_t *harness, int count);
+
 /** traffic_wait_complete() - Until the node answers a complete query. */
 void traffic_wait_complete(harness_t *harness, int node);
 
