Keep a stopping node's shares until its loans are back

A planned stop lost shards. A standby does not use a share that it lent before LOAN_MS and the longest deadline have passed, but the stopping node closed its own shares as soon as it stood behind its standby: for about 2.4 s, with a longest deadline of 2 s, nobody could serve its services.

A stopping node asks for no loans any more, and offers its shares for release only when what it borrowed is back with its lenders. Until then it can lend its own share to the standby that the peers route to.

--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -100,6 +100,17 @@
 		   node->board.incarnation) != NULL;
 }
 
+/* Whether all that a stopping node borrowed is back with its lenders. They do
+ * not use a lent share before LOAN_MS and the longest deadline have passed, so
+ * a service whose share was closed earlier would be served by nobody. It asks
+ * for no loans while stopping; an answer may take LOAN_MS more. */
+static bool
+loans_are_back(const node_t *node, usec_t now)
+{
+	return now - node->stop_at >= 2 * MS(LOAN_MS) +
+	    blackboard_longest(&node->board, now) + 2 * MS(DRIFT_MARGIN_MS);
+}
+
 /* While stopping, peers must have moved to another holder first: a share is
  * offered only when some other live holder can take over, or none exists. */
 static void
@@ -111,6 +122,8 @@
 	if (assignment == NULL)
 		return;
 	if (node->board.state == NODE_STATE_STOPPING) {
+		if (!loans_are_back(node, now))
+			return;
 		for (uint32_t i = 0; i < assignment->service_count; i++) {
 			assigned_service_t *entry = &assignment->services[i];
 
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -47,6 +47,9 @@
 	const assignment_t *assignment = node->board.assignment;
 	uint32_t count = assignment != NULL ? assignment->service_count : 0;
 
+	/* The standbys need their shares to take over. */
+	if (node->board.state == NODE_STATE_STOPPING)
+		count = 0;
 	for (uint32_t i = 0; i < count; i++) {
 		const assigned_service_t *entry = &assignment->services[i];
 
