Test that refused queries reach no server

Nothing compared refusals that say "not run" with what the servers received.

Adds tests of faulty requests, rate, concurrency, an index without servers, an isolated node, a node without configuration, a stopping node and more queries than the servers can run. The upstream stand-in counts requests whose bodies hold a given text.

--- a/fakes/lib/upstream.c
+++ b/fakes/lib/upstream.c
@@ -107,18 +107,25 @@
 	}
 }
 
+static void
+set_text(const json_t *order, const char *name, char **text)
+{
+	const json_t *value = json_object_get(order, name);
+
+	if (value == NULL)
+		return;
+	g_free(*text);
+	*text = g_strdup(json_string_value(value));
+}
+
 static void
 set_text_faults(upstream_t *upstream, const json_t *order)
 {
-	const json_t *crash_on = json_object_get(order, "crash_on");
 	const json_t *health = json_object_get(order, "health");
 	const json_t *factor = json_object_get(order, "latency_factor");
 
-	if (crash_on != NULL) {
-		g_free(upstream->faults.crash_on);
-		upstream->faults.crash_on =
-		    g_strdup(json_string_value(crash_on));
-	}
+	set_text(order, "crash_on", &upstream->faults.crash_on);
+	set_text(order, "watch", &upstream->faults.watch);
 	if (json_is_string(health))
 		g_strlcpy(upstream->faults.health, json_string_value(health),
 		    sizeof(upstream->faults.health));
@@ -215,17 +222,17 @@
 		after =
 		    (record->last_after_drain - record->drain_at) / USEC_PER_MS;
 	result = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			   "s:I,s:I,s:o}",
+			   "s:I,s:I,s:I,s:o}",
 	    "max_running", record->max_running, "max_connections",
 	    (json_int_t)counts.max_open, "connections_made",
 	    (json_int_t)counts.made, "open_connections",
 	    (json_int_t)counts.open, "connection_overruns",
-	    (json_int_t)counts.refused, "requests", record->requests,
-	    "overruns", record->overruns, "late", record->late, "expired",
-	    record->expired, "cancelled", record->cancelled, "crashes",
-	    record->crashes, "shed", record->shed, "refused_draining",
-	    record->refused_draining, "work_after_drain_ms", (json_int_t)after,
-	    "executions", print_executions(record));
+	    (json_int_t)counts.refused, "requests", record->requests, "watched",
+	    record->watched, "overruns", record->overruns, "late", record->late,
+	    "expired", record->expired, "cancelled", record->cancelled,
+	    "crashes", record->crashes, "shed", record->shed,
+	    "refused_draining", record->refused_draining, "work_after_drain_ms",
+	    (json_int_t)after, "executions", print_executions(record));
 	g_mutex_unlock(&upstream->lock);
 	return result;
 }
--- a/fakes/lib/upstream.h
+++ b/fakes/lib/upstream.h
@@ -33,6 +33,7 @@
 	double latency_factor;
 	upstream_lie_t lie;
 	char *crash_on;
+	char *watch; /* requests whose bodies hold it are counted */
 	char health[16];
 	int64_t drain_grace_ms; /* then new work is refused */
 	int64_t load;		/* reported by /load; -1: the lagging truth */
@@ -41,6 +42,7 @@
 
 typedef struct {
 	int64_t requests;
+	int64_t watched;
 	int64_t max_running;
 	int64_t overruns; /* requests over slots plus queue */
 	int64_t late;	  /* deadline passed on arrival */
@@ -112,6 +114,9 @@
 bool upstream_admit(upstream_t *upstream, const fake_request_t *request,
     run_t *run, fake_reply_t *reply);
 
+/** upstream_holds_text() - Whether a body holds @text, which may be NULL. */
+bool upstream_holds_text(const fake_request_t *request, const char *text);
+
 /** upstream_release() - Ends a run and starts the next, with the lock held. */
 void upstream_release(upstream_t *upstream, run_t *run);
 
--- a/fakes/lib/upstream_handle.c
+++ b/fakes/lib/upstream_handle.c
@@ -35,13 +35,12 @@
 	return count;
 }
 
-static bool
-must_crash(const upstream_t *upstream, slice_t body)
+bool
+upstream_holds_text(const fake_request_t *request, const char *text)
 {
-	const char *text = upstream->faults.crash_on;
-
 	return text != NULL && *text != '\0' &&
-	    memmem(body.data, body.size, text, strlen(text)) != NULL;
+	    memmem(request->body.data, request->body.size, text,
+		strlen(text)) != NULL;
 }
 
 /* When the run ends; 0 when it has ended. Called with the lock held. */
@@ -196,7 +195,8 @@
 	result.admitted = upstream_admit(upstream, request, run, reply);
 	if (result.admitted && reserve)
 		result.execution = record_execution(upstream, key);
-	if (result.admitted && must_crash(upstream, request->body)) {
+	if (result.admitted &&
+	    upstream_holds_text(request, upstream->faults.crash_on)) {
 		result.crash = true;
 		upstream->record.crashes++;
 		upstream_release(upstream, run);
--- a/fakes/lib/upstream_slots.c
+++ b/fakes/lib/upstream_slots.c
@@ -196,6 +196,8 @@
 	run->deadline = read_deadline(request);
 	run->service = random_service(upstream);
 	upstream->record.requests++;
+	upstream->record.watched +=
+	    upstream_holds_text(request, upstream->faults.watch);
 	if (refuse_draining(upstream, reply) ||
 	    refuse_request(upstream, request, run, reply))
 		return false;
--- a/tests/lib/harness_load.c
+++ b/tests/lib/harness_load.c
@@ -234,6 +234,19 @@
 	}
 }
 
+static void
+note_partial(
+    const answer_t *answer, const coverage_t *coverage, load_result_t *result)
+{
+	result->partial++;
+	print_message("%d of %d shards after %lld ms:", coverage->answered,
+	    coverage->total, (long long)(answer->result.elapsed / USEC_PER_MS));
+	for (int i = 0; i < coverage->total; i++)
+		if (coverage->reasons[i][0] != '\0')
+			print_message(" %d %s", i, coverage->reasons[i]);
+	print_message("\n");
+}
+
 static void
 judge(const answer_t *answer, load_result_t *result)
 {
@@ -248,7 +261,7 @@
 		if (coverage.answered == coverage.total)
 			result->complete++;
 		else
-			result->partial++;
+			note_partial(answer, &coverage, result);
 	} else if (json_is_true(json_object_get(error, "not_run"))) {
 		result->refused++;
 	} else {
--- /dev/null
+++ b/tests/test_process_refusals.c
@@ -0,0 +1,339 @@
+/* A refusal that says "not run" is true: the servers' records are read before
+ * and after each refused query. */
+#include "lib/harness_query.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct {
+	const char *name;
+	const char *method;
+	const char *path;
+	const char *headers[4];
+	size_t body_size;
+	int status;
+	const char *kind;
+} refusal_t;
+
+#define AUTHORISED "Authorization: Bearer " QUERY_KEY
+
+static const refusal_t refusals[] = {
+    {"no key", "POST", "/v1/query/reels", {NULL}, 8, 401, "unauthorised"},
+    {"bad key", "POST", "/v1/query/reels", {"Authorization: Bearer no"}, 8, 401,
+	"unauthorised"},
+    {"other scheme", "POST", "/v1/query/reels", {"Authorization: Basic eA=="},
+	8, 401, "unauthorised"},
+    {"forbidden index", "POST", "/v1/query/motifs", {AUTHORISED}, 8, 403,
+	"forbidden"},
+    {"forbidden service", "POST", "/v1/reserve/slotplan-1",
+	{AUTHORISED, "Idempotency-Key: 1796362000-a"}, 8, 403, "forbidden"},
+    {"no such path", "POST", "/v1/queries", {AUTHORISED}, 8, 404, "not_found"},
+    {"GET", "GET", "/v1/query/reels", {AUTHORISED}, 0, 400, "invalid_request"},
+    {"not a name", "POST", "/v1/query/Re%20els", {AUTHORISED}, 8, 400,
+	"invalid_request"},
+    {"deadline zero", "POST", "/v1/query/reels",
+	{AUTHORISED, "X-Deadline-Ms: 0"}, 8, 400, "invalid_request"},
+    {"deadline text", "POST", "/v1/query/reels",
+	{AUTHORISED, "X-Deadline-Ms: soon"}, 8, 400, "invalid_request"},
+    {"deadline negative", "POST", "/v1/query/reels",
+	{AUTHORISED, "X-Deadline-Ms: -5"}, 8, 400, "invalid_request"},
+    {"body over 1 MB", "POST", "/v1/query/reels", {AUTHORISED}, 1048577, 413,
+	"too_large"},
+};
+
+static void
+check_case(harness_t *harness, const refusal_t *refusal)
+{
+	char *body = g_strnfill(refusal->body_size, 'b');
+	int64_t before = query_settled_requests(harness);
+	http_result_t result = harness_http(refusal->method,
+	    harness->nodes[0].caller, refusal->path, refusal->headers,
+	    refusal->body_size > 0 ? body : NULL, QUERY_ENOUGH_MS);
+
+	print_message("%s\n", refusal->name);
+	query_check_refusal(&result, refusal->status, refusal->kind, true);
+	assert_int_equal(query_settled_requests(harness), before);
+	http_result_clear(&result);
+	g_free(body);
+}
+
+/* Guards against requests that are refused as not run and reach a server all
+ * the same, when the request itself is at fault. */
+static void
+faulty_requests_reach_no_server(void **state)
+{
+	harness_t *harness = *state;
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++)
+		check_case(harness, &refusals[i]);
+	query_check_complete(harness, 0);
+}
+
+/* Sends queries until one is refused with @kind; the refused one must not have
+ * reached a server. */
+static void
+check_until_refused(
+    harness_t *harness, const char *key, int status, const char *kind)
+{
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+
+	for (;;) {
+		int64_t before = query_settled_requests(harness);
+		char *body = query_new_body();
+		http_result_t result =
+		    query_post_as(harness->nodes[0].caller, key, body, 0);
+		int seen = result.status;
+
+		if (seen != 200) {
+			query_check_refusal(&result, status, kind, true);
+			assert_int_equal(
+			    query_settled_requests(harness), before);
+		}
+		http_result_clear(&result);
+		g_free(body);
+		if (seen != 200)
+			return;
+		assert_true(clock_monotonic() < until);
+	}
+}
+
+/* Guards against a query over the contract's rate that runs, or is refused
+ * after it ran. */
+static void
+a_query_over_the_rate_is_not_run(void **state)
+{
+	harness_t *harness = *state;
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	query_put_contract(harness, "small", "small-key", 0.2, 10, 1000);
+	for (int i = 0; i < 2; i++) {
+		usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+		int status;
+
+		do {
+			http_result_t result = query_post_as(
+			    harness->nodes[i].caller, "small-key", "x", 0);
+
+			status = result.status;
+			http_result_clear(&result);
+			assert_true(clock_monotonic() < until);
+		} while (status == 401);
+	}
+	check_until_refused(harness, "small-key", 429, "rate_exceeded");
+}
+
+typedef struct {
+	harness_t *harness;
+	const char *body;
+	int deadline_ms;
+	http_result_t result;
+} held_call_t;
+
+static gpointer
+hold_query(gpointer context)
+{
+	held_call_t *call = context;
+
+	call->result = query_post_as(call->harness->nodes[0].caller,
+	    "single-key", call->body, call->deadline_ms);
+	return NULL;
+}
+
+/* Guards against queries over the contract's concurrency that run: all servers
+ * are frozen under a first query, the further ones must not arrive. */
+static void
+a_query_over_the_concurrency_is_not_run(void **state)
+{
+	enum { FURTHER = 6 };
+	harness_t *harness = *state;
+	held_call_t first = {harness, "held", 0, {0}}, further[FURTHER];
+	GThread *thread, *threads[FURTHER];
+	int64_t before;
+	usec_t until;
+
+	query_start_world(harness, &(world_t){.nodes = 1});
+	query_put_contract(harness, "single", "single-key", 1000, 1, 1500);
+	until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	do {
+		if (first.result.body != NULL)
+			http_result_clear(&first.result);
+		first.result = query_post_as(
+		    harness->nodes[0].caller, "single-key", "first", 0);
+		assert_true(clock_monotonic() < until);
+	} while (first.result.status != 200);
+	http_result_clear(&first.result);
+	query_fault_all(
+	    harness, "{\"latency_factor\":2000,\"watch\":\"further\"}");
+	before = query_settled_requests(harness);
+	thread = g_thread_new("first", hold_query, &first);
+	while (
+	    harness_record_sum(harness, "requests") < before + QUERY_SERVICES)
+		g_usleep(1000);
+	for (int i = 0; i < FURTHER; i++) {
+		/* Over before the first one lets the next in. */
+		further[i] = (held_call_t){harness, "further", 300, {0}};
+		threads[i] = g_thread_new("further", hold_query, &further[i]);
+	}
+	for (int i = 0; i < FURTHER; i++)
+		g_thread_join(threads[i]);
+	g_thread_join(thread);
+	for (int i = 0; i < FURTHER; i++) {
+		query_check_refusal(
+		    &further[i].result, 429, "concurrency_exceeded", true);
+		http_result_clear(&further[i].result);
+	}
+	query_check_answer(&first.result, "held", 1500);
+	http_result_clear(&first.result);
+	query_settled_requests(harness);
+	assert_int_equal(harness_record_sum(harness, "watched"), 0);
+}
+
+/* Guards against a refusal for an index without servers that still runs a part,
+ * or that says less than "not served". */
+static void
+an_index_without_a_service_is_not_run(void **state)
+{
+	harness_t *harness = *state;
+	const contract_spec_t spec = {
+	    "ghosts", "ghost-key", "ghosts", "", 1000, 100, 1000, 24, false};
+	const char *headers[] = {"Authorization: Bearer ghost-key", NULL};
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	http_result_t result = {0};
+	int64_t before;
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	harness_put_object(harness, "index", "ghosts",
+	    json_pack("{s:s,s:i,s:[{s:i,s:[s]}]}", "index", "ghosts", "current",
+		1, "versions", "version", 1, "shards", "ghost"));
+	harness_put_contract(harness, &spec);
+	before = query_settled_requests(harness);
+	do {
+		if (result.body != NULL)
+			http_result_clear(&result);
+		result = harness_http("POST", harness->nodes[0].caller,
+		    "/v1/query/ghosts", headers, "x", QUERY_ENOUGH_MS);
+		assert_true(clock_monotonic() < until);
+	} while (result.status == 401 || result.status == 429);
+	query_check_refusal(&result, 503, "not_served", true);
+	http_result_clear(&result);
+	assert_int_equal(query_settled_requests(harness), before);
+}
+
+/* Guards against a node that has lost platform and peers and goes on under a
+ * configuration that may no longer be in force. */
+static void
+an_isolated_node_runs_nothing(void **state)
+{
+	harness_t *harness = *state;
+	usec_t until;
+	int64_t before;
+	http_result_t result = {0};
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	harness_kill_node(harness, 1);
+	harness_kill(harness, harness->platform_process);
+	harness_wait_status(harness->nodes[0].operator_address, "/readyz", 503,
+	    QUERY_ENOUGH_MS);
+	until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	do {
+		if (result.body != NULL)
+			http_result_clear(&result);
+		before = query_settled_requests(harness);
+		result = query_post(harness, 0, "isolated");
+		assert_true(clock_monotonic() < until);
+	} while (result.status == 200);
+	query_check_refusal(&result, 503, "isolated", true);
+	http_result_clear(&result);
+	assert_int_equal(query_settled_requests(harness), before);
+}
+
+/* Guards against a node that answers before it knows any configuration. */
+static void
+a_node_without_configuration_runs_nothing(void **state)
+{
+	harness_t *harness = *state;
+	http_result_t result = {0};
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	int64_t before;
+
+	query_start_world(harness, &(world_t){.nodes = 1});
+	harness_kill_node(harness, 0);
+	harness_kill(harness, harness->platform_process);
+	before = query_settled_requests(harness);
+	harness_start_node(harness, 0);
+	do {
+		if (result.body != NULL)
+			http_result_clear(&result);
+		result = query_post(harness, 0, "early");
+		assert_true(clock_monotonic() < until);
+	} while (result.status == 0);
+	assert_int_equal(result.status, 503);
+	assert_true(json_is_true(
+	    json_object_get(json_object_get(result.json, "error"), "not_run")));
+	http_result_clear(&result);
+	assert_int_equal(query_settled_requests(harness), before);
+}
+
+/* Guards against a planned stop that cuts queries off, or loses shards while
+ * its services move to their standbys. */
+static void
+a_stopping_node_interrupts_no_query(void **state)
+{
+	harness_t *harness = *state;
+	load_result_t result;
+	load_t *load;
+	int status;
+
+	query_start_world(harness, &(world_t){.nodes = 3});
+	load = load_start(harness, 6, 3);
+	load_wait(load, 30);
+	harness_signal(harness, harness->nodes[2].process, SIGTERM);
+	status = harness_wait_exit(harness, harness->nodes[2].process, 40000);
+	harness->nodes[2].process = -1;
+	load_wait(load, 30);
+	result = load_stop(load);
+	assert_int_equal(status, 0);
+	if (result.partial + result.refused + result.broken > 0)
+		fail_msg("%d complete, %d partial, %d refused, %d broken",
+		    result.complete, result.partial, result.refused,
+		    result.broken);
+}
+
+/* Guards against shed requests that count as run, and against queries over the
+ * servers' capacity that exceed the caps instead of being refused. */
+static void
+too_many_queries_are_refused_or_named(void **state)
+{
+	harness_t *harness = *state;
+	load_result_t result;
+	load_t *load;
+
+	query_start_world(
+	    harness, &(world_t){.nodes = 2, .p50_ms = 150, .p99_ms = 200});
+	load = load_start(harness, 48, 3);
+	load_wait(load, 150);
+	result = load_stop(load);
+	assert_int_equal(result.broken, 0);
+	print_message("%d complete, %d partial, %d refused\n", result.complete,
+	    result.partial, result.refused);
+	assert_true(result.complete > 0);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    QUERY_TEST(faulty_requests_reach_no_server),
+	    QUERY_TEST(a_query_over_the_rate_is_not_run),
+	    QUERY_TEST(a_query_over_the_concurrency_is_not_run),
+	    QUERY_TEST(an_index_without_a_service_is_not_run),
+	    QUERY_TEST(an_isolated_node_runs_nothing),
+	    QUERY_TEST(a_node_without_configuration_runs_nothing),
+	    QUERY_TEST(a_stopping_node_interrupts_no_query),
+	    QUERY_TEST(too_many_queries_are_refused_or_named),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
