Test hostile input at every address and malformed platform objects

Nothing sent malformed input to a running node.

Adds tables of raw input at the callers' and operators' addresses, garbage, cut and changed messages, a huge one and an unknown sender at the peer socket, and malformed contracts, services, indexes, assignments and VM lists. Each must leave the node serving under its earlier state.

--- /dev/null
+++ b/tests/test_process_hostile.c
@@ -0,0 +1,439 @@
+/* Malformed, oversized, truncated and hostile input at the addresses of a node,
+ * and platform objects that must be refused without losing earlier state. */
+#include "lib/harness_query.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "bulrushwell/message.h"
+
+/* Input that has no end may be answered, closed or left waiting; this long is
+ * looked at what comes. */
+#define CUT_MS 200
+
+typedef struct {
+	const char *name;
+	const char *text;   /* as sent; the connection is half closed then */
+	const char *answer; /* part of it; empty: any; NULL: none is due */
+} raw_case_t;
+
+static const raw_case_t raw_cases[] = {
+    {"nothing", "", NULL},
+    {"no HTTP", "\x01\x02\x03\xff\r\n\r\n", ""},
+    {"no version", "GET /\r\n\r\n", ""},
+    {"an unknown method", "BREW /v1/query/reels HTTP/1.1\r\nHost: x\r\n\r\n",
+	"invalid_request"},
+    {"a path that climbs", "GET /../../etc/passwd HTTP/1.1\r\nHost: x\r\n\r\n",
+	"\"remedy\""},
+    {"an encoded NUL",
+	"POST /v1/query/re%00els HTTP/1.1\r\nHost: x\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"\"remedy\""},
+    {"a body that ends early",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Content-Length: 100\r\n\r\nabc",
+	NULL},
+    {"a negative length",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Content-Length: -1\r\n\r\n",
+	""},
+    {"a length that is no number",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Content-Length: many\r\n\r\n",
+	""},
+    {"a chunk of a false size",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+	""},
+    {"a huge chunk",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nabc",
+	""},
+    {"an empty key",
+	"POST /v1/query/reels HTTP/1.1\r\nHost: x\r\n"
+	"Authorization: Bearer \r\nContent-Length: 0\r\n\r\n",
+	"unauthorised"},
+};
+
+/* The node may wait for the rest of such input. */
+static bool
+may_be_silent(const raw_case_t *input)
+{
+	return input->answer == NULL || *input->answer == '\0';
+}
+
+static int
+open_connection(const char *address)
+{
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)atoi(strrchr(address, ':') + 1)),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	return fd;
+}
+
+static bool
+is_whole(const char *answer)
+{
+	const char *end = strstr(answer, "\r\n\r\n");
+	const char *length = strcasestr(answer, "content-length:");
+
+	return end != NULL && length != NULL &&
+	    strlen(end + 4) >= strtoul(length + 15, NULL, 10);
+}
+
+/* Sends all of @text and reads until an answer or the close; @cut ends the
+ * sending side. */
+static char *
+exchange_raw(const char *address, const char *text, bool cut)
+{
+	size_t size = strlen(text);
+	GString *answer = g_string_new(NULL);
+	int fd = open_connection(address);
+	struct pollfd wait = {fd, POLLIN, 0};
+	char data[4096];
+	ssize_t got = 1;
+
+	for (size_t sent = 0; sent < size;) {
+		ssize_t now = send(fd, text + sent, size - sent, MSG_NOSIGNAL);
+
+		if (now <= 0)
+			break;
+		sent += (size_t)now;
+	}
+	if (cut)
+		shutdown(fd, SHUT_WR);
+	while (got > 0 && !is_whole(answer->str) &&
+	    poll(&wait, 1, cut ? CUT_MS : QUERY_ENOUGH_MS) == 1) {
+		got = read(fd, data, sizeof(data));
+		if (got > 0)
+			g_string_append_len(answer, data, got);
+	}
+	close(fd);
+	return g_string_free(answer, FALSE);
+}
+
+static void
+check_raw_cases(const char *address)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
+		const raw_case_t *input = &raw_cases[i];
+		char *answer =
+		    exchange_raw(address, input->text, may_be_silent(input));
+
+		if (strstr(answer, " 200 ") != NULL)
+			fail_msg("%s: %s", input->name, answer);
+		g_free(answer);
+	}
+}
+
+/* Guards against a node that dies, or stops answering others, because of what
+ * one caller sends. */
+static void
+hostile_callers_are_refused(void **state)
+{
+	harness_t *harness = *state;
+	const char *address;
+	char *long_path;
+
+	query_start_world(harness, &(world_t){.nodes = 1});
+	address = harness->nodes[0].caller;
+	for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
+		const raw_case_t *input = &raw_cases[i];
+		char *answer =
+		    exchange_raw(address, input->text, may_be_silent(input));
+
+		if (strstr(answer, " 200 ") != NULL ||
+		    (input->answer != NULL &&
+			strstr(answer, input->answer) == NULL))
+			fail_msg("%s: %s", input->name, answer);
+		g_free(answer);
+		query_check_complete(harness, 0);
+	}
+	long_path = g_strnfill(100000, 'p');
+	for (int i = 0; i < 3; i++) {
+		static const char *const formats[] = {
+		    "POST /v1/query/%s HTTP/1.1\r\nHost: x\r\n\r\n",
+		    "GET / HTTP/1.1\r\nAuthorization: Bearer %s\r\n\r\n",
+		    "GET / HTTP/1.1\r\n%s: x\r\n\r\n"};
+		char **parts = g_strsplit(formats[i], "%s", 2);
+		char *text = g_strconcat(parts[0], long_path, parts[1], NULL);
+		char *answer = exchange_raw(address, text, false);
+
+		assert_null(strstr(answer, " 200 "));
+		g_free(answer);
+		g_free(text);
+		g_strfreev(parts);
+		query_check_complete(harness, 0);
+	}
+	g_free(long_path);
+}
+
+/* The same at the operators' address, which only reads. */
+static void
+hostile_operators_are_refused(void **state)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		int status;
+		const char *kind;
+	} cases[] = {
+	    {"POST", "/v1/status", 400, "invalid_request"},
+	    {"DELETE", "/metrics", 400, "invalid_request"},
+	    {"GET", "/v1/contracts", 404, "not_found"},
+	    {"GET", "/v1/status/../../x", 404, "not_found"},
+	    {"GET", "/%00", 404, "not_found"},
+	};
+	harness_t *harness = *state;
+	const char *address;
+
+	query_start_world(harness, &(world_t){.nodes = 1});
+	address = harness->nodes[0].operator_address;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_result_t result = harness_http(cases[i].method, address,
+		    cases[i].path, NULL, NULL, QUERY_ENOUGH_MS);
+
+		query_check_refusal(
+		    &result, cases[i].status, cases[i].kind, true);
+		http_result_clear(&result);
+	}
+	check_raw_cases(address);
+	json_decref(harness_fetch(address, "/v1/status"));
+	query_check_complete(harness, 0);
+}
+
+static void
+send_peer(void *dealer, const void *data, size_t size)
+{
+	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+
+	while (zmq_send(dealer, data, size, ZMQ_DONTWAIT) < 0) {
+		assert_true(clock_monotonic() < until);
+		g_usleep(1000);
+	}
+}
+
+static void
+send_message(void *dealer, message_t *message)
+{
+	writer_t writer;
+
+	writer_init(&writer);
+	message_encode(message, &writer);
+	send_peer(dealer, writer.buffer.data, writer.buffer.size);
+	writer_clear(&writer);
+}
+
+/* Each prefix of a valid message, and the message with each byte changed. */
+static void
+send_mutations(void *dealer, message_t *message, int *sent)
+{
+	writer_t writer;
+	char *copy;
+
+	writer_init(&writer);
+	message_encode(message, &writer);
+	for (size_t i = 0; i < writer.buffer.size; i++) {
+		send_peer(dealer, writer.buffer.data, i);
+		copy = g_memdup2(writer.buffer.data, writer.buffer.size);
+		copy[i] = (char)(copy[i] ^ 0xff);
+		send_peer(dealer, copy, writer.buffer.size);
+		g_free(copy);
+		*sent += 2;
+	}
+	writer_clear(&writer);
+}
+
+static void
+fill_stranger(message_t *message)
+{
+	static uint32_t shards[] = {0};
+	static shard_group_t group = {
+	    .service = "slotplan-1", .shard_count = 1, .shards = shards};
+
+	*message = (message_t){.kind = MESSAGE_SHARD_REQUEST,
+	    .sender = "stranger",
+	    .sender_incarnation = 5};
+	strcpy(message->shard_request.index, QUERY_INDEX);
+	strcpy(message->shard_request.customer, QUERY_CUSTOMER);
+	message->shard_request.version = QUERY_VERSION;
+	message->shard_request.weight = 1;
+	message->shard_request.remaining = SECONDS(1);
+	message->shard_request.wall_deadline = clock_wall() + SECONDS(1);
+	message->shard_request.body = slice_from("of a stranger");
+	message->shard_request.group_count = 1;
+	message->shard_request.groups = &group;
+}
+
+/* Guards against a node that dies by, or works for, what a stranger sends to
+ * its peer socket: garbage, cut and changed messages, a huge one, multi-part
+ * ones, bytes that are no ZeroMQ, and valid requests of an unknown sender. */
+static void
+strangers_at_the_peer_socket_are_dropped(void **state)
+{
+	harness_t *harness = *state;
+	void *context = zmq_ctx_new(), *dealer;
+	char endpoint[128], *huge;
+	message_t message;
+	int sent = 0;
+	int64_t before;
+
+	query_start_world(harness, &(world_t){.nodes = 1});
+	before = query_settled_requests(harness);
+	snprintf(
+	    endpoint, sizeof(endpoint), "tcp://%s", harness->nodes[0].peer);
+	dealer = zmq_socket(context, ZMQ_DEALER);
+	zmq_setsockopt(dealer, ZMQ_LINGER, &(int){0}, sizeof(int));
+	assert_int_equal(zmq_connect(dealer, endpoint), 0);
+	fill_stranger(&message);
+	send_message(dealer, &message);
+	send_mutations(dealer, &message, &sent);
+	message = (message_t){.kind = MESSAGE_HEARTBEAT, .sender = "stranger"};
+	send_mutations(dealer, &message, &sent);
+	message =
+	    (message_t){.kind = MESSAGE_SUSPECT_NOTICE, .sender = "node-1"};
+	send_mutations(dealer, &message, &sent);
+	zmq_send(dealer, "part", 4, ZMQ_SNDMORE | ZMQ_DONTWAIT);
+	zmq_send(dealer, "part", 4, ZMQ_DONTWAIT);
+	query_wait_metric(
+	    harness, 0, "bulrushwell_dropped_messages_total", (double)sent / 2);
+	/* Over the limit the node closes the connection. */
+	huge = g_strnfill(16 * 1024 * 1024, 'h');
+	send_peer(dealer, huge, 16 * 1024 * 1024);
+	g_free(huge);
+	/* ZeroMQ greets first and answers no HTTP. */
+	for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++)
+		g_free(exchange_raw(
+		    harness->nodes[0].peer, raw_cases[i].text, true));
+	query_check_complete(harness, 0);
+	assert_int_equal(
+	    query_settled_requests(harness) - before, QUERY_SERVICES);
+	zmq_close(dealer);
+	zmq_ctx_term(context);
+}
+
+typedef struct {
+	const char *kind;
+	const char *name;
+	const char *value;
+} object_case_t;
+
+static const object_case_t object_cases[] = {
+    {"contract", QUERY_CUSTOMER, "{}"},
+    {"contract", QUERY_CUSTOMER, "[]"},
+    {"contract", QUERY_CUSTOMER, "null"},
+    {"contract", QUERY_CUSTOMER, "{\"customer\":\"other\"}"},
+    {"contract", "stray", "\"text\""},
+    {"service", "slotplan-1", "{}"},
+    {"service", "slotplan-1",
+	"{\"service\":\"slotplan-1\",\"slots\":0,"
+	"\"connections\":25,\"servers\":[]}"},
+    {"service", "slotplan-1",
+	"{\"service\":\"slotplan-1\",\"slots\":2,"
+	"\"connections\":1,\"servers\":[]}"},
+    {"service", "slotplan-1",
+	"{\"service\":\"slotplan-1\",\"slots\":2,"
+	"\"connections\":25,\"servers\":[7]}"},
+    {"service", "stray", "123456789012345678901234567890e5"},
+    {"index", QUERY_INDEX, "{}"},
+    {"index", QUERY_INDEX,
+	"{\"index\":\"reels\",\"current\":8,\"versions\":[]}"},
+    {"index", QUERY_INDEX,
+	"{\"index\":\"reels\",\"current\":8,\"versions\":[{\"version\":7,"
+	"\"shards\":[\"slotplan-1\"]}]}"},
+    {"index", QUERY_INDEX,
+	"{\"index\":\"reels\",\"current\":6,\"versions\":[{\"version\":6,"
+	"\"shards\":[]}]}"},
+    {"assignment", "other-cell", "{}"},
+};
+
+/* Guards against objects that cannot be in force and take the place of those
+ * that are, and against a watch that ends at them. */
+static void
+malformed_objects_change_nothing(void **state)
+{
+	harness_t *harness = *state;
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	for (size_t i = 0; i < G_N_ELEMENTS(object_cases); i++) {
+		const object_case_t *object = &object_cases[i];
+		json_t *value =
+		    json_loads(object->value, JSON_DECODE_ANY, NULL);
+
+		if (value == NULL)
+			continue;
+		harness_put_object(harness, object->kind, object->name, value);
+		for (int j = 0; j < 2; j++)
+			assert_int_equal(
+			    query_check_complete(harness, j).version,
+			    QUERY_VERSION);
+	}
+	/* What is valid again is adopted. */
+	query_put_contract(
+	    harness, "later", "later-key", 20000, 1000, QUERY_DEADLINE_MS);
+	for (int i = 0; i < 2; i++) {
+		usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+		int status = 0;
+
+		while (status != 200) {
+			http_result_t result = query_post_as(
+			    harness->nodes[i].caller, "later-key", "later", 0);
+
+			status = result.status;
+			http_result_clear(&result);
+			assert_true(clock_monotonic() < until);
+		}
+	}
+}
+
+/* Guards against a malformed assignment, node or VM list that moves services or
+ * kills nodes; a later valid assignment is written over it. */
+static void
+malformed_assignments_and_vm_lists_change_nothing(void **state)
+{
+	static const char *const values[] = {"{}", "[]", "null",
+	    "{\"cell\":\"cell-1\",\"token\":\"x\",\"members\":[],"
+	    "\"services\":7}",
+	    "{\"cell\":\"cell-1\",\"token\":\"0\",\"members\":[{\"node\":1}],"
+	    "\"services\":[]}"};
+	static const char *const vms[] = {"{\"vms\":[]}", "{\"vms\":[7]}",
+	    "{\"vms\":[{\"vm\":\"\",\"state\":\"live\"}]}",
+	    "{\"vms\":[{\"vm\":\"vm-1\",\"state\":\"flying\"}]}"};
+	harness_t *harness = *state;
+
+	query_start_world(harness, &(world_t){.nodes = 2});
+	for (size_t i = 0; i < G_N_ELEMENTS(vms); i++) {
+		harness_order(harness->platform, "/fake/vms", vms[i]);
+		for (int j = 0; j < 10; j++)
+			query_check_complete(harness, j % 2);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		harness_put_object(harness, "assignment", "cell-1",
+		    json_loads(values[i], JSON_DECODE_ANY, NULL));
+		for (int j = 0; j < 10; j++)
+			query_check_complete(harness, j % 2);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    QUERY_TEST(hostile_callers_are_refused),
+	    QUERY_TEST(hostile_operators_are_refused),
+	    QUERY_TEST(strangers_at_the_peer_socket_are_dropped),
+	    QUERY_TEST(malformed_objects_change_nothing),
+	    QUERY_TEST(malformed_assignments_and_vm_lists_change_nothing),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
