Close the connections of callers that leave before their answer

A caller that closed its connection while its query ran left a suspended connection behind: its query was cancelled, but nothing resumed the connection, and a suspended connection has no time limit. Each such caller took one of the 8192 connections for good, and a planned stop waited for it.

An abandoned exchange is now answered with an empty response and closed.

--- a/source/net/http_server.c
+++ b/source/net/http_server.c
@@ -94,6 +94,21 @@
 		abandon(exchange->abandon_context);
 }
 
+/* A suspended connection has no time limit: without an answer its socket would
+ * stay open for good. */
+static void
+end_abandoned(http_exchange_t *exchange)
+{
+	exchange->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	exchange->response =
+	    MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(
+	    exchange->response, MHD_HTTP_HEADER_CONNECTION, "close");
+	exchange->suspended = false;
+	MHD_resume_connection(exchange->connection);
+	exchange->server->run_again = true;
+}
+
 static void
 on_caller_data(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -105,8 +120,10 @@
 		return;
 	ev_io_stop(loop, io);
 	/* Data is a pipelined request, read after this one is answered. */
-	if (n == 0)
+	if (n == 0) {
 		call_abandon(exchange);
+		end_abandoned(exchange);
+	}
 }
 
 static void
