--- a/tests/lib/traffic.c
+++ b/tests/lib/traffic.c
@@ -501,9 +501,13 @@
 	int count = 0;
 	bool settled = json_array_size(services) > 0;
 
-	for (size_t i = 0; i < json_array_size(list); i++)
-		count += json_integer_value(json_object_get(
-			     json_array_get(list, i), "units")) > 0;
+	/* Units are bits in decimal text; "0" is a member without any. */
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const char *units = json_string_value(
+		    json_object_get(json_array_get(list, i), "units"));
+
+		count += units != NULL && strcmp(units, "0") != 0;
+	}
 	for (size_t i = 0; i < json_array_size(services); i++)
 		if (json_array_size(json_object_get(
 			json_array_get(services, i), "holders")) < 2)
