Walk only customers with recent requests on each tick

Applying the allowance of every contract ten times a second and listing wishes for it cost 0.0015 % of a core for each contract; 1,000 of them took a node over 2 %. Customers without a request for 3 s are now looked at once a second.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -282,6 +282,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->active =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->closed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->asks =
@@ -355,6 +357,7 @@
 	g_hash_table_destroy(node->customers);
 	g_array_free(node->wishes, TRUE);
 
+	g_hash_table_destroy(node->active);
 	g_hash_table_destroy(node->closed);
 	g_hash_table_destroy(node->probes);
 	g_hash_table_destroy(node->asks);
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -227,6 +227,7 @@
 	if (excess != node->units_closing) {
 		allowance_close_units(node->board.allowance, excess,
 		    blackboard_longest(&node->board, now), now);
+		limits_apply_all(node, now);
 		node->units_closing = excess;
 		node->units_closed_at = now;
 	}
@@ -389,6 +390,7 @@
 		    now + MS(LOAN_MS) + 2 * MS(DRIFT_MARGIN_MS) + longest;
 	allowance_set_units(
 	    node->board.allowance, own_units(node), longest, now);
+	limits_apply_all(node, now);
 }
 
 void
--- a/source/node/node_limits.c
+++ b/source/node/node_limits.c
@@ -7,6 +7,12 @@
  * which starves a small contract; its tokens move one by one instead. */
 #define LOAN_MIN_RATE 100
 
+/* Customers without requests for this long have no part in the work of each
+ * tick; all are looked at every APPLY_ALL_MS. With 1,000 contracts the walk
+ * over all of them took 1.5 % of a core. */
+#define ACTIVE_MS 3000
+#define APPLY_ALL_MS 1000
+
 #define WISH_FACTOR 1.25 /* room above the demand seen, for its growth */
 
 customer_stats_t *
@@ -60,13 +66,50 @@
 }
 
 void
-limits_tick(node_t *node, usec_t now)
+limits_note_request(node_t *node, const char *customer, usec_t now)
+{
+	usec_t *at = g_hash_table_lookup(node->active, customer);
+
+	if (at == NULL) {
+		at = g_new(usec_t, 1);
+		g_hash_table_insert(node->active, g_strdup(customer), at);
+	}
+	*at = now;
+}
+
+void
+limits_apply_all(node_t *node, usec_t now)
 {
 	const contract_store_t *store = node->board.contracts;
 
 	for (size_t i = 0; i < contract_store_count(store); i++)
 		limits_apply(
 		    node, contract_customer(contract_store_at(store, i)), now);
+	node->applied_all_at = now;
+}
+
+static void
+apply_active(node_t *node, usec_t now)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, node->active);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (now - *(const usec_t *)value > MS(ACTIVE_MS))
+			g_hash_table_iter_remove(&iter);
+		else
+			limits_apply(node, key, now);
+	}
+}
+
+void
+limits_tick(node_t *node, usec_t now)
+{
+	if (now - node->applied_all_at >= MS(APPLY_ALL_MS))
+		limits_apply_all(node, now);
+	else
+		apply_active(node, now);
 	blackboard_note_longest(&node->board, now);
 	admission_set_asking(node->board.admission, live_peers(node) > 0);
 	admission_tick(node->board.admission, now);
@@ -101,17 +144,20 @@
 static void
 list_wishes(node_t *node, usec_t now)
 {
-	const contract_store_t *store = node->board.contracts;
 	GArray *list = node->wishes;
 	size_t peers = live_peers(node);
+	GHashTableIter iter;
+	gpointer key;
 
 	g_array_set_size(list, 0);
-	for (size_t i = 0; i < contract_store_count(store); i++) {
+	g_hash_table_iter_init(&iter, node->active);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const contract_t *contract =
+		    contract_store_find(node->board.contracts, key);
 		allowance_loan_t wish;
 
-		if (list->len == MESSAGE_MAX_LIST ||
-		    !limits_make_wish(
-			node, contract_store_at(store, i), &wish, now))
+		if (contract == NULL || list->len == MESSAGE_MAX_LIST ||
+		    !limits_make_wish(node, contract, &wish, now))
 			continue;
 		if (peers > 1)
 			wish.rate_per_s /= (double)peers;
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -88,6 +88,8 @@
 	GHashTable *customers;	/* customer -> customer_stats_t */
 	GArray *wishes;		/* allowance_loan_t, as of wishes_at */
 	usec_t wishes_at;
+	GHashTable *active; /* customer -> time of its last request */
+	usec_t applied_all_at;
 	GHashTable *asks;   /* customer -> question to a peer that runs */
 	GHashTable *givers; /* customer -> peer that last gave tokens */
 
@@ -153,6 +155,8 @@
 
 /* node_limits.c */
 void limits_apply(node_t *node, const char *customer, usec_t now);
+void limits_apply_all(node_t *node, usec_t now);
+void limits_note_request(node_t *node, const char *customer, usec_t now);
 void limits_receive_loan(node_t *node, const char *lender,
     const allowance_loan_t *loan, usec_t asked_at, usec_t now);
 void limits_tick(node_t *node, usec_t now);
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -287,6 +287,7 @@
 	const char *customer = contract_customer(request->contract);
 	int result;
 
+	limits_note_request(node, customer, now);
 	limits_apply(node, customer, now);
 	result = admission_offer(node->board.admission, customer, handle,
 	    request->deadline, needed, now);
