Choose servers by the expected time to finish

Cause: the server with the fewest charged attempts came first, so a replica 5 times as slow got a third of the work; slow and queued attempts were taken for silent connections, which made new connections.

Change: servers are compared by (charged attempts + 1) times their own recent latency, which learns from answers, from given-up attempts and from the age of running ones. A slow server (above twice the fastest) is left idle while the queue ends sooner elsewhere, its attempts are hedged once a faster one would have answered and has room, and it gets a copy of a job once a second from the hedge budget. The silence limit grows with a slow server's latency; a server that answers others on old connections is not silent.

--- a/source/routing/scheduler.c
+++ b/source/routing/scheduler.c
@@ -167,6 +167,7 @@
 			scheduler_queue_job(scheduler, entry);
 			return;
 		}
+		scheduler_probe_slow(scheduler, entry, now);
 	}
 }
 
@@ -202,6 +203,7 @@
 	end_rests(scheduler, now);
 	dispatch_jobs(scheduler, now);
 	scheduler_check_attempts(scheduler, now);
+	scheduler_hedge_slow(scheduler, now);
 }
 
 static void
--- a/source/routing/scheduler_hedging.c
+++ b/source/routing/scheduler_hedging.c
@@ -20,12 +20,40 @@
 		scheduler->hedge_credit++;
 }
 
+/* The quantiles are those of all servers; on one that is slower they are in
+ * proportion to its latency. */
 static usec_t
 silent_after(const scheduler_t *scheduler, const attempt_t *attempt)
 {
-	if (latency_is_known(&scheduler->latency))
-		return SILENCE_FACTOR * scheduler->latency.p99;
-	return (attempt->deadline - attempt->started) / 2;
+	const server_t *server = attempt->server;
+	usec_t after = SILENCE_FACTOR * scheduler->latency.p99;
+
+	if (!latency_is_known(&scheduler->latency))
+		return (attempt->deadline - attempt->started) / 2;
+	if (scheduler->fastest > 0 && scheduler_is_slow(scheduler, server))
+		after = after * server->latency / scheduler->fastest;
+	return after;
+}
+
+/* Whether the server answered on an older connection after the attempt had
+ * started: then this attempt is slow and its connection is not dead. */
+static bool
+answers_others(const attempt_t *attempt)
+{
+	const server_t *server = attempt->server;
+
+	return server->answered_at > attempt->started &&
+	    server->retire_before <= attempt->started;
+}
+
+/* When an attempt is slow: at the 95th percentile, on a slow server as soon as
+ * another one would have answered. */
+static usec_t
+slow_after(const scheduler_t *scheduler, const attempt_t *attempt)
+{
+	if (scheduler_is_slow(scheduler, attempt->server))
+		return MIN(scheduler->latency.p95, scheduler->fastest);
+	return scheduler->latency.p95;
 }
 
 static bool
@@ -56,25 +84,25 @@
 	usec_t after = silent_after(scheduler, attempt);
 
 	if (latency_is_known(&scheduler->latency))
-		after = MIN(after, scheduler->latency.p95);
+		after = MIN(after, slow_after(scheduler, attempt));
 	else if (attempt->fresh)
 		return;
 	arm_check_at(scheduler, attempt, attempt->started + after);
 }
 
 static bool
-try_hedge(scheduler_t *scheduler, job_entry_t *entry, usec_t now)
+has_spare(const scheduler_t *scheduler, const job_entry_t *entry)
 {
-	server_t *server;
+	return fair_queue_count(scheduler->queue) == 0 &&
+	    scheduler->waiting == 0 && scheduler->alone.count == 0 &&
+	    scheduler->hedge_credit >= HEDGE_COST && entry->running_count <= 1;
+}
 
-	if (fair_queue_count(scheduler->queue) > 0 || scheduler->waiting > 0 ||
-	    scheduler->alone.count > 0)
-		return false;
-	if (scheduler->hedge_credit < HEDGE_COST || entry->running_count > 1)
-		return false;
-	server = scheduler_choose_second(scheduler, entry, false, now);
-	if (server == NULL ||
-	    scheduler_start_attempt(scheduler, entry, server,
+static bool
+start_hedge(
+    scheduler_t *scheduler, job_entry_t *entry, server_t *server, usec_t now)
+{
+	if (scheduler_start_attempt(scheduler, entry, server,
 		(start_options_t){.hedge = true}, now) == NULL)
 		return false;
 	scheduler->hedge_credit -= HEDGE_COST;
@@ -82,6 +110,35 @@
 	return true;
 }
 
+/* A hedge on a slow server rarely wins and would spend the budget. */
+static bool
+try_hedge(scheduler_t *scheduler, job_entry_t *entry, usec_t now)
+{
+	server_t *server;
+
+	if (!has_spare(scheduler, entry))
+		return false;
+	server = scheduler_choose_second(scheduler, entry, false, now);
+	if (server == NULL || scheduler_is_slow(scheduler, server))
+		return false;
+	return start_hedge(scheduler, entry, server, now);
+}
+
+/* The job runs on a faster server too, so that a probe delays no answer. */
+void
+scheduler_probe_slow(scheduler_t *scheduler, job_entry_t *entry, usec_t now)
+{
+	server_t *server;
+
+	if (entry->job.kind != JOB_SHARD || !may_hedge(scheduler, entry) ||
+	    !has_spare(scheduler, entry) ||
+	    !scheduler_may_repeat(scheduler, entry, now))
+		return;
+	server = scheduler_choose_probe(scheduler, entry, now);
+	if (server != NULL && start_hedge(scheduler, entry, server, now))
+		server->probed_at = now;
+}
+
 /* Not counted against the budget of hedges: without it a silent connection
  * would cost its request the whole deadline. */
 static bool
@@ -111,12 +168,13 @@
 {
 	job_entry_t *entry = scheduler_find_job(scheduler, attempt->job);
 	usec_t silent = attempt->started + silent_after(scheduler, attempt);
-	usec_t slow = attempt->started + scheduler->latency.p95;
+	usec_t slow = attempt->started + slow_after(scheduler, attempt);
 	usec_t next = INT64_MAX;
 
 	if (entry == NULL || !scheduler_may_repeat(scheduler, entry, now))
 		return;
-	if (may_double(attempt, entry) && now >= silent) {
+	if (may_double(attempt, entry) && now >= silent &&
+	    !answers_others(attempt)) {
 		server_mark_silent(attempt->server, attempt->started, now);
 		try_double(scheduler, entry, now);
 	}
@@ -143,6 +201,29 @@
 	}
 }
 
+/* Hedges attempts on slow servers in the moment in which a faster one has room;
+ * the timed checks would miss most of these moments. */
+void
+scheduler_hedge_slow(scheduler_t *scheduler, usec_t now)
+{
+	scheduler_refresh_expected(scheduler, now);
+	for (uint32_t i = 0; i < scheduler->live_count; i++) {
+		server_t *server = scheduler->live[i];
+		attempt_t *attempt = server->attempts, *next;
+
+		if (!scheduler_is_slow(scheduler, server))
+			continue;
+		for (; attempt != NULL; attempt = next) {
+			next = attempt->next;
+			if (attempt->state == RUN_ACTIVE &&
+			    attempt->check.position > 0 &&
+			    now - attempt->started >=
+				slow_after(scheduler, attempt))
+				check_attempt(scheduler, attempt, now);
+		}
+	}
+}
+
 /* The age is a lower bound of the latency. Left out, the slow attempts that
  * were hedged would vanish from the quantiles and the 95th percentile would
  * sink; with those of silent connections, it would grow with each of them. */
@@ -156,6 +237,8 @@
 		latency_record(&scheduler->latency, age);
 	if (age > attempt->server->latency)
 		server_record_latency(attempt->server, age, now);
+	else
+		attempt->server->latency_at = now;
 }
 
 /* An attempt on an old connection that reached its deadline may mean silence
@@ -169,6 +252,7 @@
 	if (latency_is_known(&scheduler->latency))
 		record_bound(scheduler, attempt, now);
 	if (!attempt->fresh && now >= attempt->deadline &&
+	    !answers_others(attempt) &&
 	    now - attempt->started >= scheduler->latency.p99)
 		server_mark_silent(attempt->server, attempt->started, now);
 }
--- a/source/routing/scheduler_outcomes.c
+++ b/source/routing/scheduler_outcomes.c
@@ -63,6 +63,8 @@
 	case ATTEMPT_OK:
 		note_latency(scheduler, attempt, now);
 		server_record_answer(server, true, now);
+		if (outcome->reused)
+			server->answered_at = now;
 		break;
 	case ATTEMPT_VERSION_GONE:
 	case ATTEMPT_WRONG_SHARD:
--- a/source/routing/scheduler_private.h
+++ b/source/routing/scheduler_private.h
@@ -26,6 +26,10 @@
 #define SCHEDULER_MAX_ATTEMPTS 4096
 #define SCHEDULER_MIN_SAMPLES 20 /* fewer say nothing about a quantile */
 
+/* A server is slow when its latency is above that of the fastest one by this
+ * factor; smaller differences are the noise of few answers. */
+#define SLOW_FACTOR 2
+
 /* A first attempt, a hedge and one for a silent connection. */
 #define JOB_MAX_RUNNING 3
 
@@ -147,6 +151,7 @@
 	action_list_t actions;
 	handle_t replied; /* job of the REPLY that was given out last */
 	latency_t latency;
+	usec_t fastest; /* lowest expected latency of a server; 0: unknown */
 	uint32_t hedge_credit;
 	uint32_t limit;
 	usec_t longest;
@@ -201,7 +206,11 @@
 /* scheduler_hedging.c */
 /** scheduler_earn_hedge() - Counts a first attempt. */
 void scheduler_earn_hedge(scheduler_t *scheduler);
+/** scheduler_probe_slow() - Sends a copy of a job to a slow server when due. */
+void scheduler_probe_slow(
+    scheduler_t *scheduler, job_entry_t *entry, usec_t now);
 void scheduler_arm_check(scheduler_t *scheduler, attempt_t *attempt);
+void scheduler_hedge_slow(scheduler_t *scheduler, usec_t now);
 void scheduler_check_attempts(scheduler_t *scheduler, usec_t now);
 /** scheduler_note_unanswered() - It is cancelled or reached its deadline. */
 void scheduler_note_unanswered(
@@ -244,7 +253,17 @@
 
 /* scheduler_servers.c */
 uint64_t scheduler_random(scheduler_t *scheduler);
-/** scheduler_choose_server() - For a job in the fair queue, or NULL. */
+/** scheduler_refresh_expected() - Computes the latency that each one has. */
+void scheduler_refresh_expected(scheduler_t *scheduler, usec_t now);
+/** scheduler_is_slow() - Whether others are much faster. */
+bool scheduler_is_slow(const scheduler_t *scheduler, const server_t *server);
+/** scheduler_choose_probe() - A slow idle server that is due for a probe. */
+server_t *scheduler_choose_probe(
+    scheduler_t *scheduler, const job_entry_t *entry, usec_t now);
+/**
+ * scheduler_choose_server() - For a job in the fair queue, or NULL when none
+ * has room or a faster one is expected to end the job sooner after a wait.
+ */
 server_t *scheduler_choose_server(scheduler_t *scheduler, usec_t now);
 /**
  * scheduler_choose_second() - For another attempt beside a running one.
--- a/source/routing/scheduler_servers.c
+++ b/source/routing/scheduler_servers.c
@@ -15,6 +15,88 @@
 	return z ^ z >> 31;
 }
 
+/* An attempt that has run longer than its server's latency raises it by what
+ * its end would, so that a server that has stopped is noticed before that. */
+static usec_t
+expect_latency(const server_t *server, usec_t now)
+{
+	usec_t latency = server_latency(server, now);
+
+	for (const attempt_t *attempt = server->attempts; attempt != NULL;
+	     attempt = attempt->next) {
+		usec_t age = now - attempt->started;
+
+		if (latency > 0 && age > latency)
+			latency = server_blend_latency(latency, age);
+	}
+	return latency;
+}
+
+/* A server without a known latency comes just before the fastest one, so that
+ * its latency becomes known. */
+void
+scheduler_refresh_expected(scheduler_t *scheduler, usec_t now)
+{
+	usec_t fastest = 0;
+
+	for (uint32_t i = 0; i < scheduler->live_count; i++) {
+		server_t *server = scheduler->live[i];
+
+		server->expected = expect_latency(server, now);
+		if (server->expected > 0 && !server_is_resting(server, now) &&
+		    (fastest == 0 || server->expected < fastest))
+			fastest = server->expected;
+	}
+	for (uint32_t i = 0; i < scheduler->live_count; i++)
+		if (scheduler->live[i]->expected == 0)
+			scheduler->live[i]->expected = fastest * 3 / 4;
+	scheduler->fastest = fastest;
+}
+
+bool
+scheduler_is_slow(const scheduler_t *scheduler, const server_t *server)
+{
+	return server->expected > SLOW_FACTOR * scheduler->fastest;
+}
+
+/* Whether what waits, this job included, ends sooner on the other servers than
+ * this job does on a slow one. */
+static bool
+is_worth_waiting(const scheduler_t *scheduler, const server_t *slow, usec_t now)
+{
+	usec_t waiting = fair_queue_count(scheduler->queue);
+	usec_t slots = 0;
+
+	for (uint32_t i = 0; i < scheduler->live_count; i++) {
+		const server_t *server = scheduler->live[i];
+
+		if (!scheduler_is_slow(scheduler, server) &&
+		    !server_is_resting(server, now))
+			slots += server_capacity(server, scheduler->limit);
+	}
+	waiting += scheduler->waiting;
+	return slots > 0 &&
+	    scheduler->fastest * (slots + waiting) < slow->expected * slots;
+}
+
+server_t *
+scheduler_choose_probe(
+    scheduler_t *scheduler, const job_entry_t *entry, usec_t now)
+{
+	for (uint32_t i = 0; i < scheduler->live_count; i++) {
+		server_t *server = scheduler->live[i];
+
+		if (scheduler_is_slow(scheduler, server) &&
+		    scheduler_has_room(scheduler, server, now) &&
+		    server->charged == 0 &&
+		    !server_mask_has(&entry->tried, server) &&
+		    !server_mask_has(&entry->useless, server) &&
+		    now - server->probed_at >= SERVER_PROBE_INTERVAL)
+			return server;
+	}
+	return NULL;
+}
+
 /** typedef choice_t - The best of the servers offered so far. */
 typedef struct {
 	server_t *best;
@@ -57,10 +139,14 @@
 {
 	choice_t choice = {0};
 
+	scheduler_refresh_expected(scheduler, now);
 	for (uint32_t i = 0; i < scheduler->live_count; i++)
 		if (scheduler_has_room(scheduler, scheduler->live[i], now))
 			offer_server(
 			    scheduler, &choice, scheduler->live[i], 0, now);
+	if (choice.best != NULL && scheduler_is_slow(scheduler, choice.best) &&
+	    is_worth_waiting(scheduler, choice.best, now))
+		return NULL;
 	return choice.best;
 }
 
@@ -70,6 +156,7 @@
 {
 	choice_t choice = {0};
 
+	scheduler_refresh_expected(scheduler, now);
 	for (uint32_t i = 0; i < scheduler->live_count; i++) {
 		server_t *server = scheduler->live[i];
 		bool tried = server_mask_has(&entry->tried, server);
@@ -89,6 +176,7 @@
 {
 	choice_t choice = {0};
 
+	scheduler_refresh_expected(scheduler, now);
 	for (uint32_t i = 0; i < scheduler->live_count; i++) {
 		server_t *server = scheduler->live[i];
 		int rank = 2 * server_mask_has(&entry->tried, server);
@@ -109,6 +197,7 @@
 {
 	choice_t choice = {0};
 
+	scheduler_refresh_expected(scheduler, now);
 	for (uint32_t i = 0; i < scheduler->live_count; i++) {
 		server_t *server = scheduler->live[i];
 		int rank = 2 * server_is_resting(server, now) +
--- a/source/routing/server.c
+++ b/source/routing/server.c
@@ -58,19 +58,23 @@
 	    server->charged < server_capacity(server, limit);
 }
 
-/* Four steps for each power of two, so that servers whose latency differs by
- * less than about a fifth tie and share the work. */
+usec_t
+server_latency(const server_t *server, usec_t now)
+{
+	return now - server->latency_at > SERVER_LATENCY_AGE ? 0
+							     : server->latency;
+}
+
+/* Four steps for each power of two, so that servers whose time to finish
+ * differs by less than about a fifth tie and share the work. */
 static int
-latency_step(const server_t *server, usec_t now)
+finish_step(const server_t *server)
 {
-	uint64_t latency = (uint64_t)MAX(server->latency, 4);
-	int exponent;
+	uint64_t finish =
+	    (uint64_t)MAX(server->expected, 4) * (server->charged + 1);
+	int exponent = 63 - __builtin_clzll(finish);
 
-	if (server->latency == 0 ||
-	    now - server->latency_at > SERVER_LATENCY_AGE)
-		return 0;
-	exponent = 63 - __builtin_clzll(latency);
-	return 4 * exponent + (int)(latency >> (exponent - 2) & 3);
+	return 4 * exponent + (int)(finish >> (exponent - 2) & 3);
 }
 
 static int
@@ -87,9 +91,19 @@
 
 	if (order != 0)
 		return order;
-	if (a->charged != b->charged)
-		return a->charged < b->charged ? -1 : 1;
-	return latency_step(a, now) - latency_step(b, now);
+	return finish_step(a) - finish_step(b);
+}
+
+/* A value far from the mean counts twice, so that a change shows after few
+ * answers. */
+usec_t
+server_blend_latency(usec_t latency, usec_t value)
+{
+	int weight = LATENCY_WEIGHT;
+
+	if (value > 2 * latency || value < latency / 2)
+		weight /= 2;
+	return latency + (value - latency) / weight;
 }
 
 void
@@ -99,7 +113,8 @@
 	    now - server->latency_at > SERVER_LATENCY_AGE)
 		server->latency = latency;
 	else
-		server->latency += (latency - server->latency) / LATENCY_WEIGHT;
+		server->latency =
+		    server_blend_latency(server->latency, latency);
 	server->latency_at = now;
 }
 
--- a/source/routing/server.h
+++ b/source/routing/server.h
@@ -29,6 +29,9 @@
 /* A latency older than this no longer counts against a server. */
 #define SERVER_LATENCY_AGE SECONDS(10)
 
+/* How often a slow server that is left idle gets a copy of a job. */
+#define SERVER_PROBE_INTERVAL SECONDS(1)
+
 /* Connections that end this close together belong to one crash. */
 #define SERVER_CRASH_WINDOW MS(100)
 
@@ -49,7 +52,10 @@
 	heap_t waiting;		  /* jobs that wait for this server */
 	usec_t latency;		  /* recent, smoothed */
 	usec_t latency_at;
-	uint32_t refusals; /* in a row */
+	usec_t expected; /* latency with that of its running attempts */
+	usec_t probed_at;
+	usec_t answered_at; /* on a connection that was used before */
+	uint32_t refusals;  /* in a row */
 	usec_t rest_from;
 	usec_t rest_until;
 	uint32_t failures; /* in a row */
@@ -77,9 +83,15 @@
 /** server_has_room() - Whether one more attempt may start now. */
 bool server_has_room(const server_t *server, uint32_t limit, usec_t now);
 
+/** server_latency() - Its recent latency; 0 when that is not known. */
+usec_t server_latency(const server_t *server, usec_t now);
+
+/** server_blend_latency() - @latency after one more value was seen. */
+usec_t server_blend_latency(usec_t latency, usec_t value);
+
 /**
- * server_compare() - Negative when @a is the better choice: not failing, fewer
- * charged attempts, lower latency; 0 for a tie.
+ * server_compare() - Negative when @a is the better choice: not failing, less
+ * time to finish its charged attempts and one more; 0 for a tie.
  */
 int server_compare(const server_t *a, const server_t *b, usec_t now);
 
