Stop sending jobs to a server that answers none

Cause: while the queue was long, a silent server still got jobs, which were lost for certain; a restarted server's first attempt was hedged late.

Change: three attempts in a row that were given up at more than twice the server's latency mark it as stopped for 1 s; it then gets copies of jobs only. An attempt on a server that has not answered yet is hedged as early as one on a slow server.

Not kept: a stop without an end.

--- a/source/routing/scheduler_hedging.c
+++ b/source/routing/scheduler_hedging.c
@@ -46,12 +46,14 @@
 	    server->retire_before <= attempt->started;
 }
 
-/* When an attempt is slow: at the 95th percentile, on a slow server as soon as
- * another one would have answered. */
+/* When an attempt is slow: at the 95th percentile, on a server that is slow or
+ * has not answered yet as soon as another one would have answered. */
 static usec_t
 slow_after(const scheduler_t *scheduler, const attempt_t *attempt)
 {
-	if (scheduler_is_slow(scheduler, attempt->server))
+	if (scheduler->fastest > 0 &&
+	    (attempt->server->latency == 0 ||
+		scheduler_is_slow(scheduler, attempt->server)))
 		return MIN(scheduler->latency.p95, scheduler->fastest);
 	return scheduler->latency.p95;
 }
@@ -235,10 +237,7 @@
 	if (age >= scheduler->latency.p95 &&
 	    age < silent_after(scheduler, attempt))
 		latency_record(&scheduler->latency, age);
-	if (age > attempt->server->latency)
-		server_record_latency(attempt->server, age, now);
-	else
-		attempt->server->latency_at = now;
+	server_record_unanswered(attempt->server, age, now);
 }
 
 /* An attempt on an old connection that reached its deadline may mean silence
--- a/source/routing/scheduler_servers.c
+++ b/source/routing/scheduler_servers.c
@@ -43,6 +43,7 @@
 		server_t *server = scheduler->live[i];
 
 		server->expected = expect_latency(server, now);
+		server->stopped = server_is_stopped(server, now);
 		if (server->expected > 0 && !server_is_resting(server, now) &&
 		    (fastest == 0 || server->expected < fastest))
 			fastest = server->expected;
@@ -56,7 +57,8 @@
 bool
 scheduler_is_slow(const scheduler_t *scheduler, const server_t *server)
 {
-	return server->expected > SLOW_FACTOR * scheduler->fastest;
+	return server->stopped ||
+	    server->expected > SLOW_FACTOR * scheduler->fastest;
 }
 
 /* Whether what waits, this job included, ends sooner on the other servers than
@@ -76,7 +78,9 @@
 	}
 	waiting += scheduler->waiting;
 	return slots > 0 &&
-	    scheduler->fastest * (slots + waiting) < slow->expected * slots;
+	    (slow->stopped ||
+		scheduler->fastest * (slots + waiting) <
+		    slow->expected * slots);
 }
 
 server_t *
--- a/source/routing/server.c
+++ b/source/routing/server.c
@@ -58,6 +58,13 @@
 	    server->charged < server_capacity(server, limit);
 }
 
+bool
+server_is_stopped(const server_t *server, usec_t now)
+{
+	return server->unanswered >= SERVER_STOPPED &&
+	    now - server->unanswered_at < SERVER_STOPPED_TIME;
+}
+
 usec_t
 server_latency(const server_t *server, usec_t now)
 {
@@ -118,12 +125,27 @@
 	server->latency_at = now;
 }
 
+void
+server_record_unanswered(server_t *server, usec_t age, usec_t now)
+{
+	if (age > 2 * server->latency) {
+		server->unanswered++;
+		server->unanswered_at = now;
+	}
+	/* A younger one shows no change; it keeps the latency from expiring. */
+	if (age > server->latency)
+		server_record_latency(server, age, now);
+	else
+		server->latency_at = now;
+}
+
 void
 server_record_answer(server_t *server, bool good, usec_t now)
 {
 	if (server->refusals >= DOWN_AFTER)
 		event_log(EVENT_SERVER_UP, "server %s", server->name);
 	server->answered = true;
+	server->unanswered = 0;
 	server->refusals = 0;
 	server->rest_until = 0;
 	if (good)
--- a/source/routing/server.h
+++ b/source/routing/server.h
@@ -26,6 +26,12 @@
 #define SERVER_FAILING 3
 #define SERVER_FAILING_TIME SECONDS(1)
 
+/* Attempts in a row, each older than twice the server's latency, that were
+ * given up without an answer: it is taken for stopped and gets copies of jobs
+ * only. This ends after a while, because no copies are sent in overload. */
+#define SERVER_STOPPED 3
+#define SERVER_STOPPED_TIME SECONDS(1)
+
 /* A latency older than this no longer counts against a server. */
 #define SERVER_LATENCY_AGE SECONDS(10)
 
@@ -53,7 +59,10 @@
 	usec_t latency;		  /* recent, smoothed */
 	usec_t latency_at;
 	usec_t expected; /* latency with that of its running attempts */
+	bool stopped;	 /* see server_is_stopped() */
 	usec_t probed_at;
+	uint32_t unanswered; /* attempts in a row */
+	usec_t unanswered_at;
 	usec_t answered_at; /* on a connection that was used before */
 	uint32_t refusals;  /* in a row */
 	usec_t rest_from;
@@ -83,6 +92,9 @@
 /** server_has_room() - Whether one more attempt may start now. */
 bool server_has_room(const server_t *server, uint32_t limit, usec_t now);
 
+/** server_is_stopped() - Whether it seems to answer nothing at all. */
+bool server_is_stopped(const server_t *server, usec_t now);
+
 /** server_latency() - Its recent latency; 0 when that is not known. */
 usec_t server_latency(const server_t *server, usec_t now);
 
@@ -97,6 +109,9 @@
 
 void server_record_latency(server_t *server, usec_t latency, usec_t now);
 
+/** server_record_unanswered() - An attempt of this age was given up. */
+void server_record_unanswered(server_t *server, usec_t age, usec_t now);
+
 /** server_record_answer() - It answered: it is up and its rest ends. */
 void server_record_answer(server_t *server, bool good, usec_t now);
 
