Double the pause of a stopped server and let it run one attempt

Cause: after 1 s a stopped server took as many jobs as before.

Change: the pause doubles up to 4 s, and the server runs one attempt at a time until it answers. A table case covers the limit of one.

--- a/source/routing/server.c
+++ b/source/routing/server.c
@@ -45,7 +45,8 @@
 uint32_t
 server_capacity(const server_t *server, uint32_t limit)
 {
-	if (!server->answered || server->refusals > 0)
+	if (!server->answered || server->refusals > 0 ||
+	    server->unanswered >= SERVER_STOPPED)
 		return MIN(limit, 1);
 	return limit;
 }
@@ -61,8 +62,12 @@
 bool
 server_is_stopped(const server_t *server, usec_t now)
 {
-	return server->unanswered >= SERVER_STOPPED &&
-	    now - server->unanswered_at < SERVER_STOPPED_TIME;
+	uint32_t more;
+
+	if (server->unanswered < SERVER_STOPPED)
+		return false;
+	more = MIN(server->unanswered - SERVER_STOPPED, SERVER_STOPPED_STEPS);
+	return now - server->unanswered_at < SERVER_STOPPED_TIME << more;
 }
 
 usec_t
@@ -128,7 +133,8 @@
 void
 server_record_unanswered(server_t *server, usec_t age, usec_t now)
 {
-	if (age > 2 * server->latency) {
+	if (age > 2 * server->latency ||
+	    (server->unanswered >= SERVER_STOPPED && age > server->latency)) {
 		server->unanswered++;
 		server->unanswered_at = now;
 	}
--- a/source/routing/server.h
+++ b/source/routing/server.h
@@ -28,8 +28,10 @@
 
 /* Attempts in a row, each older than twice the server's latency, that were
  * given up without an answer: it is taken for stopped and gets copies of jobs
- * only. This ends after a while, because no copies are sent in overload. */
+ * only. This ends after a while, which doubles, because no copies are sent in
+ * overload. */
 #define SERVER_STOPPED 3
+#define SERVER_STOPPED_STEPS 2 /* doublings */
 #define SERVER_STOPPED_TIME SECONDS(1)
 
 /* A latency older than this no longer counts against a server. */
@@ -85,7 +87,7 @@
 
 /**
  * server_capacity() - How many of @limit attempts it may take: one while it is
- * cold or has not answered since its last refusal.
+ * cold or has not answered since its last refusal or since it stopped.
  */
 uint32_t server_capacity(const server_t *server, uint32_t limit);
 
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -179,6 +179,7 @@
 {
 	body_t *body = body_create("x", 1);
 
+	outcome.reused = true;
 	outcome.body = outcome.result == ATTEMPT_OK ? body : NULL;
 	if (outcome.result == ATTEMPT_OK)
 		outcome.http_status = 200;
@@ -214,8 +215,7 @@
 	case END:
 		end_attempt(bed, step->a,
 		    (attempt_outcome_t){.result = (attempt_result_t)step->b,
-			.http_status = 500,
-			.reused = true});
+			.http_status = 500});
 		break;
 	case MALFORMED:
 		end_attempt(bed, step->a,
@@ -324,8 +324,7 @@
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@a"},
 	    {0, SUBMIT, 3, 200, ""}, {5, END, 1, ATTEMPT_OK, "R1=ok S3@a"},
 	    {5, END, 1, ATTEMPT_OK, ""}, {5, STALE, 1, 0, ""}}},
-    {"a cut connection frees nothing before the deadline and its margin", 1, 1,
-	1,
+    {"a cut connection frees nothing before its deadline and margin", 1, 1, 1,
 	{{0, SUBMIT, 1, 200, "S1@a"},
 	    {10, END, 1, ATTEMPT_TIMEOUT, "C1 R1=timeout"},
 	    {11, SUBMIT, 2, 400, ""}, {249, RUN, 0, 0, ""},
@@ -481,7 +480,7 @@
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
 	    {5, END, 2, ATTEMPT_OK, "R2=ok"}, {25, END, 1, ATTEMPT_OK, "R1=ok"},
 	    {26, SUBMIT, 3, 300, "S3@b"}, {26, SUBMIT, 4, 300, "S4@a"},
-	    {26, SUBMIT, 5, 300, "S5@b"}, {26, SUBMIT, 6, 300, "S6@a"}}},
+	    {26, SUBMIT, 5, 300, "S5@b"}}},
     {"a slow server is left idle until the queue would take longer", 2, 1, 2,
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
 	    {5, END, 2, ATTEMPT_OK, "R2=ok"}, {90, END, 1, ATTEMPT_OK, "R1=ok"},
@@ -491,10 +490,15 @@
     {"a slow server gets a copy of a job once a second", 2, 1, 45,
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@b"},
 	    {5, END, 2, ATTEMPT_OK, "R2=ok"}, {90, END, 1, ATTEMPT_OK, "R1=ok"},
-	    {91, SUBMIT, 3, 300, "S3@b S3@a"},
-	    {95, END, 3, ATTEMPT_OK, "C4 R3=ok"}, {95, CONFIRM, 4, 0, ""},
-	    {1090, SUBMIT, 4, 1300, "S4@b"}, {1091, END, 5, 0, "R4=ok"},
-	    {1091, SUBMIT, 5, 1300, "S5@b S5@a"}}},
+	    {91, SUBMIT, 3, 300, "S3@b S3@a"}, {95, END, 3, 0, "C4 R3=ok"},
+	    {95, CONFIRM, 4, 0, ""}, {1090, SUBMIT, 4, 1300, "S4@b"},
+	    {1091, END, 5, 0, "R4=ok"}, {1091, SUBMIT, 5, 1300, "S5@b S5@a"}}},
+    {"a server that answered none of three runs one until it answers", 1, 2, 21,
+	{{0, SUBMIT, 1, 60, "S1@a"}, {0, SUBMIT, 2, 60, "S2@a"},
+	    {60, RUN, 0, 0, "C1 R1=timeout C2 R2=timeout"},
+	    {111, SUBMIT, 3, 210, "S3@ar"}, {210, RUN, 0, 0, "C3 R3=timeout"},
+	    {261, SUBMIT, 4, 400, "S4@ar"}, {261, SUBMIT, 5, 400, ""},
+	    {270, END, 4, 0, "R4=ok S5@ar"}, {270, SUBMIT, 6, 400, "S6@ar"}}},
     {"an attempt is not silent on a server that answers others", 1, 2, 21,
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@a"},
 	    {5, END, 2, ATTEMPT_OK, "R2=ok"}, {31, RUN, 0, 0, ""},
