Limit the queries of an index that run at once on a node

Change: an adaptive limit for each index, lowered on shards that time out or are refused, raised on complete answers in good time, with a weighted part for each customer.

--- a/source/node/node.c
+++ b/source/node/node.c
@@ -275,6 +275,7 @@
 	node->http = http_client_create(node->loop);
 	node->requests = table_create(sizeof(request_t), NODE_MAX_REQUESTS);
 	node->queries = query_set_create(&router);
+	node->limiter = limiter_create();
 	node->forwarded =
 	    g_hash_table_new_full(id128_hash, id128_key_equal, g_free, g_free);
 	node->index_wait =
@@ -346,6 +347,7 @@
 	peer_socket_destroy(node->peers);
 	http_client_destroy(node->http);
 	query_set_destroy(node->queries);
+	limiter_destroy(node->limiter);
 	claim_table_destroy(node->claims);
 	serve_destroy(node);
 	config_destroy(node);
--- a/source/node/node_metrics.c
+++ b/source/node/node_metrics.c
@@ -98,6 +98,23 @@
 	}
 }
 
+static void
+append_limit(void *context, const char *index, const limiter_stats_t *stats)
+{
+	GString *out = context;
+
+	g_string_append_printf(out,
+	    "bulrushwell_query_limit{index=\"%s\"} %g\n", index, stats->limit);
+	append_counter(
+	    out, "bulrushwell_queries_running", "index", index, stats->running);
+	append_counter(out, "bulrushwell_queries_refused_overload_total",
+	    "index", index, stats->refused);
+	append_counter(out, "bulrushwell_query_limit_lowered_total", "index",
+	    index, stats->lowered);
+	append_counter(out, "bulrushwell_query_limit_restored_total", "index",
+	    index, stats->restored);
+}
+
 static double
 seconds(const struct timeval *time)
 {
@@ -147,6 +164,7 @@
 {
 	append_process(node, out);
 	append_customers(node, out);
+	limiter_visit(node->limiter, append_limit, out);
 	append_services(node, out);
 	append_events(out);
 }
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -11,6 +11,7 @@
 #include "bulrushwell/histogram.h"
 #include "bulrushwell/http_client.h"
 #include "bulrushwell/http_server.h"
+#include "bulrushwell/limiter.h"
 #include "bulrushwell/message.h"
 #include "bulrushwell/node.h"
 #include "bulrushwell/peer_socket.h"
@@ -42,6 +43,9 @@
 	usec_t started;
 	usec_t deadline;
 	handle_t query;
+	bool limited; /* counted by the limiter since limited_at */
+	usec_t limited_at;
+	limiter_outcome_t outcome; /* of the query */
 } request_t;
 
 /** typedef served_t - One service as its serving node or standby sees it. */
@@ -83,6 +87,7 @@
 	/* receiving */
 	table_t *requests; /* request_t */
 	query_set_t *queries;
+	limiter_t *limiter;
 	GHashTable *forwarded;	/* id128_t of a reservation -> handle_t */
 	GHashTable *index_wait; /* index -> wait_t */
 	GHashTable *customers;	/* customer -> customer_stats_t */
@@ -188,6 +193,7 @@
 
 /* node_query.c */
 void query_start(request_t *request, usec_t now);
+void query_ended(request_t *request, usec_t now);
 void query_drain(node_t *node);
 void query_received_reply(node_t *node, const message_t *message);
 usec_t query_expected_wait(node_t *node, const char *index, usec_t now);
--- a/source/node/node_query.c
+++ b/source/node/node_query.c
@@ -27,6 +27,23 @@
 	return (query_router_t){find_node, node};
 }
 
+static uint32_t
+query_weight(const contract_t *contract)
+{
+	return MAX(1, (uint32_t)contract_rate_per_s(contract));
+}
+
+void
+query_ended(request_t *request, usec_t now)
+{
+	if (!request->limited)
+		return;
+	request->limited = false;
+	limiter_ended(request->node->limiter, request->target,
+	    contract_customer(request->contract), request->outcome,
+	    now - request->limited_at, now);
+}
+
 void
 query_start(request_t *request, usec_t now)
 {
@@ -39,6 +56,15 @@
 		request_refuse(request, BW_E_NOT_FOUND, NULL);
 		return;
 	}
+	error = limiter_admit(node->limiter, request->target,
+	    contract_customer(request->contract),
+	    query_weight(request->contract), now);
+	if (error != 0) {
+		request_refuse(request, error, NULL);
+		return;
+	}
+	request->limited = true;
+	request->limited_at = now;
 	error = query_begin(node->queries, request->id, map, request->deadline,
 	    now, request, &request->query);
 	if (error != 0)
@@ -103,8 +129,7 @@
 	strcpy(shards->index, shard_map_index(action->map));
 	shards->version = shard_map_version(action->map);
 	strcpy(shards->customer, contract_customer(request->contract));
-	shards->weight =
-	    MAX(1, (uint32_t)contract_rate_per_s(request->contract));
+	shards->weight = query_weight(request->contract);
 	shards->remaining = action->deadline - now;
 	shards->wall_deadline = clock_wall() + shards->remaining;
 	shards->fingerprint = request->fingerprint;
@@ -176,6 +201,23 @@
 	    stats->query_latency, clock_monotonic() - request->started);
 }
 
+/* A complete answer within two thirds of the time leaves room for more. */
+static limiter_outcome_t
+judge_answer(const request_t *request, const query_answer_t *answer, usec_t now)
+{
+	usec_t time = request->deadline - request->limited_at;
+
+	for (uint32_t i = 0; i < answer->total - answer->answered; i++)
+		if (answer->missing[i].reason == MISSING_TIMEOUT ||
+		    answer->missing[i].reason == MISSING_REFUSED)
+			return LIMITER_OVERLOADED;
+	if (answer->answered < answer->total)
+		return LIMITER_OTHER;
+	return (now - request->limited_at) * 3 < time * 2
+	    ? LIMITER_COMPLETE
+	    : LIMITER_COMPLETE_LATE;
+}
+
 static void
 finish_query(node_t *node, const query_action_t *action)
 {
@@ -189,6 +231,7 @@
 		request_refuse(request, BW_E_NOT_SERVED, NULL);
 		return;
 	}
+	request->outcome = judge_answer(request, answer, clock_monotonic());
 	if (request->exchange != NULL) {
 		out = render_answer(answer);
 		count_answer(request, answer);
--- a/source/node/node_request.c
+++ b/source/node/node_request.c
@@ -44,6 +44,7 @@
 {
 	node_t *node = request->node;
 
+	query_ended(request, clock_monotonic());
 	if (request->admitted)
 		limits_apply(node, contract_customer(request->contract),
 		    clock_monotonic());
@@ -82,6 +83,8 @@
 			       request->fingerprint, now) -
 			now,
 		    0);
+	else if (error == BW_E_OVERLOADED && request->kind == REQUEST_QUERY)
+		wait = limiter_retry_after(node->limiter, request->target);
 	if (request->exchange != NULL)
 		request_answer_error(
 		    request->exchange, error, detail, wait / USEC_PER_MS);
