--- a/include/bulrushwell/limiter.h
+++ b/include/bulrushwell/limiter.h
@@ -48,7 +48,8 @@
  * limiter_admit() - A query is about to be sent.
  * @weight: the customer's weight by contract; 0 counts as 1
  *
- * Return: 0, after which limiter_ended() follows, or BW_E_OVERLOADED.
+ * Return: 0, after which limiter_ended() follows, BW_E_OVERLOADED, or
+ * BW_E_FULL when LIMITER_MAX_INDEXES others have queries running.
  */
 int limiter_admit(limiter_t *limiter, const char *index, const char *customer,
     uint32_t weight, usec_t now);
--- a/source/query/limiter.c
+++ b/source/query/limiter.c
@@ -178,7 +178,7 @@
 	part_t *part;
 
 	if (index == NULL)
-		return BW_E_OVERLOADED;
+		return BW_E_FULL;
 	weight = MAX(weight, 1);
 	part = g_hash_table_lookup(index->parts, customer);
 	release_unused(index, now);
@@ -241,6 +241,7 @@
 	}
 	*limit = fmax(LIMIT_FLOOR, *limit * LOWER_FACTOR);
 	index->stats.lowered++;
+	index->met_at = now;
 	begin_round(index, now);
 }
 
