--- a/include/bulrushwell/limiter.h
+++ b/include/bulrushwell/limiter.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHWELL_LIMITER_H
 #define BULRUSHWELL_LIMITER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "bulrushwell/clock.h"
@@ -54,6 +55,13 @@
 int limiter_admit(limiter_t *limiter, const char *index, const char *customer,
     uint32_t weight, usec_t now);
 
+/**
+ * limiter_may_admit() - Whether limiter_admit() would admit now, so that a
+ * query can wait without being counted as refused.
+ */
+bool limiter_may_admit(limiter_t *limiter, const char *index,
+    const char *customer, uint32_t weight, usec_t now);
+
 /**
  * limiter_ended() - An admitted query ended.
  * @elapsed: since limiter_admit()
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -108,6 +108,7 @@
 	usec_t earliest = 0, now = clock_monotonic(), delay;
 
 	take_earlier(&earliest, serve_next_wakeup(node));
+	take_earlier(&earliest, hold_next_wakeup(node));
 	take_earlier(&earliest, query_next_deadline(node->queries));
 	take_earlier(&earliest, claim_next_wakeup(node->claims));
 	ev_timer_stop(node->loop, &node->wakeup);
@@ -132,6 +133,7 @@
 	query_drain(node);
 	reserve_drain(node, now);
 	serve_flush(node);
+	hold_drain(node, now);
 	request_drain_admission(node);
 	query_drain(node);
 }
@@ -276,6 +278,7 @@
 	node->requests = table_create(sizeof(request_t), NODE_MAX_REQUESTS);
 	node->queries = query_set_create(&router);
 	node->limiter = limiter_create();
+	g_queue_init(&node->queries_held);
 	node->forwarded =
 	    g_hash_table_new_full(id128_hash, id128_key_equal, g_free, g_free);
 	node->index_wait =
@@ -348,6 +351,7 @@
 	http_client_destroy(node->http);
 	query_set_destroy(node->queries);
 	limiter_destroy(node->limiter);
+	g_queue_clear_full(&node->queries_held, g_free);
 	claim_table_destroy(node->claims);
 	serve_destroy(node);
 	config_destroy(node);
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -43,7 +43,8 @@
 	usec_t started;
 	usec_t deadline;
 	handle_t query;
-	bool limited; /* counted by the limiter since limited_at */
+	usec_t held_until; /* waits for the limiter */
+	bool limited;	   /* counted by the limiter since limited_at */
 	usec_t limited_at;
 	limiter_outcome_t outcome; /* of the query */
 } request_t;
@@ -88,6 +89,7 @@
 	table_t *requests; /* request_t */
 	query_set_t *queries;
 	limiter_t *limiter;
+	GQueue queries_held;	/* handle_t, in the order of arrival */
 	GHashTable *forwarded;	/* id128_t of a reservation -> handle_t */
 	GHashTable *index_wait; /* index -> wait_t */
 	GHashTable *customers;	/* customer -> customer_stats_t */
@@ -193,12 +195,19 @@
 
 /* node_query.c */
 void query_start(request_t *request, usec_t now);
+void query_admit(request_t *request, usec_t now);
+uint32_t query_weight(const contract_t *contract);
 void query_ended(request_t *request, usec_t now);
 void query_drain(node_t *node);
 void query_received_reply(node_t *node, const message_t *message);
 usec_t query_expected_wait(node_t *node, const char *index, usec_t now);
 query_router_t query_make_router(node_t *node);
 
+/* node_hold.c */
+bool hold_query(request_t *request, usec_t now);
+void hold_drain(node_t *node, usec_t now);
+usec_t hold_next_wakeup(node_t *node);
+
 /* node_serve.c */
 void serve_create(node_t *node);
 void serve_destroy(node_t *node);
--- a/source/node/node_query.c
+++ b/source/node/node_query.c
@@ -27,7 +27,7 @@
 	return (query_router_t){find_node, node};
 }
 
-static uint32_t
+uint32_t
 query_weight(const contract_t *contract)
 {
 	return MAX(1, (uint32_t)contract_rate_per_s(contract));
@@ -46,6 +46,13 @@
 
 void
 query_start(request_t *request, usec_t now)
+{
+	if (!hold_query(request, now))
+		query_admit(request, now);
+}
+
+void
+query_admit(request_t *request, usec_t now)
 {
 	node_t *node = request->node;
 	shard_map_t *map =
--- a/source/query/limiter.c
+++ b/source/query/limiter.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <math.h>
-#include <stdbool.h>
 
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
@@ -133,6 +132,13 @@
 	return index;
 }
 
+static bool
+is_below(const index_t *index)
+{
+	return index->stats.limit <= 0 ||
+	    index->stats.running + 1 <= index->stats.limit;
+}
+
 /* Whether a query may run although the limit is reached: its customer runs
  * fewer than its part. Customers that run nothing have no part. */
 static bool
@@ -182,18 +188,29 @@
 	weight = MAX(weight, 1);
 	part = g_hash_table_lookup(index->parts, customer);
 	release_unused(index, now);
-	if (index->stats.limit > 0 &&
-	    index->stats.running + 1 > index->stats.limit) {
+	if (!is_below(index))
 		index->met_at = now;
-		if (!is_within_part(index, part, weight)) {
-			index->stats.refused++;
-			return BW_E_OVERLOADED;
-		}
+	if (!is_below(index) && !is_within_part(index, part, weight)) {
+		index->stats.refused++;
+		return BW_E_OVERLOADED;
 	}
 	add_running(index, customer, part, weight);
 	return 0;
 }
 
+bool
+limiter_may_admit(limiter_t *limiter, const char *name, const char *customer,
+    uint32_t weight, usec_t now)
+{
+	index_t *index = g_hash_table_lookup(limiter->indexes, name);
+
+	if (index == NULL || is_below(index))
+		return true;
+	index->met_at = now;
+	return is_within_part(
+	    index, g_hash_table_lookup(index->parts, customer), MAX(weight, 1));
+}
+
 static void
 begin_round(index_t *index, usec_t now)
 {
