Test refusals at the limit with real processes

Change: one node whose service is slower than the deadline refuses queries as not run; callers leave while their queries wait; answers are complete again and no request stays open after the fault ends.

--- a/tests/test_process_query.c
+++ b/tests/test_process_query.c
@@ -385,6 +385,50 @@
 	assert_int_equal(result.partial + result.refused + result.broken, 0);
 }
 
+/* Callers that leave while their queries wait for a place. */
+static void
+leave_while_waiting(harness_t *harness)
+{
+	for (int i = 0; i < 10; i++) {
+		int fd = open_connection(harness->nodes[0].caller);
+		GString *out = g_string_new(NULL);
+
+		append_request(out, "a caller that leaves at the limit");
+		send_text(fd, out->str);
+		g_usleep(5000);
+		close(fd);
+		g_string_free(out, TRUE);
+	}
+}
+
+/* Guards against an overloaded index whose every answer is partial: queries
+ * that wait for a place and never end, refusals that are not true, and a limit
+ * that stays after the overload. */
+static void
+queries_over_the_limit_are_refused_as_not_run(void **state)
+{
+	harness_t *harness = *state;
+	load_result_t result;
+	load_t *load;
+	usec_t until;
+
+	query_start_world(harness, &(world_t){.nodes = 1, .deadline_ms = 300});
+	query_service_fault(harness, 1, "{\"latency_factor\":200}");
+	load = load_start(harness, 24, 1);
+	query_wait_metric(
+	    harness, 0, "bulrushwell_queries_refused_overload_total", 20);
+	leave_while_waiting(harness);
+	query_service_fault(harness, 1, "{\"latency_factor\":1}");
+	result = load_stop(load);
+	assert_true(result.refused >= 20);
+	assert_int_equal(result.broken, 0);
+	query_wait_complete(harness, 0, 20, QUERY_ENOUGH_MS);
+	until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
+	while (query_metric(harness, 0, "bulrushwell_requests_open") > 0 ||
+	    query_metric(harness, 0, "bulrushwell_queries_running") > 0)
+		assert_true(clock_monotonic() < until);
+}
+
 /* Guards against messages and answers of an earlier incarnation that reach the
  * one after it, when a node is killed and restarted at the same addresses. */
 static void
@@ -422,6 +466,7 @@
 	    QUERY_TEST(callers_that_leave_disturb_no_others),
 	    QUERY_TEST(large_bodies_arrive_whole),
 	    QUERY_TEST(many_callers_get_their_own_answers),
+	    QUERY_TEST(queries_over_the_limit_are_refused_as_not_run),
 	    QUERY_TEST(a_node_restarted_at_its_addresses_joins_again),
 	};
 
