Bound the connections to each server by this node's share

Change: each served service has a client of its own whose connections to one address stay within the holder's share; a former holder drops its pool.

--- a/include/bulrushwell/http_client.h
+++ b/include/bulrushwell/http_client.h
@@ -16,7 +16,7 @@
  * reused connection turns out to be closed, so a request that must not run
  * twice is sent with @fresh.
  */
-#define HTTP_CLIENT_MAX_RUNNING 65536
+#define HTTP_CLIENT_MAX_RUNNING 8192
 #define HTTP_CLIENT_MAX_HEADERS 12
 
 typedef enum {
@@ -61,6 +61,15 @@
 typedef struct http_client http_client_t;
 
 http_client_t *http_client_create(struct ev_loop *loop);
+/**
+ * http_client_limit() - The most connections to one address; requests beyond
+ * them wait for one to become free. 0 is no limit.
+ */
+void http_client_limit(http_client_t *client, uint32_t connections);
+
+/** http_client_running() - Requests that have not ended. */
+uint32_t http_client_running(const http_client_t *client);
+
 void http_client_destroy(http_client_t *client);
 
 /**
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -320,6 +320,19 @@
 	return client;
 }
 
+void
+http_client_limit(http_client_t *client, uint32_t connections)
+{
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)connections);
+}
+
+uint32_t
+http_client_running(const http_client_t *client)
+{
+	return table_count(client->transfers);
+}
+
 void
 http_client_destroy(http_client_t *client)
 {
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -376,7 +376,8 @@
 		ledger_set_share(node->board.ledger, entry->service,
 		    holder != NULL ? holder->slots : 0, longest, now);
 		if (holder != NULL)
-			serve_find(node, entry->service);
+			serve_set_connections(
+			    node, entry->service, holder->connections);
 	}
 }
 
--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -243,7 +243,7 @@
 	if (action->retire_before != 0)
 		request.max_connection_age = now - action->retire_before;
 	request.context = attempt;
-	if (http_client_send(node->http, &request) == HANDLE_NONE) {
+	if (http_client_send(served->http, &request) == HANDLE_NONE) {
 		table_remove(node->attempts, handle);
 		fail_unsent(served, action->attempt);
 	}
@@ -284,6 +284,6 @@
 	snprintf(header, sizeof(header), "X-Request-Id: %s", id);
 	cancellation->served = served;
 	cancellation->attempt = action->attempt;
-	if (http_client_send(served->node->http, &request) == HANDLE_NONE)
+	if (http_client_send(served->http, &request) == HANDLE_NONE)
 		g_free(cancellation);
 }
--- a/source/node/node_health.c
+++ b/source/node/node_health.c
@@ -75,7 +75,7 @@
 	call->served = served;
 	strcpy(call->server, server->server);
 	strcpy(call->incarnation, server->incarnation);
-	if (http_client_send(served->node->http, &request) == HANDLE_NONE)
+	if (http_client_send(served->http, &request) == HANDLE_NONE)
 		g_free(call);
 }
 
@@ -85,10 +85,16 @@
 	const service_t *service = catalogue_find_service(
 	    served->node->board.catalogue, served->service);
 
-	if (service == NULL || now - served->health_at < MS(HEALTH_MS) ||
-	    ledger_share(served->node->board.ledger, served->service) == 0)
+	if (now - served->health_at < MS(HEALTH_MS))
 		return;
 	served->health_at = now;
+	if (ledger_share(served->node->board.ledger, served->service) == 0) {
+		serve_drop_connections(served);
+		return;
+	}
+	if (service == NULL)
+		return;
+	served->pooled = true;
 	for (uint32_t i = 0; i < service->server_count; i++)
 		if (!service->servers[i].leaving)
 			ask_server(served, &service->servers[i]);
--- a/source/node/node_private.h
+++ b/source/node/node_private.h
@@ -56,6 +56,10 @@
 	scheduler_t *scheduler;
 	uint64_t spec_version; /* of the catalogue entry that was applied */
 	usec_t health_at;      /* when its servers were last asked */
+	/* Its own, so that the connections to a server stay within this node's
+	 * share; a pool that all services use has one limit for all. */
+	http_client_t *http;
+	bool pooled; /* it may have open connections */
 } served_t;
 
 /** typedef customer_stats_t - Counters and latencies of one customer. */
@@ -217,6 +221,9 @@
 void serve_create(node_t *node);
 void serve_destroy(node_t *node);
 served_t *serve_find(node_t *node, const char *service);
+void serve_set_connections(
+    node_t *node, const char *service, uint32_t connections);
+void serve_drop_connections(served_t *served);
 void serve_catalogue_changed(node_t *node, const char *service, usec_t now);
 void serve_shards(node_t *node, const char *requester,
     const shard_request_t *request, usec_t now);
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -77,6 +77,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		served_t *served = value;
 
+		http_client_destroy(served->http);
 		scheduler_destroy(served->scheduler);
 		g_free(served);
 	}
@@ -112,11 +113,34 @@
 	strcpy(served->service, service);
 	served->scheduler =
 	    scheduler_create(service, node->board.suspects, id64_random());
+	served->http = http_client_create(node->loop);
 	g_hash_table_insert(node->served, served->service, served);
 	apply_catalogue(served, clock_monotonic());
 	return served;
 }
 
+void
+serve_set_connections(node_t *node, const char *service, uint32_t connections)
+{
+	served_t *served = serve_find(node, service);
+
+	if (served != NULL)
+		http_client_limit(served->http, connections);
+}
+
+/* libcurl closes idle connections only when it needs others, so a node that
+ * holds the service no more replaces the whole pool: its share of the
+ * connections is for the next holder. */
+void
+serve_drop_connections(served_t *served)
+{
+	if (!served->pooled || http_client_running(served->http) > 0)
+		return;
+	http_client_destroy(served->http);
+	served->http = http_client_create(served->node->loop);
+	served->pooled = false;
+}
+
 void
 serve_catalogue_changed(node_t *node, const char *service, usec_t now)
 {
