--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -8,6 +8,9 @@
  * with all the waits of that. */
 #define FIRST_PLAN_MS 500
 
+/* Whether the release of a closed share may have been written. */
+enum { RELEASE_UNWRITTEN = 1, RELEASE_WRITTEN };
+
 /* What a plan is made from; arrays live until the plan is made. */
 typedef struct {
 	planner_input_t input;
@@ -125,6 +128,15 @@
 		   node->board.incarnation) != NULL;
 }
 
+static uint32_t
+own_slots(const node_t *node, const assigned_service_t *entry)
+{
+	for (uint32_t i = 0; i < entry->holder_count; i++)
+		if (blackboard_is_self(&node->board, &entry->holders[i]))
+			return entry->holders[i].slots;
+	return 0;
+}
+
 /* Whether another holder has been first for long enough to have the use of its
  * own share; until then this node serves or lends what it holds. */
 static bool
@@ -178,10 +190,32 @@
 close_share(node_t *node, const char *service)
 {
 	if (!g_hash_table_contains(node->closed, service))
-		g_hash_table_add(node->closed, g_strdup(service));
+		g_hash_table_insert(node->closed, g_strdup(service),
+		    GINT_TO_POINTER(RELEASE_UNWRITTEN));
 	ledger_close_share(node->board.ledger, service);
 }
 
+/* A share that was closed for balance is used again when its release is no
+ * longer wanted or cannot be written, as in an outage. While a write of the
+ * release may still take effect the share stays closed: another node may own
+ * it. */
+static void
+reopen_share(node_t *node, const assigned_service_t *entry, usec_t now)
+{
+	gpointer written;
+
+	if (!g_hash_table_lookup_extended(
+		node->closed, entry->service, NULL, &written) ||
+	    GPOINTER_TO_INT(written) != RELEASE_UNWRITTEN)
+		return;
+	g_hash_table_remove(node->closed, entry->service);
+	/* From nothing to the whole share: usable after the wait of a new one.
+	 */
+	ledger_set_share(node->board.ledger, entry->service, 0, 0, now);
+	ledger_set_share(node->board.ledger, entry->service,
+	    own_slots(node, entry), blackboard_longest(&node->board, now), now);
+}
+
 static void
 add_releasable(node_t *node, plan_basis_t *basis, usec_t now)
 {
@@ -190,14 +224,19 @@
 
 	if (assignment == NULL)
 		return;
-	excess = planner_excess_service(assignment, &basis->input);
-	if (excess != NULL)
-		close_share(node, excess);
+	excess = node->board.platform_reachable
+	    ? planner_excess_service(assignment, &basis->input)
+	    : NULL;
 	for (uint32_t i = 0; i < assignment->service_count; i++) {
 		assigned_service_t *entry = &assignment->services[i];
+		bool is_excess =
+		    excess != NULL && strcmp(excess, entry->service) == 0;
 
-		if (holds(node, entry) && wants_release(node, entry, now))
+		if (holds(node, entry) &&
+		    (is_excess || wants_release(node, entry, now)))
 			close_share(node, entry->service);
+		else if (node->board.state != NODE_STATE_STOPPING)
+			reopen_share(node, entry, now);
 		offer_closed(node, basis->releasable, entry, now);
 	}
 }
@@ -315,7 +354,15 @@
 }
 
 static void
-write_plan(node_t *node, assignment_t *plan)
+set_release_state(node_t *node, const char *service, int state)
+{
+	if (g_hash_table_contains(node->closed, service))
+		g_hash_table_replace(
+		    node->closed, g_strdup(service), GINT_TO_POINTER(state));
+}
+
+static void
+write_plan(node_t *node, assignment_t *plan, const planner_input_t *input)
 {
 	pending_write_t *write = g_new0(pending_write_t, 1);
 	uint64_t expected = node->board.assignment != NULL
@@ -326,6 +373,8 @@
 	write->node = node;
 	write->text = assignment_print(plan);
 	node->write_running = true;
+	for (size_t i = 0; i < input->releasable_count; i++)
+		set_release_state(node, input->releasable[i], RELEASE_WRITTEN);
 	event_log(EVENT_ASSIGNMENT_PROPOSED, "after version %llu, token %s",
 	    (unsigned long long)expected, plan->token);
 	platform_write(node->platform, "assignment", node->board.settings.cell,
@@ -358,7 +407,7 @@
 		node->wanted_since = now;
 	if (plan != NULL && node->board.platform_reachable &&
 	    now - node->wanted_since >= plan_delay(node, &basis.input))
-		write_plan(node, plan);
+		write_plan(node, plan, &basis.input);
 	assignment_destroy(plan);
 	basis_clear(&basis);
 }
@@ -400,6 +449,12 @@
 	usec_t longest = blackboard_longest(&node->board, now);
 
 	adopt_shares(node, longest, now);
+	/* A write that expected an earlier version can no longer take effect.
+	 */
+	for (uint32_t i = 0; i < node->board.assignment->service_count; i++)
+		set_release_state(node,
+		    node->board.assignment->services[i].service,
+		    RELEASE_UNWRITTEN);
 	adopt_units(node, longest, now);
 	node->wanted_since = 0;
 }
