--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,12 @@
 CC ?= gcc
 PKGS = glib-2.0 libcurl libmicrohttpd libzmq jansson libxxhash
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -llog4c -lm
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lev -llog4c \
+    -lhttp_parser -lm
+# The gateway needs few of the libraries, and its memory counts.
+GATEWAY_CFLAGS := $(shell pkg-config --cflags glib-2.0 jansson)
+GATEWAY_LIBS := $(shell pkg-config --libs glib-2.0 jansson) -lev -llog4c \
+    -lhttp_parser -lm
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
 CSTD = -std=gnu11 -D_GNU_SOURCE
@@ -22,7 +27,7 @@
 
 CFLAGS = $(CSTD) $(WARN) $(OPT) -Iinclude $(PKG_CFLAGS) -MMD -MP
 
-LIB_SRC := $(wildcard source/*/*.c)
+LIB_SRC := $(wildcard source/*/*.c) $(wildcard platform/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libbulrushwell.a
 
@@ -43,10 +48,16 @@
 
 ALL_C := $(LIB_SRC) $(TOOL_SRC) $(FAKE_LIB_SRC) $(FAKE_SRC) $(BENCH_SRC) \
     $(TEST_LIB_SRC) $(TEST_SRC)
-ALL_H := $(wildcard include/bulrushwell/*.h source/*/*.h fakes/lib/*.h \
+ALL_H := $(wildcard include/bulrushwell/*.h source/*/*.h platform/*.h fakes/lib/*.h \
     tests/lib/*.h bench/*.h)
 
-.PHONY: all tests check check-unit check-process format format-check lint \
+GATEWAY_SRC := tools/bulrushwell-gateway.c $(wildcard source/gateway/*.c \
+    source/http/*.c platform/*.c) $(addprefix source/base/,buffer.c clock.c \
+    error.c event.c histogram.c log_sink.c)
+GATEWAY_OBJ := $(GATEWAY_SRC:%.c=$(BUILD)/%.o)
+GATEWAY = $(BUILD)/bin/bulrushwell-gateway
+
+.PHONY: gateway all tests check check-unit check-process format format-check lint \
     clean install
 .SECONDARY:
 
@@ -64,6 +75,16 @@
 	@echo "AR $@"
 	@ar rcsP $@ $^
 
+gateway: $(GATEWAY)
+
+# Built with fewer libraries than the other programs, so with these flags only.
+$(GATEWAY_OBJ): PKG_CFLAGS = $(GATEWAY_CFLAGS)
+
+$(GATEWAY): $(GATEWAY_OBJ)
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) $(OPT) -o $@ $^ $(GATEWAY_LIBS)
+
 $(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
@@ -97,7 +118,7 @@
 lint:
 	cppcheck --quiet --std=c11 --enable=warning,portability,performance \
 	    --error-exitcode=1 --inline-suppr --suppressions-list=.cppcheck \
-	    -j 4 -D_GNU_SOURCE --library=.cppcheck.cfg -Iinclude source tools fakes bench tests
+	    -j 4 -D_GNU_SOURCE --library=.cppcheck.cfg -Iinclude source platform tools fakes bench tests
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -50,6 +50,30 @@
 	X(CLAIM_CONFLICT, 700, INFO, "another node wrote the claim bucket")    \
 	X(CLAIM_UNKNOWN, 701, WARN, "a reservation's outcome is not known")    \
 	X(CLAIM_READ_BACK, 702, WARN, "a claim write's answer was lost")       \
+	X(SERVER_FOUND, 605, INFO, "discovery reports a new server")           \
+	X(SERVER_REPLACED, 606, WARN, "another server has the address")        \
+	X(GATEWAY_STARTED, 1000, INFO, "the gateway listens")                  \
+	X(GATEWAY_READY, 1001, INFO, "the gateway serves clients")             \
+	X(GATEWAY_NOT_READY, 1002, WARN, "the gateway asks for no clients")    \
+	X(GATEWAY_STOPPING, 1003, INFO, "a planned stop began")                \
+	X(GATEWAY_STOPPED, 1004, INFO, "the gateway ends")                     \
+	X(GATEWAY_RELOADED, 1005, INFO, "the gateway was told to reload")      \
+	X(ROUTES_ADOPTED, 1010, INFO, "a configuration version is in force")   \
+	X(ROUTES_REFUSED, 1011, ERROR, "a configuration is not valid")         \
+	X(ROUTES_STALE, 1012, INFO, "an older configuration was ignored")      \
+	X(SERVER_ENTRY_BAD, 1013, WARN, "a server entry can't be used")        \
+	X(NODES_COUNTED, 1014, INFO, "the number of nodes has changed")        \
+	X(STORE_LOST, 1020, WARN, "the store does not answer a watch or call") \
+	X(STORE_FOUND, 1021, INFO, "the store answers again")                  \
+	X(STORE_LISTED, 1022, INFO, "a kind was read as a whole")              \
+	X(REQUEST_ANSWERED, 1100, INFO, "a request was answered")              \
+	X(REQUEST_FAILED, 1101, WARN, "a request was refused or failed")       \
+	X(ATTEMPT_FAILED, 1102, WARN, "an attempt on a server failed")         \
+	X(TASK_FAILED, 1103, WARN, "an upstream gave no answer in time")       \
+	X(CLIENT_REFUSED, 1104, WARN, "a client or its bytes were refused")    \
+	X(CLIENT_GONE, 1105, INFO, "a client left before its answer")          \
+	X(HEDGE_SENT, 1106, INFO, "a late attempt got a second one")           \
+	X(LOG_DROPPED, 1110, WARN, "log lines were left out")                  \
 	X(INVARIANT_BROKEN, 900, FATAL, "an internal invariant does not hold")
 
 typedef enum {
@@ -72,6 +96,23 @@
 void event_log(event_number_t number, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
+/**
+ * event_open_stdout() - As event_open(), but to standard output through a
+ * bounded buffer that never blocks; event_flush() writes it.
+ */
+void event_open_stdout(const char *program, const char *node);
+
+/** event_flush() - Writes buffered lines as far as nothing blocks. */
+void event_flush(void);
+
+/**
+ * event_log_sampled() - Logs an event that may come with every request. Lines
+ * beyond a number a second are left out, counted and reported; warnings have a
+ * larger number than information.
+ */
+void event_log_sampled(event_number_t number, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
 /** event_count() - How often an event was logged by this process. */
 uint64_t event_count(event_number_t number);
 
--- a/source/base/event.c
+++ b/source/base/event.c
@@ -9,9 +9,12 @@
 #include <string.h>
 
 #include "bulrushwell/clock.h"
+#include "log_sink.h"
 
 #define LINE_MAX_BYTES 1024
 #define NODE_MAX_BYTES 64
+#define MAX_NOTES_A_SECOND 40
+#define MAX_WARNINGS_A_SECOND 200
 
 typedef struct {
 	int number;
@@ -51,20 +54,31 @@
 static const log4c_layout_type_t line_layout = {
     "bulrushwell_line", format_line};
 
-void
-event_open(const char *program, const char *node)
+static int
+append_to_sink(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	log_sink_add(event->evt_rendered_msg);
+	return 0;
+}
+
+static const log4c_appender_type_t sink_appender = {
+    "bulrushwell_sink", NULL, append_to_sink, NULL};
+
+static void
+open_appender(const char *program, const char *node, const char *type)
 {
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 
-	log4c_init();
 	log4c_layout_type_set(&line_layout);
 	layout = log4c_layout_get("bulrushwell");
 	log4c_layout_set_type(layout, &line_layout);
 	appender = log4c_appender_get("bulrushwell");
-	log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
-	log4c_stream2_set_fp(appender, stderr);
-	log4c_stream2_set_flags(appender, LOG4C_STREAM2_UNBUFFERED);
+	log4c_appender_set_type(appender, log4c_appender_type_get(type));
+	if (strcmp(type, "stream2") == 0) {
+		log4c_stream2_set_fp(appender, stderr);
+		log4c_stream2_set_flags(appender, LOG4C_STREAM2_UNBUFFERED);
+	}
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(program);
 	log4c_category_set_appender(category, appender);
@@ -73,6 +87,27 @@
 	snprintf(node_name, sizeof(node_name), "%s", node);
 }
 
+void
+event_open(const char *program, const char *node)
+{
+	log4c_init();
+	open_appender(program, node, "stream2");
+}
+
+void
+event_open_stdout(const char *program, const char *node)
+{
+	log4c_init();
+	log4c_appender_type_set(&sink_appender);
+	open_appender(program, node, sink_appender.name);
+}
+
+void
+event_flush(void)
+{
+	log_sink_flush();
+}
+
 void
 event_close(void)
 {
@@ -115,6 +150,54 @@
 	log_text(event, text);
 }
 
+/* A second's lines of one class; the rest is counted and reported. */
+static bool
+is_within_rate(int priority)
+{
+	static usec_t second;
+	static uint32_t lines[2];
+	static uint32_t left_out;
+	bool warning = priority <= LOG4C_PRIORITY_WARN;
+	usec_t now = clock_monotonic() / USEC_PER_SEC;
+
+	if (now != second) {
+		uint32_t omitted = left_out;
+
+		second = now;
+		lines[0] = lines[1] = 0;
+		left_out = 0;
+		if (omitted > 0)
+			event_log(
+			    EVENT_LOG_DROPPED, "lines=%u cause=rate", omitted);
+	}
+	if (lines[warning] >=
+	    (warning ? MAX_WARNINGS_A_SECOND : MAX_NOTES_A_SECOND)) {
+		left_out++;
+		return false;
+	}
+	lines[warning]++;
+	return true;
+}
+
+void
+event_log_sampled(event_number_t number, const char *format, ...)
+{
+	char text[LINE_MAX_BYTES - 128];
+	event_entry_t *event = find_event((int)number);
+	va_list args;
+
+	if (event == NULL)
+		return;
+	if (!is_within_rate(event->priority)) {
+		event->count++;
+		return;
+	}
+	va_start(args, format);
+	vsnprintf(text, sizeof(text), format, args);
+	va_end(args);
+	log_text(event, text);
+}
+
 uint64_t
 event_count(event_number_t number)
 {
--- /dev/null
+++ b/source/gateway/exchange.c
@@ -0,0 +1,508 @@
+#include "exchange.h"
+
+#include <string.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "exchange_private.h"
+
+/* Time that the answer needs to reach the client, and for this process. */
+#define GOAL_MARGIN MS(4)
+#define GOAL_MARGIN_PART 0.1
+#define FRESH_MARGIN MS(6) /* the client also waited for its connection */
+#define FINAL_MARGIN_PART 0.04
+#define FINAL_MARGIN_MIN MS(8)
+#define FINAL_MARGIN_MAX MS(100)
+#define MAX_RESPONSE_BYTES ((size_t)8 * 1024 * 1024)
+
+usec_t
+engine_now(const exchange_engine_t *engine)
+{
+	return (usec_t)(ev_now(engine->loop) * USEC_PER_SEC);
+}
+
+static void
+free_route_state(void *data)
+{
+	route_state_t *state = data;
+
+	latency_destroy(state->latency);
+	histogram_destroy(state->answered);
+	histogram_destroy(state->failed);
+	g_free(state->credits);
+	g_free(state->name);
+	g_free(state);
+}
+
+exchange_engine_t *
+engine_create(struct ev_loop *loop, const engine_settings_t *settings)
+{
+	exchange_engine_t *engine = g_new0(exchange_engine_t, 1);
+	const pool_settings_t pool_settings = {
+	    .headers =
+		{
+		    .request_id = settings->headers.request_id,
+		    .not_run = settings->headers.not_run,
+		    .server_id = settings->headers.server_id,
+		},
+	    .drain_limit = settings->drain_limit,
+	    .max_response_bytes = MAX_RESPONSE_BYTES,
+	};
+	const pool_handlers_t handlers = {
+	    .ended = task_ended,
+	    .room = task_room,
+	    .context = engine,
+	};
+
+	engine->loop = loop;
+	engine->settings = *settings;
+	engine->pool = pool_create(loop, &pool_settings, &handlers);
+	engine->route_states = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, free_route_state);
+	return engine;
+}
+
+void
+engine_destroy(exchange_engine_t *engine)
+{
+	if (engine == NULL)
+		return;
+	pool_destroy(engine->pool);
+	route_table_drop(engine->table);
+	g_hash_table_destroy(engine->route_states);
+	buffer_free(&engine->scratch);
+	g_free(engine);
+}
+
+pool_t *
+engine_pool(exchange_engine_t *engine)
+{
+	return engine->pool;
+}
+
+void
+engine_adopt(exchange_engine_t *engine, route_table_t *table)
+{
+	route_table_drop(engine->table);
+	engine->table = route_table_keep(table);
+	pool_apply(engine->pool, table);
+}
+
+route_table_t *
+engine_table(const exchange_engine_t *engine)
+{
+	return engine->table;
+}
+
+const exchange_counters_t *
+engine_counters(const exchange_engine_t *engine)
+{
+	return &engine->counters;
+}
+
+uint32_t
+engine_running(const exchange_engine_t *engine)
+{
+	return engine->running;
+}
+
+void
+engine_visit_routes(exchange_engine_t *engine,
+    void (*visit)(void *context, const char *route, const histogram_t *answered,
+	const histogram_t *failed),
+    void *context)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, engine->route_states);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const route_state_t *state = value;
+
+		visit(context, state->name, state->answered, state->failed);
+	}
+}
+
+static route_state_t *
+find_route_state(exchange_engine_t *engine, const route_t *route)
+{
+	route_state_t *state =
+	    g_hash_table_lookup(engine->route_states, route->name);
+
+	if (state != NULL)
+		return state;
+	state = g_new0(route_state_t, 1);
+	state->name = g_strdup(route->name);
+	state->latency = latency_create();
+	state->answered = histogram_create();
+	state->failed = histogram_create();
+	g_hash_table_insert(engine->route_states, state->name, state);
+	return state;
+}
+
+/* Smooth weighted round robin: each target's share is exact in short runs. */
+static const char *
+next_by_weight(route_state_t *state, const route_t *route)
+{
+	double total = 0.0;
+	uint32_t best = 0;
+
+	if (state->credit_count != route->target_count) {
+		g_free(state->credits);
+		state->credits = g_new0(double, route->target_count);
+		state->credit_count = route->target_count;
+	}
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		state->credits[i] += route->targets[i].weight;
+		total += route->targets[i].weight;
+		if (state->credits[i] > state->credits[best])
+			best = i;
+	}
+	state->credits[best] -= total;
+	return route->targets[best].service;
+}
+
+static void
+release_exchange(exchange_t *exchange, bool client_gone)
+{
+	exchange_engine_t *engine = exchange->engine;
+
+	ev_timer_stop(engine->loop, &exchange->timer);
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		task_leave_queue(&exchange->tasks[i]);
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		task_release(&exchange->tasks[i], client_gone);
+	gather_records_destroy(exchange->records);
+	buffer_free(&exchange->head);
+	buffer_free(&exchange->failure_head);
+	buffer_free(&exchange->failure_body);
+	route_table_drop(exchange->table);
+	engine->running--;
+	g_free(exchange);
+}
+
+void
+exchange_finish(exchange_t *exchange, const buffer_t *head, slice_t body)
+{
+	INVARIANT(!exchange->done, "a request is answered twice");
+	exchange->done = true;
+	exchange->reply(exchange->client, head, body);
+}
+
+void
+exchange_client_gone(exchange_t *exchange)
+{
+	exchange->engine->counters.client_gone++;
+	exchange->done = true;
+	release_exchange(exchange, true);
+}
+
+/* Frees an answered exchange, unless exchange_start() still uses it. */
+static bool
+end_if_done(exchange_t *exchange)
+{
+	if (!exchange->done)
+		return false;
+	if (!exchange->in_start)
+		release_exchange(exchange, false);
+	return true;
+}
+
+static void
+add_part(task_t *task, const http_message_t *response)
+{
+	exchange_t *exchange = task->exchange;
+	slice_t stamp = {0};
+
+	http_message_find(
+	    response, exchange->engine->settings.headers.stamp, &stamp);
+	task->stamp = g_strndup(stamp.data, stamp.size);
+	gather_records_add(exchange->records,
+	    (slice_t){response->body.data, response->body.size});
+}
+
+static void
+abandon_rest(task_t *task)
+{
+	for (uint32_t i = 0; i < task->running_count; i++)
+		attempt_abandon(task->running[i]);
+	task->running_count = 0;
+	task->hedge_at = 0;
+}
+
+void
+exchange_task_answered(
+    task_t *task, const attempt_t *attempt, const http_message_t *response)
+{
+	exchange_t *exchange = task->exchange;
+	usec_t now = engine_now(exchange->engine);
+
+	task->state = TASK_ANSWERED;
+	abandon_rest(task);
+	if (exchange->route->kind == ROUTE_FANOUT) {
+		add_part(task, response);
+		exchange_check(exchange, now);
+		return;
+	}
+	reply_response(exchange, attempt, response, now);
+	end_if_done(exchange);
+}
+
+static gather_state_t
+gather_view(const exchange_t *exchange)
+{
+	gather_state_t view = {
+	    .total = exchange->task_count,
+	    .least = exchange->route->least_share,
+	    .goal_at = exchange->goal_at,
+	    .final_at = exchange->final_at,
+	};
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		if (exchange->tasks[i].state == TASK_ANSWERED)
+			view.in++;
+		else if (task_is_open(&exchange->tasks[i]))
+			view.open++;
+	}
+	return view;
+}
+
+static void
+check_fanout(exchange_t *exchange, usec_t now)
+{
+	gather_state_t view = gather_view(exchange);
+
+	switch (gather_decide(&view, now)) {
+	case GATHER_WAIT:
+		break;
+	case GATHER_ANSWER:
+		reply_parts(exchange, view.in, now);
+		break;
+	case GATHER_FAIL:
+		if (now >= exchange->final_at)
+			reply_error(
+			    exchange, BW_E_DEADLINE, "shards_late", now);
+		else
+			reply_error(
+			    exchange, BW_E_OVERLOADED, "shards_missing", now);
+		break;
+	}
+}
+
+static void
+check_single(exchange_t *exchange, usec_t now)
+{
+	const task_t *task = &exchange->tasks[0];
+
+	if (task->state == TASK_FAILED) {
+		if (exchange->failure_head.size > 0)
+			reply_kept_failure(exchange, now);
+		else
+			reply_error(
+			    exchange, BW_E_OVERLOADED, "no_attempt_left", now);
+	} else if (now >= exchange->final_at) {
+		reply_error(exchange, BW_E_DEADLINE, "too_late", now);
+	}
+}
+
+void
+exchange_check(exchange_t *exchange, usec_t now)
+{
+	if (exchange->done || exchange->in_start)
+		return;
+	if (exchange->route->kind == ROUTE_FANOUT)
+		check_fanout(exchange, now);
+	else
+		check_single(exchange, now);
+	if (!end_if_done(exchange))
+		exchange_set_timer(exchange, now);
+}
+
+void
+exchange_set_timer(exchange_t *exchange, usec_t now)
+{
+	struct ev_loop *loop = exchange->engine->loop;
+	usec_t next = exchange->final_at;
+
+	if (exchange->route->kind == ROUTE_FANOUT && now < exchange->goal_at)
+		next = MIN(next, exchange->goal_at);
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		usec_t hedge_at = exchange->tasks[i].hedge_at;
+
+		if (hedge_at != 0 && task_is_open(&exchange->tasks[i]))
+			next = MIN(next, hedge_at);
+	}
+	ev_timer_stop(loop, &exchange->timer);
+	ev_timer_set(
+	    &exchange->timer, (double)MAX(next - now, 0) / USEC_PER_SEC, 0.0);
+	ev_timer_start(loop, &exchange->timer);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	exchange_t *exchange = timer->data;
+	usec_t now = engine_now(exchange->engine);
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		task_t *task = &exchange->tasks[i];
+
+		if (task->hedge_at != 0 && now >= task->hedge_at)
+			task_hedge(task, now);
+	}
+	exchange_check(exchange, now);
+}
+
+static void
+set_times(exchange_t *exchange, bool fresh)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	const route_t *route = exchange->route;
+	usec_t limit = route->timeout;
+	usec_t margin = GOAL_MARGIN + (usec_t)(GOAL_MARGIN_PART * route->goal);
+	slice_t text;
+	int64_t wait_ms = -1;
+
+	if (http_message_find(exchange->request, names->deadline_ms, &text))
+		wait_ms = http_slice_number(text);
+	if (wait_ms >= 0) {
+		usec_t wait = MS(wait_ms);
+		usec_t reserve = (usec_t)(FINAL_MARGIN_PART * wait);
+
+		reserve = CLAMP(reserve, FINAL_MARGIN_MIN, FINAL_MARGIN_MAX);
+		limit = MIN(limit, MAX(wait - reserve, MS(1)));
+	}
+	if (fresh)
+		margin += FRESH_MARGIN;
+	exchange->final_at = exchange->received_at + limit;
+	exchange->goal_at =
+	    exchange->received_at + MAX(route->goal - margin, route->goal / 2);
+	exchange->goal_at = MIN(exchange->goal_at, exchange->final_at);
+}
+
+static void
+start_tasks(exchange_t *exchange, usec_t now)
+{
+	const route_t *route = exchange->route;
+	pool_t *pool = exchange->engine->pool;
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const char *service = route->targets[i].service;
+
+		if (route->kind == ROUTE_WEIGHTED)
+			service = next_by_weight(exchange->state, route);
+		exchange->tasks[i].exchange = exchange;
+		exchange->tasks[i].upstream = pool_upstream(pool, service);
+	}
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		task_start(&exchange->tasks[i], now);
+}
+
+/* The error that refuses a request before anything is sent, or 0. */
+static int
+find_route(exchange_t *exchange, const char **cause)
+{
+	const http_message_t *request = exchange->request;
+	exchange_engine_t *engine = exchange->engine;
+	slice_t host = {0};
+
+	if (engine->table == NULL) {
+		*cause = "no_configuration";
+		return BW_E_NOT_READY;
+	}
+	if (!http_message_find(request, engine->settings.headers.request_id,
+		&exchange->request_id) ||
+	    exchange->request_id.size == 0 ||
+	    exchange->request_id.size >= SERVER_ID_MAX) {
+		*cause = "no_request_id";
+		exchange->request_id = slice_from("-");
+		return BW_E_INVALID;
+	}
+	http_message_find(request, "Host", &host);
+	exchange->table = route_table_keep(engine->table);
+	exchange->route = route_table_match(
+	    engine->table, host, http_message_target(request));
+	if (exchange->route == NULL || exchange->route->target_count == 0) {
+		exchange->route = NULL;
+		*cause = "no_route";
+		return BW_E_NOT_FOUND;
+	}
+	return 0;
+}
+
+static uint32_t
+count_tasks(const exchange_engine_t *engine, const http_message_t *request)
+{
+	const route_t *route;
+	slice_t host = {0};
+
+	if (engine->table == NULL)
+		return 1;
+	http_message_find(request, "Host", &host);
+	route = route_table_match(
+	    engine->table, host, http_message_target(request));
+	return route != NULL && route->kind == ROUTE_FANOUT
+	    ? route->target_count
+	    : 1;
+}
+
+static void
+begin(exchange_t *exchange, bool fresh, usec_t now)
+{
+	exchange_engine_t *engine = exchange->engine;
+
+	exchange->state = find_route_state(engine, exchange->route);
+	if (exchange->route->kind == ROUTE_FANOUT)
+		exchange->records =
+		    gather_records_create(exchange->route->top_records);
+	set_times(exchange, fresh);
+	head_prepare(exchange);
+	start_tasks(exchange, now);
+}
+
+exchange_t *
+exchange_start(exchange_engine_t *engine, const http_message_t *request,
+    bool fresh, exchange_reply_t reply, void *client)
+{
+	uint32_t tasks = count_tasks(engine, request);
+	exchange_t *exchange =
+	    g_malloc0(sizeof(*exchange) + tasks * sizeof(task_t));
+	usec_t now = engine_now(engine);
+	const char *cause;
+	int error;
+
+	exchange->engine = engine;
+	exchange->request = request;
+	exchange->reply = reply;
+	exchange->client = client;
+	exchange->received_at = now;
+	exchange->request_id = slice_from("-");
+	exchange->in_start = true;
+	ev_timer_init(&exchange->timer, on_timer, 0.0, 0.0);
+	exchange->timer.data = exchange;
+	engine->running++;
+	engine->counters.requests++;
+	error = find_route(exchange, &cause);
+	if (error != 0) {
+		reply_error(exchange, error, cause, now);
+	} else {
+		exchange->task_count = tasks;
+		begin(exchange, fresh, now);
+	}
+	exchange->in_start = false;
+	if (exchange->done) {
+		release_exchange(exchange, false);
+		return NULL;
+	}
+	/* The reply may come from here, before the caller has the handle. */
+	if (exchange->route->kind == ROUTE_FANOUT)
+		check_fanout(exchange, now);
+	else
+		check_single(exchange, now);
+	if (exchange->done) {
+		release_exchange(exchange, false);
+		return NULL;
+	}
+	exchange_set_timer(exchange, now);
+	return exchange;
+}
--- /dev/null
+++ b/source/gateway/exchange_head.c
@@ -0,0 +1,144 @@
+#include <string.h>
+
+#include "exchange_private.h"
+
+#define RETRY_AFTER_TEXT 32
+
+static void
+add_header(buffer_t *out, const char *name, slice_t value)
+{
+	buffer_append_text(out, name);
+	buffer_append(out, ": ", 2);
+	buffer_append(out, value.data, value.size);
+	buffer_append(out, "\r\n", 2);
+}
+
+static void
+copy_header(buffer_t *out, const http_message_t *message, uint32_t index)
+{
+	slice_t name = http_header_name(message, index);
+	slice_t value = http_header_value(message, index);
+
+	buffer_append(out, name.data, name.size);
+	buffer_append(out, ": ", 2);
+	buffer_append(out, value.data, value.size);
+	buffer_append(out, "\r\n", 2);
+}
+
+/* A header that the Connection header names concerns that connection only. */
+static bool
+stays_on_connection(const http_message_t *message, slice_t name)
+{
+	slice_t list;
+
+	return http_header_is_hop(name) ||
+	    (http_message_find(message, "Connection", &list) &&
+		http_token_listed(list, name));
+}
+
+/* Headers that this program sets itself on the way to a server. */
+static bool
+is_set_for_servers(const header_names_t *names, slice_t name)
+{
+	return http_header_is(name, names->deadline_ms) ||
+	    http_header_is(name, names->expected_server);
+}
+
+void
+head_prepare(exchange_t *exchange)
+{
+	const http_message_t *request = exchange->request;
+	const header_names_t *names = &exchange->engine->settings.headers;
+	slice_t target = http_message_target(request);
+	buffer_t *out = &exchange->head;
+
+	buffer_append_text(out, http_message_method(request));
+	buffer_append(out, " ", 1);
+	buffer_append(out, target.data, target.size);
+	buffer_append_text(out, " HTTP/1.1\r\n");
+	for (uint32_t i = 0; i < request->header_count; i++) {
+		slice_t name = http_header_name(request, i);
+
+		if (!stays_on_connection(request, name) &&
+		    !is_set_for_servers(names, name))
+			copy_header(out, request, i);
+	}
+	if (request->body.size > 0 || request->parser.method == HTTP_POST ||
+	    request->parser.method == HTTP_PUT) {
+		buffer_append_text(out, "Content-Length: ");
+		buffer_append_number(out, request->body.size);
+		buffer_append(out, "\r\n", 2);
+	}
+}
+
+void
+head_for_attempt(
+    exchange_t *exchange, const replica_t *replica, usec_t now, buffer_t *out)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	usec_t left = exchange->final_at - now;
+
+	buffer_clear(out);
+	buffer_append(out, exchange->head.data, exchange->head.size);
+	buffer_append_text(out, names->deadline_ms);
+	buffer_append(out, ": ", 2);
+	buffer_append_number(
+	    out, (unsigned long long)MAX(left / USEC_PER_MS, 1));
+	buffer_append(out, "\r\n", 2);
+	add_header(out, names->expected_server, slice_from(replica->entry.id));
+	buffer_append(out, "\r\n", 2);
+}
+
+static void
+add_status_line(buffer_t *out, int status)
+{
+	const char *reason = http_status_str((enum http_status)status);
+
+	buffer_append_text(out, "HTTP/1.1 ");
+	buffer_append_number(out, (unsigned long long)status);
+	buffer_append(out, " ", 1);
+	buffer_append_text(out, reason);
+	buffer_append(out, "\r\n", 2);
+}
+
+static void
+end_head(buffer_t *out, int status, size_t body_size)
+{
+	if (status != 204 && status != 304) {
+		buffer_append_text(out, "Content-Length: ");
+		buffer_append_number(out, body_size);
+		buffer_append(out, "\r\n", 2);
+	}
+}
+
+void
+head_forward(const header_names_t *names, const http_message_t *response,
+    bool keep_stamp, int status, size_t body_size, buffer_t *out)
+{
+	add_status_line(out, status);
+	for (uint32_t i = 0; i < response->header_count; i++) {
+		slice_t name = http_header_name(response, i);
+
+		if (stays_on_connection(response, name))
+			continue;
+		if (!keep_stamp && http_header_is(name, names->stamp))
+			continue;
+		copy_header(out, response, i);
+	}
+	end_head(out, status, body_size);
+}
+
+void
+head_own(int status, double retry_after_s, size_t body_size, buffer_t *out)
+{
+	add_status_line(out, status);
+	if (retry_after_s >= 0.0) {
+		char text[RETRY_AFTER_TEXT];
+
+		g_ascii_formatd(text, sizeof(text), "%.3f", retry_after_s);
+		add_header(out, "Retry-After", slice_from(text));
+	}
+	if (body_size > 0)
+		buffer_append_text(out, "Content-Type: application/json\r\n");
+	end_head(out, status, body_size);
+}
--- /dev/null
+++ b/source/gateway/exchange_private.h
@@ -0,0 +1,111 @@
+#ifndef EXCHANGE_PRIVATE_H
+#define EXCHANGE_PRIVATE_H
+
+#include "exchange.h"
+
+/** DOC: Shared by the files of the exchange */
+
+#define TASK_MAX_ATTEMPTS 6 /* a route may allow fewer */
+
+typedef enum {
+	TASK_WAITING, /* for a server that takes an attempt */
+	TASK_RUNNING,
+	TASK_ANSWERED,
+	TASK_FAILED
+} task_state_t;
+
+typedef struct task {
+	exchange_t *exchange;
+	upstream_t *upstream;
+	task_state_t state;
+	attempt_t *running[TASK_MAX_ATTEMPTS];
+	uint32_t running_count;
+	const replica_t *tried[TASK_MAX_ATTEMPTS];
+	uint32_t sent;	 /* attempts that a server may have received */
+	usec_t hedge_at; /* 0: no second attempt is planned */
+	bool queued;
+	bool ran;    /* a server may have run it */
+	char *stamp; /* fan-out: proof of the part that is in */
+} task_t;
+
+struct route_state {
+	char *name;
+	latency_t *latency;
+	histogram_t *answered; /* time until an answer */
+	histogram_t *failed;   /* time until a failure or refusal */
+	double *credits;       /* ROUTE_WEIGHTED: balance of each target */
+	uint32_t credit_count;
+};
+
+struct exchange {
+	exchange_engine_t *engine;
+	const http_message_t *request;
+	exchange_reply_t reply;
+	void *client;
+	route_table_t *table;
+	const route_t *route;
+	route_state_t *state;
+	slice_t request_id;
+	buffer_t head; /* request line and headers for all servers */
+	usec_t received_at;
+	usec_t goal_at;
+	usec_t final_at;
+	ev_timer timer;
+	bool in_start; /* exchange_start() has not returned */
+	bool done;
+	gather_records_t *records;
+	buffer_t failure_head; /* last failure response of a server */
+	buffer_t failure_body;
+	uint32_t task_count;
+	task_t tasks[];
+};
+
+struct exchange_engine {
+	struct ev_loop *loop;
+	engine_settings_t settings;
+	pool_t *pool;
+	route_table_t *table;
+	GHashTable *route_states; /* by route name */
+	exchange_counters_t counters;
+	uint32_t running;
+	buffer_t scratch; /* head of the request that is sent */
+};
+
+/* exchange_task.c: attempts of one task. */
+void task_start(task_t *task, usec_t now);
+void task_leave_queue(task_t *task);
+void task_release(task_t *task, bool client_gone);
+void task_hedge(task_t *task, usec_t now);
+void task_ended(void *owner, attempt_t *attempt, attempt_outcome_t outcome,
+    const http_message_t *response);
+void task_room(void *context, upstream_t *upstream);
+bool task_is_open(const task_t *task);
+
+/* exchange.c: called when a task has changed. */
+void exchange_task_answered(
+    task_t *task, const attempt_t *attempt, const http_message_t *response);
+void exchange_check(exchange_t *exchange, usec_t now);
+void exchange_set_timer(exchange_t *exchange, usec_t now);
+usec_t engine_now(const exchange_engine_t *engine);
+
+/* exchange_head.c: heads of requests and responses. */
+void head_prepare(exchange_t *exchange);
+void head_for_attempt(
+    exchange_t *exchange, const replica_t *replica, usec_t now, buffer_t *out);
+void head_forward(const header_names_t *names, const http_message_t *response,
+    bool keep_stamp, int status, size_t body_size, buffer_t *out);
+void head_own(
+    int status, double retry_after_s, size_t body_size, buffer_t *out);
+
+/* exchange_reply.c: the final answer. */
+void reply_error(
+    exchange_t *exchange, int error, const char *cause, usec_t now);
+void reply_response(exchange_t *exchange, const attempt_t *attempt,
+    const http_message_t *response, usec_t now);
+void reply_kept_failure(exchange_t *exchange, usec_t now);
+void reply_parts(exchange_t *exchange, uint32_t in, usec_t now);
+
+/** exchange_finish() - Sends the answer and ends the exchange. */
+void exchange_finish(exchange_t *exchange, const buffer_t *head, slice_t body);
+
+#endif
--- /dev/null
+++ b/source/gateway/exchange_task.c
@@ -0,0 +1,384 @@
+#include <math.h>
+
+#include "bulrushwell/event.h"
+#include "exchange_private.h"
+
+/* Hedges leave this part of the retry budget to repeats after failures. */
+#define HEDGE_RESERVE 0.3
+/* A hedge is sent this many typical times before the goal at the latest. */
+#define HEDGE_LEAD 2.0
+
+static uint32_t
+max_sends(const task_t *task)
+{
+	uint32_t most = task->exchange->route->max_attempts;
+
+	return MIN(MAX(most, 1), TASK_MAX_ATTEMPTS);
+}
+
+bool
+task_is_open(const task_t *task)
+{
+	return task->state == TASK_WAITING || task->state == TASK_RUNNING;
+}
+
+static void
+fail_task(task_t *task, const char *cause)
+{
+	exchange_t *exchange = task->exchange;
+
+	task->state = TASK_FAILED;
+	event_log_sampled(EVENT_TASK_FAILED,
+	    "request=%.*s route=%s upstream=%s cause=%s sent=%u",
+	    (int)exchange->request_id.size, exchange->request_id.data,
+	    exchange->route->name, task->upstream->name, cause, task->sent);
+}
+
+/* The hedge must leave time to answer before the goal. */
+static usec_t
+hedge_time(const task_t *task, usec_t now)
+{
+	const exchange_t *exchange = task->exchange;
+	usec_t typical = latency_typical(exchange->state->latency);
+	usec_t latest = exchange->goal_at - (usec_t)(HEDGE_LEAD * typical);
+	usec_t at = now + latency_late(exchange->state->latency);
+
+	if (at > latest)
+		at = MAX(latest, now + typical);
+	return at;
+}
+
+static bool
+may_send_again(const task_t *task)
+{
+	return task->sent < max_sends(task) &&
+	    (task->exchange->route->idempotent || !task->ran);
+}
+
+static void
+send_attempt(task_t *task, replica_t *replica, usec_t now)
+{
+	exchange_t *exchange = task->exchange;
+	exchange_engine_t *engine = exchange->engine;
+	pool_request_t request = {
+	    .head = &engine->scratch,
+	    .body = {exchange->request->body.data,
+		exchange->request->body.size},
+	    .request_id = exchange->request_id,
+	    .head_only = exchange->request->parser.method == HTTP_HEAD,
+	    .expires_at = exchange->final_at,
+	    .latency = exchange->state->latency,
+	};
+	attempt_t *attempt;
+
+	head_for_attempt(exchange, replica, now, &engine->scratch);
+	attempt = pool_send(engine->pool, replica, &request, task, now);
+	if (attempt == NULL) {
+		fail_task(task, "no_socket");
+		return;
+	}
+	engine->counters.attempts++;
+	task->tried[MIN(task->sent, TASK_MAX_ATTEMPTS - 1)] = replica;
+	task->sent++;
+	task->running[task->running_count++] = attempt;
+	task->state = TASK_RUNNING;
+	task->hedge_at = exchange->route->idempotent && may_send_again(task)
+	    ? hedge_time(task, now)
+	    : 0;
+}
+
+static int
+compare_urgency(const void *a, const void *b, void *unused)
+{
+	const exchange_t *left = ((const task_t *)a)->exchange;
+	const exchange_t *right = ((const task_t *)b)->exchange;
+
+	if (left->route->priority != right->route->priority)
+		return left->route->priority < right->route->priority ? -1 : 1;
+	if (left->goal_at != right->goal_at)
+		return left->goal_at < right->goal_at ? -1 : 1;
+	return 0;
+}
+
+/* Time until a place is free, if the tasks ahead take the usual time. */
+static usec_t
+expected_wait(const task_t *task)
+{
+	const upstream_t *upstream = task->upstream;
+	usec_t typical = latency_typical(task->exchange->state->latency);
+	uint32_t places = 0;
+
+	for (guint i = 0; i < upstream->replicas->len; i++) {
+		const replica_t *replica = upstream->replicas->pdata[i];
+
+		places += replica->connections->len;
+	}
+	return typical * (upstream->waiting.length + 1) / MAX(places, 1);
+}
+
+static void
+wait_for_room(task_t *task, usec_t now)
+{
+	const exchange_t *exchange = task->exchange;
+	usec_t typical = latency_typical(exchange->state->latency);
+
+	if (now + expected_wait(task) + typical > exchange->final_at) {
+		fail_task(task, "overloaded");
+		return;
+	}
+	task->state = TASK_WAITING;
+	task->queued = true;
+	g_queue_insert_sorted(
+	    &task->upstream->waiting, task, compare_urgency, NULL);
+}
+
+/* Returns false when every usable server is busy. */
+static bool
+try_dispatch(task_t *task, usec_t now)
+{
+	exchange_t *exchange = task->exchange;
+	bool busy;
+	replica_t *replica = pool_choose(exchange->engine->pool, task->upstream,
+	    task->tried, MIN(task->sent, TASK_MAX_ATTEMPTS),
+	    latency_typical(exchange->state->latency), now, &busy);
+
+	if (replica != NULL)
+		send_attempt(task, replica, now);
+	else if (busy)
+		return false;
+	else if (task->running_count == 0)
+		fail_task(task, "no_server");
+	return true;
+}
+
+void
+task_start(task_t *task, usec_t now)
+{
+	exchange_engine_t *engine = task->exchange->engine;
+
+	retry_budget_request(
+	    &task->upstream->retries, &engine->settings.retries, now);
+	if (!try_dispatch(task, now))
+		wait_for_room(task, now);
+}
+
+static bool
+take_budget(task_t *task, double reserve, usec_t now)
+{
+	exchange_engine_t *engine = task->exchange->engine;
+
+	if (retry_budget_take(&task->upstream->retries,
+		&engine->settings.retries, pool_nodes(engine->pool), reserve,
+		now))
+		return true;
+	engine->counters.budget_denied++;
+	return false;
+}
+
+void
+task_hedge(task_t *task, usec_t now)
+{
+	exchange_engine_t *engine = task->exchange->engine;
+	uint32_t before = task->sent;
+	bool busy;
+
+	task->hedge_at = 0;
+	if (task->state != TASK_RUNNING || !may_send_again(task))
+		return;
+	if (pool_choose(engine->pool, task->upstream, task->tried, task->sent,
+		latency_typical(task->exchange->state->latency), now,
+		&busy) == NULL)
+		return;
+	if (!take_budget(task, HEDGE_RESERVE, now))
+		return;
+	try_dispatch(task, now);
+	if (task->sent > before)
+		engine->counters.hedges++;
+}
+
+static void
+forget_attempt(task_t *task, const attempt_t *attempt)
+{
+	for (uint32_t i = 0; i < task->running_count; i++) {
+		if (task->running[i] != attempt)
+			continue;
+		task->running[i] = task->running[--task->running_count];
+		return;
+	}
+}
+
+void
+task_leave_queue(task_t *task)
+{
+	if (!task->queued)
+		return;
+	g_queue_remove(&task->upstream->waiting, task);
+	task->queued = false;
+}
+
+void
+task_release(task_t *task, bool client_gone)
+{
+	exchange_t *exchange = task->exchange;
+
+	for (uint32_t i = 0; i < task->running_count; i++) {
+		attempt_t *attempt = task->running[i];
+
+		if (client_gone && exchange->route->idempotent)
+			attempt_cancel(exchange->engine->pool, attempt);
+		else
+			attempt_abandon(attempt);
+	}
+	task->running_count = 0;
+	g_free(task->stamp);
+	task->stamp = NULL;
+}
+
+/* After a failed attempt: another one, or the end of the task. */
+static void
+try_again(task_t *task, bool costs_budget, const char *cause, usec_t now)
+{
+	exchange_engine_t *engine = task->exchange->engine;
+
+	if (task->running_count > 0 || !task_is_open(task))
+		return;
+	if (!may_send_again(task) || now >= task->exchange->final_at) {
+		fail_task(task, cause);
+		return;
+	}
+	if (costs_budget && !take_budget(task, 0.0, now)) {
+		fail_task(task, "retry_budget");
+		return;
+	}
+	engine->counters.retries++;
+	if (!try_dispatch(task, now))
+		wait_for_room(task, now);
+}
+
+static bool
+is_part(const exchange_t *exchange, const http_message_t *response)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	slice_t value;
+
+	return http_message_status(response) / 100 == 2 &&
+	    http_message_find(response, names->stamp, &value) && value.size > 0;
+}
+
+/* Whether the response ends the task and not only the attempt. */
+static bool
+is_final_response(const task_t *task, const http_message_t *response)
+{
+	const exchange_t *exchange = task->exchange;
+	slice_t value;
+	int status = http_message_status(response);
+
+	if (status / 100 == 2 &&
+	    http_message_find(response, "Content-Encoding", &value))
+		return false;
+	if (exchange->route->kind == ROUTE_FANOUT)
+		return is_part(exchange, response);
+	if (!exchange->route->idempotent)
+		return true;
+	return status < 500 && status != 408 && status != 429;
+}
+
+static void
+keep_failure(task_t *task, const http_message_t *response)
+{
+	exchange_t *exchange = task->exchange;
+	const header_names_t *names = &exchange->engine->settings.headers;
+	slice_t value;
+
+	if (exchange->route->kind == ROUTE_FANOUT ||
+	    http_message_status(response) < 400 ||
+	    http_message_find(response, "Content-Encoding", &value))
+		return;
+	buffer_clear(&exchange->failure_head);
+	buffer_clear(&exchange->failure_body);
+	buffer_append(
+	    &exchange->failure_body, response->body.data, response->body.size);
+	head_forward(names, response, true, http_message_status(response),
+	    response->body.size, &exchange->failure_head);
+}
+
+static void
+take_response(task_t *task, attempt_t *attempt, const http_message_t *response)
+{
+	usec_t now = engine_now(task->exchange->engine);
+
+	task->ran = true;
+	if (is_final_response(task, response)) {
+		exchange_task_answered(task, attempt, response);
+		return;
+	}
+	keep_failure(task, response);
+	try_again(task, true, "server_failure", now);
+	exchange_check(task->exchange, now);
+}
+
+static void
+log_attempt(const task_t *task, const attempt_t *attempt,
+    attempt_outcome_t outcome, usec_t now)
+{
+	static const char *const names[] = {"answered", "not_run", "unknown"};
+	const exchange_t *exchange = task->exchange;
+
+	event_log_sampled(EVENT_ATTEMPT_FAILED,
+	    "request=%.*s route=%s upstream=%s server=%s outcome=%s ms=%.1f "
+	    "failure=%.2f slowness=%.1f",
+	    (int)exchange->request_id.size, exchange->request_id.data,
+	    exchange->route->name, task->upstream->name,
+	    attempt->replica->entry.id, names[outcome],
+	    (double)(now - attempt->started_at) / USEC_PER_MS,
+	    attempt->replica->health.failure,
+	    attempt->replica->health.slowness);
+}
+
+void
+task_ended(void *owner, attempt_t *attempt, attempt_outcome_t outcome,
+    const http_message_t *response)
+{
+	task_t *task = owner;
+	exchange_t *exchange = task->exchange;
+	usec_t now = engine_now(exchange->engine);
+
+	forget_attempt(task, attempt);
+	if (outcome != ATTEMPT_ANSWERED)
+		log_attempt(task, attempt, outcome, now);
+	switch (outcome) {
+	case ATTEMPT_ANSWERED:
+		take_response(task, attempt, response);
+		return; /* the exchange may be gone */
+	case ATTEMPT_NOT_RUN:
+		if (!attempt->arrived_maybe && task->sent > 0)
+			task->sent--; /* it reached no server */
+		try_again(task, attempt->arrived_maybe, "not_run", now);
+		break;
+	case ATTEMPT_UNKNOWN:
+		task->ran = true;
+		try_again(task, true, "connection_lost", now);
+		break;
+	}
+	exchange_check(exchange, now);
+}
+
+void
+task_room(void *context, upstream_t *upstream)
+{
+	exchange_engine_t *engine = context;
+	usec_t now = engine_now(engine);
+	task_t *task;
+
+	while ((task = g_queue_pop_head(&upstream->waiting)) != NULL) {
+		exchange_t *exchange = task->exchange;
+
+		task->queued = false;
+		if (!try_dispatch(task, now)) {
+			g_queue_push_head(&upstream->waiting, task);
+			task->queued = true;
+			return;
+		}
+		exchange_check(exchange, now);
+	}
+}
--- /dev/null
+++ b/source/gateway/gateway.c
@@ -0,0 +1,323 @@
+#include "gateway.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+
+#include "admin.h"
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "front.h"
+#include "gateway_metrics.h"
+
+#define CHECK_INTERVAL_S 0.2
+/*
+ * The balancer needs two failed health checks, a second apart, before it sends
+ * no more clients.
+ */
+#define STOP_ACCEPT_TIME MS(2500)
+#define STOP_IDLE_TIME MS(3500) /* then idle connections are closed */
+/* A node that only breaks attempts has lost its ways to the servers. */
+#define ISOLATED_BROKEN 8
+
+struct gateway {
+	gateway_settings_t settings;
+	struct ev_loop *loop;
+	exchange_engine_t *engine;
+	front_t *front;
+	admin_t *health;
+	admin_t *metrics;
+	ev_signal on_term;
+	ev_signal on_int;
+	ev_signal on_hangup;
+	ev_timer check;
+	ev_prepare prepare;
+	bool has_config;
+	bool has_servers;
+	bool ready;
+	usec_t stopping_since; /* 0: it serves */
+	uint64_t store_calls;
+	uint64_t store_failures;
+};
+
+static usec_t
+gateway_now(const gateway_t *gateway)
+{
+	return (usec_t)(ev_now(gateway->loop) * USEC_PER_SEC);
+}
+
+static bool
+is_isolated(gateway_t *gateway)
+{
+	uint32_t answered, broken;
+
+	pool_recent(engine_pool(gateway->engine), &answered, &broken);
+	return answered == 0 && broken >= ISOLATED_BROKEN;
+}
+
+static void
+update_ready(gateway_t *gateway)
+{
+	bool isolated = is_isolated(gateway);
+	bool ready = gateway->has_config && gateway->has_servers &&
+	    gateway->stopping_since == 0 && !isolated;
+
+	if (ready == gateway->ready)
+		return;
+	gateway->ready = ready;
+	event_log(ready ? EVENT_GATEWAY_READY : EVENT_GATEWAY_NOT_READY,
+	    "config=%d servers=%d stopping=%d isolated=%d", gateway->has_config,
+	    gateway->has_servers, gateway->stopping_since != 0, isolated);
+}
+
+static int
+answer_health(void *context, slice_t path, buffer_t *body)
+{
+	gateway_t *gateway = context;
+
+	update_ready(gateway);
+	buffer_append_text(body, gateway->ready ? "ready\n" : "not ready\n");
+	return gateway->ready ? 200 : 503;
+}
+
+static int
+answer_metrics(void *context, slice_t path, buffer_t *body)
+{
+	gateway_t *gateway = context;
+	const gateway_gauges_t gauges = {
+	    .ready = gateway->ready,
+	    .clients = front_connections(gateway->front),
+	    .store_calls = gateway->store_calls,
+	    .store_failures = gateway->store_failures,
+	};
+
+	gateway_metrics_write(gateway->engine, &gauges, body);
+	return 200;
+}
+
+static void
+finish_stop(gateway_t *gateway)
+{
+	event_log(EVENT_GATEWAY_STOPPED, "running=%u connections=%u",
+	    engine_running(gateway->engine), front_connections(gateway->front));
+	ev_break(gateway->loop, EVBREAK_ALL);
+}
+
+static void
+advance_stop(gateway_t *gateway)
+{
+	usec_t age = gateway_now(gateway) - gateway->stopping_since;
+
+	if (age >= STOP_IDLE_TIME)
+		front_close_idle(gateway->front);
+	if (age >= gateway->settings.stop_limit ||
+	    (age >= STOP_ACCEPT_TIME && front_connections(gateway->front) == 0))
+		finish_stop(gateway);
+}
+
+static void
+on_check(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+
+	update_ready(gateway);
+	if (gateway->stopping_since != 0)
+		advance_stop(gateway);
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	gateway_t *gateway = watcher->data;
+
+	if (gateway->stopping_since != 0)
+		return;
+	gateway->stopping_since = gateway_now(gateway);
+	event_log(EVENT_GATEWAY_STOPPING, "signal=%d running=%u",
+	    watcher->signum, engine_running(gateway->engine));
+	front_stop(gateway->front);
+	update_ready(gateway);
+}
+
+/* Flags don't change while a process runs, so there is nothing to read. */
+static void
+on_hangup(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	event_log(EVENT_GATEWAY_RELOADED, "changed=0");
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+	event_flush();
+}
+
+static void
+watch_signal(gateway_t *gateway, ev_signal *watcher,
+    void (*handler)(struct ev_loop *, ev_signal *, int), int number)
+{
+	ev_signal_init(watcher, handler, number);
+	watcher->data = gateway;
+	ev_signal_start(gateway->loop, watcher);
+}
+
+static void
+start_watchers(gateway_t *gateway)
+{
+	signal(SIGPIPE, SIG_IGN);
+	watch_signal(gateway, &gateway->on_term, on_term, SIGTERM);
+	watch_signal(gateway, &gateway->on_int, on_term, SIGINT);
+	watch_signal(gateway, &gateway->on_hangup, on_hangup, SIGHUP);
+	ev_timer_init(
+	    &gateway->check, on_check, CHECK_INTERVAL_S, CHECK_INTERVAL_S);
+	gateway->check.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->check);
+	ev_prepare_init(&gateway->prepare, on_prepare);
+	ev_prepare_start(gateway->loop, &gateway->prepare);
+}
+
+static bool
+open_addresses(gateway_t *gateway, char *why, size_t why_size)
+{
+	const gateway_settings_t *settings = &gateway->settings;
+	const char *flag = "clients";
+	int error = 0;
+
+	gateway->front = front_create(
+	    gateway->loop, &settings->client_address, gateway->engine, &error);
+	if (error == 0) {
+		flag = "health";
+		gateway->health = admin_create(gateway->loop,
+		    &settings->health_address, answer_health, gateway, &error);
+	}
+	if (error == 0 && settings->has_metrics_address) {
+		flag = "metrics";
+		gateway->metrics =
+		    admin_create(gateway->loop, &settings->metrics_address,
+			answer_metrics, gateway, &error);
+	}
+	if (error == 0)
+		return true;
+	g_snprintf(why, why_size, "the address of --%s can't be used: %s", flag,
+	    strerror(errno));
+	return false;
+}
+
+gateway_t *
+gateway_create(const gateway_settings_t *settings,
+    const header_names_t *headers, char *why, size_t why_size)
+{
+	gateway_t *gateway = g_new0(gateway_t, 1);
+	const engine_settings_t engine_settings = {
+	    .headers = *headers,
+	    .retries = settings->retries,
+	    .drain_limit = settings->drain_limit,
+	};
+
+	gateway->settings = *settings;
+	gateway->loop = ev_loop_new(EVFLAG_AUTO);
+	gateway->engine = engine_create(gateway->loop, &engine_settings);
+	if (!open_addresses(gateway, why, why_size)) {
+		gateway_destroy(gateway);
+		return NULL;
+	}
+	start_watchers(gateway);
+	event_log(EVENT_GATEWAY_STARTED, "data_centre=%s retry_ratio=%.2f",
+	    settings->data_centre, settings->retries.ratio);
+	return gateway;
+}
+
+void
+gateway_destroy(gateway_t *gateway)
+{
+	if (gateway == NULL)
+		return;
+	front_destroy(gateway->front);
+	admin_destroy(gateway->health);
+	admin_destroy(gateway->metrics);
+	engine_destroy(gateway->engine);
+	ev_loop_destroy(gateway->loop);
+	g_free(gateway);
+}
+
+void
+gateway_run(gateway_t *gateway)
+{
+	ev_run(gateway->loop, 0);
+	event_flush();
+}
+
+struct ev_loop *
+gateway_loop(gateway_t *gateway)
+{
+	return gateway->loop;
+}
+
+bool
+gateway_stopping(const gateway_t *gateway)
+{
+	return gateway->stopping_since != 0;
+}
+
+void
+gateway_config(gateway_t *gateway, route_table_t *table)
+{
+	const route_table_t *old = engine_table(gateway->engine);
+
+	if (old != NULL &&
+	    route_table_version(table) <= route_table_version(old)) {
+		event_log(EVENT_ROUTES_STALE, "version=%lld in_force=%lld",
+		    (long long)route_table_version(table),
+		    (long long)route_table_version(old));
+		return;
+	}
+	event_log(EVENT_ROUTES_ADOPTED, "version=%lld routes=%u services=%u",
+	    (long long)route_table_version(table),
+	    route_table_route_count(table), route_table_service_count(table));
+	engine_adopt(gateway->engine, table);
+	gateway->has_config = true;
+	update_ready(gateway);
+}
+
+void
+gateway_server(gateway_t *gateway, const server_entry_t *entry)
+{
+	pool_server_seen(
+	    engine_pool(gateway->engine), entry, gateway_now(gateway));
+}
+
+void
+gateway_server_gone(gateway_t *gateway, const char *id)
+{
+	pool_server_gone(
+	    engine_pool(gateway->engine), id, gateway_now(gateway));
+}
+
+void
+gateway_servers_listed(gateway_t *gateway, GHashTable *present)
+{
+	pool_servers_absent(
+	    engine_pool(gateway->engine), present, gateway_now(gateway));
+	gateway->has_servers = true;
+	update_ready(gateway);
+}
+
+void
+gateway_nodes(gateway_t *gateway, uint32_t nodes)
+{
+	pool_t *pool = engine_pool(gateway->engine);
+
+	if (nodes == pool_nodes(pool))
+		return;
+	event_log(
+	    EVENT_NODES_COUNTED, "nodes=%u before=%u", nodes, pool_nodes(pool));
+	pool_set_nodes(pool, nodes);
+}
+
+void
+gateway_store_call(gateway_t *gateway, bool answered)
+{
+	gateway->store_calls++;
+	if (!answered)
+		gateway->store_failures++;
+}
--- /dev/null
+++ b/source/gateway/gateway_metrics.c
@@ -0,0 +1,117 @@
+#include "gateway_metrics.h"
+
+#include "bulrushwell/event.h"
+
+#define LABEL_MAX 160
+
+static const usec_t bucket_edges[] = {MS(5), MS(10), MS(20), MS(40), MS(80),
+    MS(160), MS(320), MS(640), MS(1280), MS(2560), MS(5120), MS(10240)};
+
+typedef struct {
+	buffer_t *out;
+} writer_t;
+
+static void
+write_value(buffer_t *out, const char *name, const char *labels,
+    unsigned long long value)
+{
+	buffer_append_text(out, "bulrushwell_gateway_");
+	buffer_append_text(out, name);
+	buffer_append_text(out, labels);
+	buffer_append(out, " ", 1);
+	buffer_append_number(out, value);
+	buffer_append(out, "\n", 1);
+}
+
+static void
+write_histogram(buffer_t *out, const char *route, const char *outcome,
+    const histogram_t *histogram)
+{
+	char labels[LABEL_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bucket_edges); i++) {
+		g_snprintf(labels, sizeof(labels),
+		    "{route=\"%s\",outcome=\"%s\",le=\"%.3f\"}", route, outcome,
+		    (double)bucket_edges[i] / USEC_PER_SEC);
+		write_value(out, "request_seconds_bucket", labels,
+		    histogram_count_below(histogram, bucket_edges[i]));
+	}
+	g_snprintf(labels, sizeof(labels),
+	    "{route=\"%s\",outcome=\"%s\",le=\"+Inf\"}", route, outcome);
+	write_value(
+	    out, "request_seconds_bucket", labels, histogram_count(histogram));
+	g_snprintf(labels, sizeof(labels), "{route=\"%s\",outcome=\"%s\"}",
+	    route, outcome);
+	write_value(
+	    out, "request_seconds_count", labels, histogram_count(histogram));
+}
+
+static void
+write_route(void *context, const char *route, const histogram_t *answered,
+    const histogram_t *failed)
+{
+	writer_t *writer = context;
+
+	write_histogram(writer->out, route, "answered", answered);
+	write_histogram(writer->out, route, "failed", failed);
+}
+
+static void
+write_counters(buffer_t *out, const exchange_counters_t *counters)
+{
+	const struct {
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+	    {"requests_total", counters->requests},
+	    {"answered_total", counters->answered},
+	    {"partial_total", counters->partial},
+	    {"refused_total", counters->refused},
+	    {"failed_total", counters->failed},
+	    {"client_gone_total", counters->client_gone},
+	    {"attempts_total", counters->attempts},
+	    {"hedges_total", counters->hedges},
+	    {"retries_total", counters->retries},
+	    {"retry_budget_denied_total", counters->budget_denied},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		write_value(out, rows[i].name, "", rows[i].value);
+}
+
+static void
+write_events(buffer_t *out)
+{
+	char labels[LABEL_MAX];
+
+	for (const int *number = event_list(); *number != 0; number++) {
+		uint64_t count = event_count((event_number_t)*number);
+
+		if (count == 0)
+			continue;
+		g_snprintf(labels, sizeof(labels),
+		    "{number=\"%d\",name=\"%s\"}", *number,
+		    event_name(*number));
+		write_value(out, "events_total", labels, count);
+	}
+}
+
+void
+gateway_metrics_write(
+    exchange_engine_t *engine, const gateway_gauges_t *gauges, buffer_t *out)
+{
+	writer_t writer = {out};
+	const route_table_t *table = engine_table(engine);
+
+	write_value(out, "ready", "", gauges->ready);
+	write_value(out, "client_connections", "", gauges->clients);
+	write_value(out, "store_calls_total", "", gauges->store_calls);
+	write_value(out, "store_failures_total", "", gauges->store_failures);
+	write_value(out, "running_requests", "", engine_running(engine));
+	write_value(out, "nodes", "", pool_nodes(engine_pool(engine)));
+	write_value(out, "config_version", "",
+	    table != NULL ? (unsigned long long)route_table_version(table) : 0);
+	write_counters(out, engine_counters(engine));
+	engine_visit_routes(engine, write_route, &writer);
+	write_events(out);
+}
--- /dev/null
+++ b/source/gateway/placement.h
@@ -0,0 +1,73 @@
+#ifndef PLACEMENT_H
+#define PLACEMENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bulrushwell/clock.h"
+
+/**
+ * DOC: Which server of a service gets an attempt
+ *
+ * Load pattern: a few servers, each with few slots, of which some pause, turn
+ * slow, fail part of their requests, fall silent or leave. Each node judges
+ * them by its own attempts alone and sends where the attempt is expected to end
+ * first.
+ */
+
+/** What a node knows of one server from its own attempts. */
+typedef struct {
+	double slowness;   /* time of its attempts relative to the typical */
+	double failure;	   /* recent share of failed attempts */
+	usec_t updated;	   /* when both were last brought up to date */
+	double limit;	   /* attempts that may run at once */
+	uint32_t refusals; /* ejections in a row */
+	usec_t ejected_until;
+	bool unproven; /* ejected, and no connection stood since */
+} replica_health_t;
+
+void replica_health_init(replica_health_t *health, double limit, usec_t now);
+
+/** replica_health_answered() - An attempt ended with a response. */
+void replica_health_answered(replica_health_t *health, usec_t elapsed,
+    usec_t typical, double max_limit, usec_t now);
+
+/** replica_health_failed() - The server answered with a failure. */
+void replica_health_failed(replica_health_t *health, usec_t now);
+
+/** replica_health_shed() - It refused an attempt because it is full. */
+void replica_health_shed(
+    replica_health_t *health, uint32_t running, usec_t now);
+
+/** replica_health_broken() - Refused connection, reset, or silence. */
+void replica_health_broken(replica_health_t *health, usec_t now);
+
+/** replica_health_connected() - A connection was established. */
+void replica_health_connected(replica_health_t *health);
+
+typedef struct {
+	replica_health_t *health;
+	uint32_t slots;	    /* requests that it runs at once, of all nodes */
+	uint32_t running;   /* attempts of this node */
+	usec_t oldest_sent; /* start of the oldest of them; 0: none */
+	bool can_send;	    /* a connection is idle or may be opened */
+	bool has_connection;
+	bool same_data_centre;
+	bool warming_up;
+	bool leaving;  /* it announced its stop, or its entry is gone */
+	bool excluded; /* this task has used it already */
+} replica_view_t;
+
+#define PLACEMENT_NONE (-1)
+
+/**
+ * placement_choose() - The server where an attempt ends first.
+ * @typical: usual time of an attempt of this route
+ * @busy: set when servers are there but none takes an attempt now
+ *
+ * Return: an index, or PLACEMENT_NONE.
+ */
+int placement_choose(const replica_view_t *views, uint32_t count,
+    usec_t typical, usec_t now, bool *busy);
+
+#endif
--- /dev/null
+++ b/source/gateway/pool.c
@@ -0,0 +1,365 @@
+#include "pool.h"
+
+#include <string.h>
+
+#include "bulrushwell/event.h"
+#include "pool_private.h"
+
+/* Of a server's connections, all nodes together leave this part unused. */
+#define CONNECTION_PART 0.9
+#define DEFAULT_MAX_CONNECTIONS 8
+#define DEFAULT_NODES 8
+#define FIRST_LIMIT 4.0 /* attempts at once on a server, before samples */
+
+static void
+free_replica(void *data)
+{
+	replica_t *replica = data;
+
+	g_ptr_array_free(replica->connections, TRUE);
+	g_free(replica);
+}
+
+static void
+free_upstream(void *data)
+{
+	upstream_t *upstream = data;
+
+	g_ptr_array_free(upstream->replicas, TRUE);
+	g_queue_clear(&upstream->waiting);
+	g_free(upstream->name);
+	g_free(upstream);
+}
+
+pool_t *
+pool_create(struct ev_loop *loop, const pool_settings_t *settings,
+    const pool_handlers_t *handlers)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+
+	pool->loop = loop;
+	pool->settings = *settings;
+	pool->handlers = *handlers;
+	pool->nodes = DEFAULT_NODES;
+	pool->upstreams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
+	pool->replicas =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	pool_sweep_start(pool);
+	return pool;
+}
+
+static void
+close_all(pool_t *pool)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pool->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		replica_t *replica = value;
+
+		while (replica->connections->len > 0)
+			pool_connection_drop(replica->connections->pdata[0]);
+		free_replica(replica);
+	}
+}
+
+void
+pool_destroy(pool_t *pool)
+{
+	if (pool == NULL)
+		return;
+	pool_sweep_stop(pool);
+	close_all(pool);
+	g_hash_table_destroy(pool->replicas);
+	g_hash_table_destroy(pool->upstreams);
+	g_free(pool);
+}
+
+upstream_t *
+pool_upstream(pool_t *pool, const char *name)
+{
+	upstream_t *upstream = g_hash_table_lookup(pool->upstreams, name);
+
+	if (upstream != NULL)
+		return upstream;
+	upstream = g_new0(upstream_t, 1);
+	upstream->name = g_strdup(name);
+	upstream->max_connections = DEFAULT_MAX_CONNECTIONS;
+	upstream->replicas = g_ptr_array_new();
+	g_queue_init(&upstream->waiting);
+	g_hash_table_insert(pool->upstreams, upstream->name, upstream);
+	return upstream;
+}
+
+static void
+mark_routed(pool_t *pool, const route_table_t *table)
+{
+	for (uint32_t i = 0; i < route_table_route_count(table); i++) {
+		const route_t *route = route_table_route(table, i);
+
+		for (uint32_t j = 0; j < route->target_count; j++)
+			pool_upstream(pool, route->targets[j].service)->routed =
+			    true;
+	}
+}
+
+void
+pool_apply(pool_t *pool, const route_table_t *table)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((upstream_t *)value)->routed = false;
+	for (uint32_t i = 0; i < route_table_service_count(table); i++) {
+		const service_spec_t *spec = route_table_service(table, i);
+
+		pool_upstream(pool, spec->name)->max_connections =
+		    spec->max_connections;
+	}
+	mark_routed(pool, table);
+}
+
+void
+pool_set_nodes(pool_t *pool, uint32_t nodes)
+{
+	pool->nodes = MAX(nodes, 1);
+}
+
+uint32_t
+pool_nodes(const pool_t *pool)
+{
+	return pool->nodes;
+}
+
+uint32_t
+pool_connection_limit(const pool_t *pool, const upstream_t *upstream)
+{
+	double share =
+	    upstream->max_connections * CONNECTION_PART / pool->nodes;
+
+	return share < 1.0 ? 1 : (uint32_t)share;
+}
+
+static void
+remove_replica(pool_t *pool, replica_t *replica)
+{
+	g_hash_table_remove(pool->replicas, replica->entry.id);
+	g_ptr_array_remove_fast(replica->upstream->replicas, replica);
+	replica->removed = true;
+	pool_close_idle(replica);
+	if (replica->connections->len == 0)
+		free_replica(replica);
+}
+
+void
+pool_replica_release(replica_t *replica)
+{
+	if (replica->removed && replica->connections->len == 0)
+		free_replica(replica);
+}
+
+static void
+add_replica(pool_t *pool, const server_entry_t *entry, usec_t now)
+{
+	replica_t *replica = g_new0(replica_t, 1);
+
+	replica->upstream = pool_upstream(pool, entry->service);
+	replica->entry = *entry;
+	replica->connections = g_ptr_array_new();
+	replica_health_init(&replica->health, FIRST_LIMIT, now);
+	g_ptr_array_add(replica->upstream->replicas, replica);
+	g_hash_table_insert(pool->replicas, replica->entry.id, replica);
+	event_log(EVENT_SERVER_FOUND, "server=%s upstream=%s state=%s",
+	    entry->id, entry->service, entry->draining ? "draining" : "ready");
+}
+
+static bool
+is_other_process(const server_entry_t *old, const server_entry_t *new)
+{
+	return old->incarnation != new->incarnation ||
+	    strcmp(old->service, new->service) != 0 ||
+	    old->address.sin_addr.s_addr != new->address.sin_addr.s_addr ||
+	    old->address.sin_port != new->address.sin_port;
+}
+
+/* Reports may reach the registry out of order. */
+static bool
+is_late_report(const server_entry_t *old, const server_entry_t *new)
+{
+	if (new->incarnation != old->incarnation)
+		return new->incarnation < old->incarnation;
+	return new->sequence < old->sequence;
+}
+
+static void
+set_leaving(replica_t *replica, bool leaving, usec_t now)
+{
+	if (!leaving) {
+		replica->leaving_since = 0;
+	} else if (replica->leaving_since == 0) {
+		replica->leaving_since = now;
+		event_log(EVENT_SERVER_LEAVING, "server=%s upstream=%s",
+		    replica->entry.id, replica->upstream->name);
+	}
+}
+
+void
+pool_server_seen(pool_t *pool, const server_entry_t *entry, usec_t now)
+{
+	replica_t *replica = g_hash_table_lookup(pool->replicas, entry->id);
+
+	if (replica != NULL && is_late_report(&replica->entry, entry))
+		return;
+	if (replica != NULL && is_other_process(&replica->entry, entry)) {
+		remove_replica(pool, replica);
+		replica = NULL;
+	}
+	if (replica == NULL) {
+		add_replica(pool, entry, now);
+		replica = g_hash_table_lookup(pool->replicas, entry->id);
+	}
+	replica->entry = *entry;
+	replica->listed = true;
+	replica->warm_until = now + entry->warm_up_left;
+	set_leaving(replica, entry->draining, now);
+	pool->handlers.room(pool->handlers.context, replica->upstream);
+}
+
+static void
+unlist(replica_t *replica, usec_t now)
+{
+	replica->listed = false;
+	set_leaving(replica, true, now);
+}
+
+void
+pool_server_gone(pool_t *pool, const char *id, usec_t now)
+{
+	replica_t *replica = g_hash_table_lookup(pool->replicas, id);
+
+	if (replica != NULL)
+		unlist(replica, now);
+}
+
+void
+pool_servers_absent(pool_t *pool, GHashTable *present, usec_t now)
+{
+	GHashTableIter iter;
+	void *key, *value;
+
+	g_hash_table_iter_init(&iter, pool->replicas);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (!g_hash_table_contains(present, key))
+			unlist(value, now);
+}
+
+void
+pool_remove_left(pool_t *pool, usec_t now)
+{
+	GHashTableIter iter;
+	void *value;
+	GPtrArray *left = g_ptr_array_new();
+
+	g_hash_table_iter_init(&iter, pool->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		replica_t *replica = value;
+
+		if (!replica->listed &&
+		    now - replica->leaving_since >= pool->settings.drain_limit)
+			g_ptr_array_add(left, replica);
+	}
+	for (guint i = 0; i < left->len; i++)
+		remove_replica(pool, left->pdata[i]);
+	g_ptr_array_free(left, TRUE);
+}
+
+static bool
+was_tried(const replica_t *replica, const replica_t *const *tried,
+    uint32_t tried_count)
+{
+	for (uint32_t i = 0; i < tried_count; i++)
+		if (tried[i] == replica)
+			return true;
+	return false;
+}
+
+static void
+view_connections(
+    const pool_t *pool, const replica_t *replica, replica_view_t *view)
+{
+	const GPtrArray *connections = replica->connections;
+
+	for (guint i = 0; i < connections->len; i++) {
+		const pool_connection_t *connection = connections->pdata[i];
+		const attempt_t *attempt = connection->attempt;
+
+		if (attempt == NULL) {
+			if (pool_connection_idle(connection))
+				view->has_connection = true;
+			continue;
+		}
+		view->running++;
+		if (view->oldest_sent == 0 ||
+		    attempt->started_at < view->oldest_sent)
+			view->oldest_sent = attempt->started_at;
+	}
+	view->can_send = view->has_connection ||
+	    connections->len < pool_connection_limit(pool, replica->upstream);
+}
+
+static void
+view_replica(
+    const pool_t *pool, replica_t *replica, usec_t now, replica_view_t *view)
+{
+	*view = (replica_view_t){
+	    .health = &replica->health,
+	    .slots = replica->entry.slots,
+	    .same_data_centre = replica->entry.same_data_centre,
+	    .warming_up = now < replica->warm_until,
+	    .leaving = replica->leaving_since != 0,
+	};
+	if (view->leaving &&
+	    now - replica->leaving_since >= pool->settings.drain_limit)
+		view->excluded = true;
+	view_connections(pool, replica, view);
+}
+
+replica_t *
+pool_choose(pool_t *pool, upstream_t *upstream, const replica_t *const *tried,
+    uint32_t tried_count, usec_t typical, usec_t now, bool *busy)
+{
+	uint32_t count = upstream->replicas->len;
+	replica_view_t views[PLACEMENT_MAX_VIEWS];
+	guint first = 0;
+	int chosen;
+
+	if (count > PLACEMENT_MAX_VIEWS) {
+		first = (guint)g_random_int_range(0, (gint32)count);
+		count = PLACEMENT_MAX_VIEWS;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		replica_t *replica =
+		    upstream->replicas
+			->pdata[(first + i) % upstream->replicas->len];
+
+		view_replica(pool, replica, now, &views[i]);
+		if (was_tried(replica, tried, tried_count))
+			views[i].excluded = true;
+	}
+	chosen = placement_choose(views, count, typical, now, busy);
+	if (chosen == PLACEMENT_NONE)
+		return NULL;
+	return upstream->replicas
+	    ->pdata[(first + (guint)chosen) % upstream->replicas->len];
+}
+
+void
+pool_recent(const pool_t *pool, uint32_t *answered, uint32_t *broken)
+{
+	*answered = pool->answered[0] + pool->answered[1];
+	*broken = pool->broken[0] + pool->broken[1];
+}
--- /dev/null
+++ b/source/gateway/pool_connection.c
@@ -0,0 +1,443 @@
+#include <string.h>
+
+#include "bulrushwell/event.h"
+#include "pool_private.h"
+
+#define CONNECT_TIMEOUT MS(700)
+/* Idle connections are dropped before servers are likely to close them. */
+#define DEFAULT_IDLE_LIMIT SECONDS(8)
+#define IDLE_MARGIN MS(700)
+#define SILENCE_LIMIT SECONDS(3)
+#define EXPIRY_GRACE MS(150) /* the server's own answer at the deadline */
+#define SWEEP_INTERVAL MS(100)
+#define RECENT_INTERVAL MS(500)
+#define BROKEN_IN_ROW_EJECTS 3
+#define SPARE_INTERVAL MS(400) /* between spare connections to a server */
+#define SPARE_MAX_REPLICAS 600 /* more servers get no spare connections */
+
+usec_t
+pool_now(const pool_t *pool)
+{
+	return (usec_t)(ev_now(pool->loop) * USEC_PER_SEC);
+}
+
+bool
+pool_connection_idle(const pool_connection_t *connection)
+{
+	return connection->attempt == NULL && !connection->held &&
+	    http_connection_reusable(connection->http);
+}
+
+static void
+forget_connection(pool_connection_t *connection)
+{
+	replica_t *replica = connection->replica;
+
+	g_ptr_array_remove_fast(replica->connections, connection);
+	http_connection_destroy(connection->http);
+	g_free(connection);
+	pool_replica_release(replica);
+}
+
+void
+pool_connection_drop(pool_connection_t *connection)
+{
+	attempt_t *attempt = connection->attempt;
+
+	connection->attempt = NULL;
+	g_free(attempt);
+	forget_connection(connection);
+}
+
+static void
+report(pool_t *pool, attempt_t *attempt, attempt_outcome_t outcome,
+    const http_message_t *response)
+{
+	if (attempt->owner != NULL)
+		pool->handlers.ended(
+		    attempt->owner, attempt, outcome, response);
+	g_free(attempt);
+}
+
+/* One lost answer is a failure; several in a row are a crash. */
+static void
+note_broken(replica_t *replica, bool refused, usec_t now)
+{
+	replica->broken_in_row++;
+	if (!refused && replica->broken_in_row < BROKEN_IN_ROW_EJECTS) {
+		replica_health_failed(&replica->health, now);
+		return;
+	}
+	if (replica->health.refusals == 0)
+		event_log(EVENT_SERVER_DOWN, "server=%s upstream=%s cause=%s",
+		    replica->entry.id, replica->upstream->name,
+		    refused ? "refused_or_silent" : "broken_connections");
+	replica_health_broken(&replica->health, now);
+	pool_close_idle(replica);
+}
+
+void
+pool_connection_fail(pool_connection_t *connection, bool refused)
+{
+	pool_t *pool = connection->pool;
+	replica_t *replica = connection->replica;
+	upstream_t *upstream = replica->upstream;
+	attempt_t *attempt = connection->attempt;
+	bool arrived = attempt != NULL &&
+	    (attempt->arrived_maybe ||
+		http_connection_sent_any(connection->http));
+
+	connection->attempt = NULL;
+	connection->held = true;
+	if (refused || attempt != NULL)
+		note_broken(replica, refused, pool_now(pool));
+	if (attempt != NULL) {
+		pool->broken[0]++;
+		attempt->connection = NULL;
+		attempt->arrived_maybe = arrived;
+		report(pool, attempt,
+		    arrived ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_RUN, NULL);
+	}
+	forget_connection(connection);
+	pool->handlers.room(pool->handlers.context, upstream);
+}
+
+static void
+on_connected(void *owner, http_connection_t *http)
+{
+	pool_connection_t *connection = owner;
+	replica_t *replica = connection->replica;
+
+	connection->idle_since = pool_now(connection->pool);
+	if (!replica->health.unproven)
+		return;
+	replica_health_connected(&replica->health);
+	event_log(EVENT_SERVER_UP, "server=%s upstream=%s", replica->entry.id,
+	    replica->upstream->name);
+}
+
+/* A late response to an earlier request may stand before the right one. */
+static bool
+belongs_to_attempt(
+    const pool_connection_t *connection, const http_message_t *response)
+{
+	slice_t id;
+
+	if (!http_message_find(
+		response, connection->pool->settings.headers.request_id, &id))
+		return true;
+	return slice_is(id, connection->attempt->request_id);
+}
+
+static bool
+is_not_run(const pool_t *pool, const http_message_t *response)
+{
+	slice_t value;
+
+	return http_message_status(response) == 421 ||
+	    http_message_find(response, pool->settings.headers.not_run, &value);
+}
+
+static void
+read_idle_limit(pool_connection_t *connection, const http_message_t *response)
+{
+	slice_t value;
+	const char *at;
+
+	if (!http_message_find(response, "Keep-Alive", &value))
+		return;
+	at = memmem(value.data, value.size, "timeout=", strlen("timeout="));
+	if (at == NULL)
+		return;
+	at += strlen("timeout=");
+	value.size = (size_t)(value.data + value.size - at);
+	value.data = at;
+	for (size_t i = 0; i < value.size; i++)
+		if (value.data[i] < '0' || value.data[i] > '9')
+			value.size = i;
+	if (http_slice_number(value) > 0)
+		connection->idle_limit =
+		    SECONDS(http_slice_number(value)) - IDLE_MARGIN;
+}
+
+static void
+note_response(pool_connection_t *connection, const http_message_t *response,
+    bool not_run, usec_t now)
+{
+	replica_t *replica = connection->replica;
+	attempt_t *attempt = connection->attempt;
+	usec_t elapsed = now - attempt->started_at;
+	usec_t typical = latency_typical(attempt->latency);
+	double most =
+	    pool_connection_limit(connection->pool, replica->upstream);
+
+	replica->broken_in_row = 0;
+	if (not_run) {
+		replica_health_shed(
+		    &replica->health, replica->connections->len, now);
+	} else if (http_message_status(response) >= 500) {
+		replica_health_failed(&replica->health, now);
+	} else {
+		replica_health_answered(
+		    &replica->health, elapsed, typical, most, now);
+		latency_record(attempt->latency, elapsed);
+	}
+}
+
+/* Another server has taken the address: this one is gone. */
+static void
+note_misdirected(pool_connection_t *connection)
+{
+	replica_t *replica = connection->replica;
+
+	replica_health_broken(&replica->health, pool_now(connection->pool));
+	event_log(EVENT_SERVER_REPLACED, "server=%s upstream=%s",
+	    replica->entry.id, replica->upstream->name);
+}
+
+static bool
+on_responded(
+    void *owner, http_connection_t *http, const http_message_t *response)
+{
+	pool_connection_t *connection = owner;
+	pool_t *pool = connection->pool;
+	upstream_t *upstream = connection->replica->upstream;
+	attempt_t *attempt = connection->attempt;
+	bool not_run;
+
+	if (attempt == NULL) {
+		pool_connection_fail(connection, false);
+		return true;
+	}
+	if (!belongs_to_attempt(connection, response)) {
+		event_log(EVENT_SERVER_LYING, "server=%s request=%s",
+		    connection->replica->entry.id, attempt->request_id);
+		return false;
+	}
+	not_run = is_not_run(pool, response);
+	note_response(connection, response, not_run, pool_now(pool));
+	read_idle_limit(connection, response);
+	if (http_message_status(response) == 421)
+		note_misdirected(connection);
+	connection->attempt = NULL;
+	connection->held = true;
+	connection->idle_since = pool_now(pool);
+	attempt->connection = NULL;
+	attempt->arrived_maybe = true;
+	pool->answered[0]++;
+	report(pool, attempt, not_run ? ATTEMPT_NOT_RUN : ATTEMPT_ANSWERED,
+	    response);
+	connection->held = false;
+	if (!http_connection_reusable(http) ||
+	    connection->replica->health.unproven)
+		forget_connection(connection);
+	pool->handlers.room(pool->handlers.context, upstream);
+	return true;
+}
+
+static void
+on_closed(void *owner, http_connection_t *http, http_close_reason_t reason)
+{
+	pool_connection_t *connection = owner;
+
+	pool_connection_fail(connection, reason == HTTP_CLOSED_REFUSED);
+}
+
+static const http_connection_handlers_t connection_handlers = {
+    .connected = on_connected,
+    .responded = on_responded,
+    .closed = on_closed,
+};
+
+pool_connection_t *
+pool_connection_open(pool_t *pool, replica_t *replica, usec_t now)
+{
+	pool_connection_t *connection = g_new0(pool_connection_t, 1);
+
+	connection->pool = pool;
+	connection->replica = replica;
+	connection->created_at = now;
+	connection->idle_since = now;
+	connection->idle_limit = DEFAULT_IDLE_LIMIT;
+	connection->http = http_connection_create(pool->loop,
+	    &replica->entry.address, pool->settings.max_response_bytes,
+	    &connection_handlers, connection);
+	if (connection->http == NULL) {
+		g_free(connection);
+		return NULL;
+	}
+	http_connection_detect_silence(connection->http, SILENCE_LIMIT);
+	g_ptr_array_add(replica->connections, connection);
+	return connection;
+}
+
+/* The connection that was used last is the least likely to be closed. */
+static pool_connection_t *
+best_idle(const replica_t *replica)
+{
+	pool_connection_t *best = NULL;
+
+	for (guint i = 0; i < replica->connections->len; i++) {
+		pool_connection_t *connection = replica->connections->pdata[i];
+
+		if (!pool_connection_idle(connection))
+			continue;
+		if (best == NULL || connection->idle_since > best->idle_since)
+			best = connection;
+	}
+	return best;
+}
+
+attempt_t *
+pool_send(pool_t *pool, replica_t *replica, const pool_request_t *request,
+    void *owner, usec_t now)
+{
+	pool_connection_t *connection = best_idle(replica);
+	attempt_t *attempt;
+
+	if (connection == NULL)
+		connection = pool_connection_open(pool, replica, now);
+	if (connection == NULL)
+		return NULL;
+	attempt = g_new0(attempt_t, 1);
+	attempt->replica = replica;
+	attempt->owner = owner;
+	attempt->latency = request->latency;
+	attempt->started_at = now;
+	attempt->expires_at = request->expires_at;
+	attempt->connection = connection;
+	g_strlcpy(attempt->request_id, request->request_id.data,
+	    MIN(sizeof(attempt->request_id), request->request_id.size + 1));
+	connection->attempt = attempt;
+	http_connection_send(
+	    connection->http, request->head, request->body, request->head_only);
+	return attempt;
+}
+
+void
+attempt_abandon(attempt_t *attempt)
+{
+	attempt->owner = NULL;
+}
+
+void
+attempt_cancel(pool_t *pool, attempt_t *attempt)
+{
+	pool_connection_t *connection = attempt->connection;
+	upstream_t *upstream = connection->replica->upstream;
+
+	attempt->owner = NULL;
+	pool_connection_drop(connection);
+	pool->handlers.room(pool->handlers.context, upstream);
+}
+
+void
+pool_close_idle(replica_t *replica)
+{
+	guint i = 0;
+
+	while (i < replica->connections->len) {
+		pool_connection_t *connection = replica->connections->pdata[i];
+
+		if (connection->attempt != NULL || connection->held) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index_fast(replica->connections, i);
+		http_connection_destroy(connection->http);
+		g_free(connection);
+	}
+}
+
+static bool
+is_connecting(const pool_connection_t *connection)
+{
+	return http_connection_state(connection->http) ==
+	    HTTP_CONNECTION_CONNECTING;
+}
+
+/* Returns whether the connection is still there. */
+static bool
+sweep_connection(pool_connection_t *connection, usec_t now)
+{
+	const attempt_t *attempt = connection->attempt;
+
+	if (is_connecting(connection) &&
+	    now - connection->created_at > CONNECT_TIMEOUT) {
+		pool_connection_fail(connection, true);
+		return false;
+	}
+	if (attempt != NULL && now > attempt->expires_at + EXPIRY_GRACE) {
+		pool_connection_fail(connection, true);
+		return false;
+	}
+	if (pool_connection_idle(connection) &&
+	    now - connection->idle_since > connection->idle_limit) {
+		pool_connection_drop(connection);
+		return false;
+	}
+	return true;
+}
+
+/* A server that is in use always has a connection ready. */
+static void
+open_spare(pool_t *pool, replica_t *replica, usec_t now)
+{
+	if (!replica->upstream->routed || replica->leaving_since != 0 ||
+	    replica->connections->len > 0 ||
+	    now < replica->health.ejected_until ||
+	    now < replica->connect_again_at ||
+	    g_hash_table_size(pool->replicas) > SPARE_MAX_REPLICAS)
+		return;
+	replica->connect_again_at = now + SPARE_INTERVAL;
+	pool_connection_open(pool, replica, now);
+}
+
+static void
+sweep_replica(pool_t *pool, replica_t *replica, usec_t now)
+{
+	GPtrArray *connections = replica->connections;
+	guint i = connections->len;
+
+	while (i-- > 0)
+		if (i < connections->len)
+			sweep_connection(connections->pdata[i], now);
+	open_spare(pool, replica, now);
+}
+
+static void
+on_sweep(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	pool_t *pool = timer->data;
+	usec_t now = pool_now(pool);
+	GList *replicas;
+
+	if (now - pool->recent_since >= RECENT_INTERVAL) {
+		pool->recent_since = now;
+		pool->answered[1] = pool->answered[0];
+		pool->broken[1] = pool->broken[0];
+		pool->answered[0] = 0;
+		pool->broken[0] = 0;
+	}
+	pool_remove_left(pool, now);
+	replicas = g_hash_table_get_values(pool->replicas);
+	for (GList *at = replicas; at != NULL; at = at->next)
+		sweep_replica(pool, at->data, now);
+	g_list_free(replicas);
+}
+
+void
+pool_sweep_start(pool_t *pool)
+{
+	double interval = (double)SWEEP_INTERVAL / USEC_PER_SEC;
+
+	ev_timer_init(&pool->sweep, on_sweep, interval, interval);
+	pool->sweep.data = pool;
+	ev_timer_start(pool->loop, &pool->sweep);
+}
+
+void
+pool_sweep_stop(pool_t *pool)
+{
+	ev_timer_stop(pool->loop, &pool->sweep);
+}
--- /dev/null
+++ b/source/gateway/route_table.c
@@ -0,0 +1,194 @@
+#include "route_table.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Used until a configuration is known. */
+#define DEFAULT_HEADER_BYTES 16384
+#define DEFAULT_BODY_BYTES 262144
+#define DEFAULT_HEADER_TIMEOUT SECONDS(3)
+#define DEFAULT_IDLE_TIMEOUT SECONDS(15)
+
+struct route_table {
+	int references;
+	int64_t version;
+	client_limits_t limits;
+	GPtrArray *routes;    /* route_t */
+	GArray *services;     /* service_spec_t */
+	GHashTable *by_place; /* "host prefix" to route_t */
+};
+
+static void
+free_route(void *data)
+{
+	route_t *route = data;
+
+	for (uint32_t i = 0; i < route->target_count; i++)
+		g_free(route->targets[i].service);
+	g_free(route->targets);
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_free(route);
+}
+
+static void
+clear_service(void *data)
+{
+	service_spec_t *service = data;
+
+	g_free(service->name);
+}
+
+route_table_t *
+route_table_create(int64_t version)
+{
+	route_table_t *table = g_new0(route_table_t, 1);
+
+	table->references = 1;
+	table->version = version;
+	table->limits = (client_limits_t){
+	    .max_header_bytes = DEFAULT_HEADER_BYTES,
+	    .max_body_bytes = DEFAULT_BODY_BYTES,
+	    .header_timeout = DEFAULT_HEADER_TIMEOUT,
+	    .idle_timeout = DEFAULT_IDLE_TIMEOUT,
+	};
+	table->routes = g_ptr_array_new_with_free_func(free_route);
+	table->services = g_array_new(FALSE, TRUE, sizeof(service_spec_t));
+	g_array_set_clear_func(table->services, clear_service);
+	table->by_place =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return table;
+}
+
+route_table_t *
+route_table_keep(route_table_t *table)
+{
+	table->references++;
+	return table;
+}
+
+void
+route_table_drop(route_table_t *table)
+{
+	if (table == NULL || --table->references > 0)
+		return;
+	g_hash_table_destroy(table->by_place);
+	g_array_free(table->services, TRUE);
+	g_ptr_array_free(table->routes, TRUE);
+	g_free(table);
+}
+
+void
+route_table_add(route_table_t *table, const route_t *route)
+{
+	route_t *copy = g_new(route_t, 1);
+	char *host = g_ascii_strdown(route->host, -1);
+	char *place = g_strconcat(host, " ", route->prefix, NULL);
+
+	*copy = *route;
+	g_free(host);
+	g_ptr_array_add(table->routes, copy);
+	if (g_hash_table_contains(table->by_place, place))
+		g_free(place);
+	else
+		g_hash_table_insert(table->by_place, place, copy);
+}
+
+void
+route_table_add_service(
+    route_table_t *table, const char *name, uint32_t max_connections)
+{
+	service_spec_t service = {g_strdup(name), max_connections};
+
+	g_array_append_val(table->services, service);
+}
+
+void
+route_table_set_limits(route_table_t *table, const client_limits_t *limits)
+{
+	table->limits = *limits;
+}
+
+int64_t
+route_table_version(const route_table_t *table)
+{
+	return table->version;
+}
+
+const client_limits_t *
+route_table_limits(const route_table_t *table)
+{
+	return &table->limits;
+}
+
+const service_spec_t *
+route_table_service(const route_table_t *table, uint32_t index)
+{
+	return &g_array_index(table->services, service_spec_t, index);
+}
+
+uint32_t
+route_table_service_count(const route_table_t *table)
+{
+	return table->services->len;
+}
+
+const route_t *
+route_table_route(const route_table_t *table, uint32_t index)
+{
+	return g_ptr_array_index(table->routes, index);
+}
+
+uint32_t
+route_table_route_count(const route_table_t *table)
+{
+	return table->routes->len;
+}
+
+static slice_t
+without_port(slice_t host)
+{
+	const char *colon = memchr(host.data, ':', host.size);
+
+	if (colon != NULL)
+		host.size = (size_t)(colon - host.data);
+	return host;
+}
+
+static slice_t
+without_query(slice_t target)
+{
+	const char *mark = memchr(target.data, '?', target.size);
+
+	if (mark != NULL)
+		target.size = (size_t)(mark - target.data);
+	return target;
+}
+
+/* Prefixes end with a slash, so each slash of the path is a candidate. */
+const route_t *
+route_table_match(const route_table_t *table, slice_t host, slice_t target)
+{
+	const route_t *route = NULL;
+	GString *place;
+	size_t host_size;
+
+	if (host.size == 0 || target.size == 0 || target.data[0] != '/')
+		return NULL;
+	host = without_port(host);
+	target = without_query(target);
+	place = g_string_new_len(host.data, (gssize)host.size);
+	g_string_ascii_down(place);
+	g_string_append_c(place, ' ');
+	host_size = place->len;
+	g_string_append_len(place, target.data, (gssize)target.size);
+	while (route == NULL && place->len > host_size) {
+		if (place->str[place->len - 1] == '/')
+			route =
+			    g_hash_table_lookup(table->by_place, place->str);
+		g_string_truncate(place, place->len - 1);
+	}
+	g_string_free(place, TRUE);
+	return route;
+}
--- /dev/null
+++ b/source/gateway/route_table.h
@@ -0,0 +1,93 @@
+#ifndef ROUTE_TABLE_H
+#define ROUTE_TABLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bulrushwell/clock.h"
+#include "bulrushwell/slice.h"
+
+/**
+ * DOC: The routes and services of one configuration version
+ *
+ * A table is built once, never changes and is shared by reference: a request
+ * keeps the table that it started with, so that all parts of one answer come
+ * from one version.
+ */
+
+typedef enum {
+	ROUTE_SINGLE,	/* one service */
+	ROUTE_WEIGHTED, /* one of several services, by weight */
+	ROUTE_FANOUT	/* all services: the shards of an index */
+} route_kind_t;
+
+typedef struct {
+	char *service;
+	double weight; /* ROUTE_WEIGHTED only */
+} route_target_t;
+
+typedef struct {
+	char *name;
+	char *host;
+	char *prefix;
+	route_kind_t kind;
+	bool idempotent; /* a request may run more than once */
+	usec_t timeout;	 /* longest time until the final answer */
+	usec_t goal;	 /* an answer within this time has its full value */
+	int priority;	 /* 0 is the most urgent */
+	uint32_t max_attempts;
+	uint32_t top_records; /* ROUTE_FANOUT: records of an answer */
+	double least_share;   /* ROUTE_FANOUT: least share of shards */
+	route_target_t *targets;
+	uint32_t target_count;
+} route_t;
+
+typedef struct {
+	char *name;
+	uint32_t max_connections; /* to each server, from all callers */
+} service_spec_t;
+
+/** What a client may send, and how long it may take. */
+typedef struct {
+	uint32_t max_header_bytes;
+	uint32_t max_body_bytes;
+	usec_t header_timeout;
+	usec_t idle_timeout;
+} client_limits_t;
+
+typedef struct route_table route_table_t;
+
+route_table_t *route_table_create(int64_t version);
+route_table_t *route_table_keep(route_table_t *table);
+void route_table_drop(route_table_t *table);
+
+/**
+ * route_table_add() - Adds a route; the table takes over its strings and
+ * targets. A second route with the same host and prefix is ignored.
+ */
+void route_table_add(route_table_t *table, const route_t *route);
+
+/** route_table_add_service() - Adds a service; copies the name. */
+void route_table_add_service(
+    route_table_t *table, const char *name, uint32_t max_connections);
+
+void route_table_set_limits(
+    route_table_t *table, const client_limits_t *limits);
+
+int64_t route_table_version(const route_table_t *table);
+const client_limits_t *route_table_limits(const route_table_t *table);
+const service_spec_t *route_table_service(
+    const route_table_t *table, uint32_t index);
+uint32_t route_table_service_count(const route_table_t *table);
+const route_t *route_table_route(const route_table_t *table, uint32_t index);
+uint32_t route_table_route_count(const route_table_t *table);
+
+/**
+ * route_table_match() - The route of the longest prefix.
+ * @host: Host header; a port is ignored
+ * @target: path with an optional query
+ */
+const route_t *route_table_match(
+    const route_table_t *table, slice_t host, slice_t target);
+
+#endif
--- /dev/null
+++ b/source/http/http_connection.c
@@ -0,0 +1,318 @@
+#include "http_connection.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include "http_socket.h"
+
+#define RECEIVE_BYTES 16384
+#define MAX_RESPONSE_HEADER_BYTES 32768
+
+struct http_connection {
+	struct ev_loop *loop;
+	ev_io readable;
+	ev_io writable;
+	int fd;
+	http_connection_state_t state;
+	http_message_t response;
+	buffer_t out;
+	size_t sent;
+	bool sent_any;
+	bool reusable;
+	const http_connection_handlers_t *handlers;
+	void *owner;
+	bool destroyed; /* freed once the running callback returns */
+	int depth;	/* nesting of I/O callbacks */
+};
+
+static void
+release(http_connection_t *connection)
+{
+	http_message_free(&connection->response);
+	buffer_free(&connection->out);
+	g_free(connection);
+}
+
+static void
+leave(http_connection_t *connection)
+{
+	connection->depth--;
+	if (connection->destroyed && connection->depth == 0)
+		release(connection);
+}
+
+static void
+close_socket(http_connection_t *connection)
+{
+	if (connection->fd < 0)
+		return;
+	ev_io_stop(connection->loop, &connection->readable);
+	ev_io_stop(connection->loop, &connection->writable);
+	close(connection->fd);
+	connection->fd = -1;
+	connection->state = HTTP_CONNECTION_CLOSED;
+}
+
+static void
+end_connection(http_connection_t *connection, http_close_reason_t reason)
+{
+	if (connection->state == HTTP_CONNECTION_CLOSED)
+		return;
+	close_socket(connection);
+	connection->handlers->closed(connection->owner, connection, reason);
+}
+
+static void
+want_write(http_connection_t *connection, bool wanted)
+{
+	if (wanted)
+		ev_io_start(connection->loop, &connection->writable);
+	else
+		ev_io_stop(connection->loop, &connection->writable);
+}
+
+static bool
+write_failed_for_good(void)
+{
+	return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+static void
+flush(http_connection_t *connection)
+{
+	buffer_t *out = &connection->out;
+
+	while (connection->sent < out->size) {
+		ssize_t n = send(connection->fd, out->data + connection->sent,
+		    out->size - connection->sent, MSG_NOSIGNAL);
+
+		if (n < 0) {
+			if (write_failed_for_good())
+				break; /* the reader reports the end */
+			want_write(connection, true);
+			return;
+		}
+		connection->sent_any = true;
+		connection->sent += (size_t)n;
+	}
+	want_write(connection, false);
+}
+
+/* Whether the response took every byte and the request left as a whole. */
+static void
+finish_response(http_connection_t *connection, bool bytes_left)
+{
+	connection->reusable = connection->response.keep_alive &&
+	    !connection->response.ends_at_close && !bytes_left &&
+	    connection->sent == connection->out.size;
+	connection->state = HTTP_CONNECTION_IDLE;
+}
+
+static bool
+deliver(http_connection_t *connection, bool bytes_left)
+{
+	http_message_t *response = &connection->response;
+	bool final;
+
+	finish_response(connection, bytes_left);
+	final = connection->handlers->responded(
+	    connection->owner, connection, response);
+	if (connection->destroyed ||
+	    connection->state == HTTP_CONNECTION_CLOSED)
+		return false;
+	if (!final) {
+		bool no_body = response->no_body;
+
+		connection->state = HTTP_CONNECTION_BUSY;
+		http_message_reset(response);
+		response->no_body = no_body;
+	}
+	return !final;
+}
+
+static void
+take_bytes(http_connection_t *connection, const char *data, size_t size)
+{
+	while (size > 0) {
+		size_t used;
+		http_feed_t fed;
+
+		if (connection->state != HTTP_CONNECTION_BUSY) {
+			end_connection(connection, HTTP_CLOSED_GARBLED);
+			return;
+		}
+		fed =
+		    http_message_feed(&connection->response, data, size, &used);
+		data += used;
+		size -= used;
+		if (fed == HTTP_FEED_MORE)
+			return;
+		if (fed != HTTP_FEED_DONE) {
+			end_connection(connection, HTTP_CLOSED_GARBLED);
+			return;
+		}
+		if (!deliver(connection, size > 0))
+			return;
+	}
+}
+
+static void
+take_end(http_connection_t *connection, bool in_order)
+{
+	if (in_order && connection->state == HTTP_CONNECTION_BUSY &&
+	    connection->response.ends_at_close &&
+	    http_message_finish(&connection->response) == HTTP_FEED_DONE)
+		deliver(connection, false);
+	if (!connection->destroyed)
+		end_connection(connection, HTTP_CLOSED_BY_PEER);
+}
+
+static void
+receive(http_connection_t *connection)
+{
+	char data[RECEIVE_BYTES];
+	ssize_t n;
+
+	do {
+		n = recv(connection->fd, data, sizeof(data), 0);
+		if (n == 0) {
+			take_end(connection, true);
+			return;
+		}
+		if (n < 0) {
+			if (write_failed_for_good())
+				take_end(connection, false);
+			return;
+		}
+		take_bytes(connection, data, (size_t)n);
+	} while (!connection->destroyed && connection->fd >= 0 &&
+	    (size_t)n == sizeof(data));
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	http_connection_t *connection = watcher->data;
+
+	connection->depth++;
+	receive(connection);
+	leave(connection);
+}
+
+static void
+finish_connect(http_connection_t *connection)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+	bool waiting = connection->out.size > 0;
+
+	if (getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error, &size) !=
+		0 ||
+	    error != 0) {
+		end_connection(connection, HTTP_CLOSED_REFUSED);
+		return;
+	}
+	connection->state =
+	    waiting ? HTTP_CONNECTION_BUSY : HTTP_CONNECTION_IDLE;
+	ev_io_start(connection->loop, &connection->readable);
+	want_write(connection, false);
+	connection->handlers->connected(connection->owner, connection);
+	if (!connection->destroyed && waiting && connection->fd >= 0)
+		flush(connection);
+}
+
+static void
+on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	http_connection_t *connection = watcher->data;
+
+	connection->depth++;
+	if (connection->state == HTTP_CONNECTION_CONNECTING)
+		finish_connect(connection);
+	else
+		flush(connection);
+	leave(connection);
+}
+
+http_connection_t *
+http_connection_create(struct ev_loop *loop, const struct sockaddr_in *address,
+    size_t max_body_bytes, const http_connection_handlers_t *handlers,
+    void *owner)
+{
+	int fd = http_socket_connect(address);
+	http_connection_t *connection;
+
+	if (fd < 0)
+		return NULL;
+	connection = g_new0(http_connection_t, 1);
+	connection->loop = loop;
+	connection->fd = fd;
+	connection->state = HTTP_CONNECTION_CONNECTING;
+	connection->reusable = true;
+	connection->handlers = handlers;
+	connection->owner = owner;
+	http_message_init(&connection->response, HTTP_RESPONSE,
+	    MAX_RESPONSE_HEADER_BYTES, max_body_bytes);
+	ev_io_init(&connection->readable, on_readable, fd, EV_READ);
+	ev_io_init(&connection->writable, on_writable, fd, EV_WRITE);
+	connection->readable.data = connection;
+	connection->writable.data = connection;
+	want_write(connection, true);
+	return connection;
+}
+
+void
+http_connection_destroy(http_connection_t *connection)
+{
+	if (connection == NULL)
+		return;
+	close_socket(connection);
+	connection->destroyed = true;
+	if (connection->depth == 0)
+		release(connection);
+}
+
+void
+http_connection_detect_silence(http_connection_t *connection, usec_t limit)
+{
+	http_socket_detect_silence(connection->fd, limit);
+}
+
+void
+http_connection_send(http_connection_t *connection, const buffer_t *head,
+    slice_t body, bool head_only)
+{
+	buffer_clear(&connection->out);
+	connection->sent = 0;
+	connection->sent_any = false;
+	buffer_append(&connection->out, head->data, head->size);
+	buffer_append(&connection->out, body.data, body.size);
+	http_message_reset(&connection->response);
+	connection->response.no_body = head_only;
+	if (connection->state != HTTP_CONNECTION_IDLE)
+		return; /* it is sent once the connection stands */
+	connection->state = HTTP_CONNECTION_BUSY;
+	flush(connection);
+}
+
+http_connection_state_t
+http_connection_state(const http_connection_t *connection)
+{
+	return connection->state;
+}
+
+bool
+http_connection_sent_any(const http_connection_t *connection)
+{
+	return connection->sent_any;
+}
+
+bool
+http_connection_reusable(const http_connection_t *connection)
+{
+	return connection->state == HTTP_CONNECTION_IDLE &&
+	    connection->reusable;
+}
--- /dev/null
+++ b/source/http/http_message.c
@@ -0,0 +1,339 @@
+#include "http_message.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define MAX_NUMBER_DIGITS 9
+
+static const char *const hop_headers[] = {"connection", "keep-alive",
+    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+    "content-length", "expect", "proxy-authorization", "proxy-authenticate"};
+
+static int
+stop(http_message_t *message, http_feed_t failure)
+{
+	message->failure = failure;
+	return 1;
+}
+
+static bool
+header_space_left(const http_message_t *message, size_t size)
+{
+	return message->text.size + size <= message->max_header_bytes;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t size)
+{
+	http_message_t *message = parser->data;
+
+	if (!header_space_left(message, size))
+		return stop(message, HTTP_FEED_HEADERS_TOO_LARGE);
+	buffer_append(&message->text, at, size);
+	message->target_size += (uint32_t)size;
+	return 0;
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t size)
+{
+	http_message_t *message = parser->data;
+	http_header_t *header;
+
+	if (message->headers_done)
+		return 0; /* trailers are dropped */
+	if (!header_space_left(message, size))
+		return stop(message, HTTP_FEED_HEADERS_TOO_LARGE);
+	if (message->header_count == 0 || message->in_value) {
+		if (message->header_count == HTTP_MAX_HEADERS)
+			return stop(message, HTTP_FEED_HEADERS_TOO_LARGE);
+		header = &message->headers[message->header_count++];
+		*header = (http_header_t){
+		    .name = (uint32_t)message->text.size,
+		};
+		message->in_value = false;
+	}
+	header = &message->headers[message->header_count - 1];
+	buffer_append(&message->text, at, size);
+	header->name_size += (uint32_t)size;
+	header->value = (uint32_t)message->text.size;
+	return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t size)
+{
+	http_message_t *message = parser->data;
+	http_header_t *header;
+
+	if (message->headers_done || message->header_count == 0)
+		return 0;
+	if (!header_space_left(message, size))
+		return stop(message, HTTP_FEED_HEADERS_TOO_LARGE);
+	if (memchr(at, '\0', size) != NULL)
+		return stop(message, HTTP_FEED_BAD);
+	header = &message->headers[message->header_count - 1];
+	message->in_value = true;
+	buffer_append(&message->text, at, size);
+	header->value_size += (uint32_t)size;
+	return 0;
+}
+
+/* RFC 9112, section 6.3: which responses have neither length nor chunks. */
+static bool
+ends_at_close(const http_parser *parser)
+{
+	if (parser->status_code / 100 == 1 || parser->status_code == 204 ||
+	    parser->status_code == 304)
+		return false;
+	return (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+	bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+
+	message->headers_done = true;
+	parser->upgrade = 0;
+	if (has_length && parser->content_length > message->max_body_bytes)
+		return stop(message, HTTP_FEED_BODY_TOO_LARGE);
+	if (parser->type == HTTP_RESPONSE && !message->no_body)
+		message->ends_at_close = ends_at_close(parser);
+	return message->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t size)
+{
+	http_message_t *message = parser->data;
+
+	if (message->body.size + size > message->max_body_bytes)
+		return stop(message, HTTP_FEED_BODY_TOO_LARGE);
+	buffer_append(&message->body, at, size);
+	return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+
+	message->complete = true;
+	message->keep_alive = http_should_keep_alive(parser) != 0;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_url = on_url,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void
+start_parser(http_message_t *message, enum http_parser_type type)
+{
+	http_parser_init(&message->parser, type);
+	message->parser.data = message;
+}
+
+void
+http_message_init(http_message_t *message, enum http_parser_type type,
+    size_t max_header_bytes, size_t max_body_bytes)
+{
+	memset(message, 0, offsetof(http_message_t, headers));
+	message->max_header_bytes = max_header_bytes;
+	message->max_body_bytes = max_body_bytes;
+	message->body = (buffer_t){0};
+	start_parser(message, type);
+	http_message_reset(message);
+}
+
+void
+http_message_reset(http_message_t *message)
+{
+	start_parser(message, (enum http_parser_type)message->parser.type);
+	buffer_clear(&message->text);
+	buffer_clear(&message->body);
+	message->target_size = 0;
+	message->header_count = 0;
+	message->failure = HTTP_FEED_BAD;
+	message->started = false;
+	message->headers_done = false;
+	message->complete = false;
+	message->keep_alive = false;
+	message->ends_at_close = false;
+	message->no_body = false;
+	message->in_value = false;
+}
+
+void
+http_message_free(http_message_t *message)
+{
+	buffer_free(&message->text);
+	buffer_free(&message->body);
+}
+
+/* An interim response (1xx) is read and dropped. */
+static bool
+is_interim(const http_message_t *message)
+{
+	return message->parser.type == HTTP_RESPONSE &&
+	    message->parser.status_code / 100 == 1;
+}
+
+http_feed_t
+http_message_feed(
+    http_message_t *message, const char *data, size_t size, size_t *used)
+{
+	bool no_body = message->no_body;
+
+	*used = 0;
+	while (*used < size) {
+		message->started = true;
+		*used += http_parser_execute(
+		    &message->parser, &callbacks, data + *used, size - *used);
+		if (message->complete && is_interim(message)) {
+			http_message_reset(message);
+			message->no_body = no_body;
+			continue;
+		}
+		if (message->complete)
+			return HTTP_FEED_DONE;
+		if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK)
+			return message->failure;
+	}
+	return HTTP_FEED_MORE;
+}
+
+http_feed_t
+http_message_finish(http_message_t *message)
+{
+	http_parser_execute(&message->parser, &callbacks, NULL, 0);
+	return message->complete ? HTTP_FEED_DONE : HTTP_FEED_BAD;
+}
+
+slice_t
+http_message_target(const http_message_t *message)
+{
+	return (slice_t){message->text.data, message->target_size};
+}
+
+const char *
+http_message_method(const http_message_t *message)
+{
+	return http_method_str((enum http_method)message->parser.method);
+}
+
+int
+http_message_status(const http_message_t *message)
+{
+	return message->parser.status_code;
+}
+
+slice_t
+http_header_name(const http_message_t *message, uint32_t index)
+{
+	const http_header_t *header = &message->headers[index];
+
+	return (slice_t){message->text.data + header->name, header->name_size};
+}
+
+slice_t
+http_header_value(const http_message_t *message, uint32_t index)
+{
+	const http_header_t *header = &message->headers[index];
+	slice_t value = {
+	    message->text.data + header->value, header->value_size};
+
+	while (value.size > 0 &&
+	    (value.data[value.size - 1] == ' ' ||
+		value.data[value.size - 1] == '\t'))
+		value.size--;
+	return value;
+}
+
+bool
+http_message_find(
+    const http_message_t *message, const char *name, slice_t *value)
+{
+	for (uint32_t i = 0; i < message->header_count; i++) {
+		if (!http_header_is(http_header_name(message, i), name))
+			continue;
+		*value = http_header_value(message, i);
+		return true;
+	}
+	return false;
+}
+
+bool
+http_header_is(slice_t header, const char *name)
+{
+	return strlen(name) == header.size &&
+	    strncasecmp(header.data, name, header.size) == 0;
+}
+
+bool
+http_header_is_hop(slice_t header)
+{
+	for (size_t i = 0; i < sizeof(hop_headers) / sizeof(hop_headers[0]);
+	     i++)
+		if (http_header_is(header, hop_headers[i]))
+			return true;
+	return false;
+}
+
+static slice_t
+trim(slice_t text)
+{
+	while (text.size > 0 && (*text.data == ' ' || *text.data == '\t')) {
+		text.data++;
+		text.size--;
+	}
+	while (text.size > 0 &&
+	    (text.data[text.size - 1] == ' ' ||
+		text.data[text.size - 1] == '\t'))
+		text.size--;
+	return text;
+}
+
+bool
+http_token_listed(slice_t list, slice_t token)
+{
+	while (list.size > 0) {
+		const char *comma = memchr(list.data, ',', list.size);
+		size_t size =
+		    comma != NULL ? (size_t)(comma - list.data) : list.size;
+		slice_t item = trim((slice_t){list.data, size});
+
+		if (item.size == token.size &&
+		    strncasecmp(item.data, token.data, token.size) == 0)
+			return true;
+		if (comma == NULL)
+			break;
+		list.data += size + 1;
+		list.size -= size + 1;
+	}
+	return false;
+}
+
+int64_t
+http_slice_number(slice_t text)
+{
+	int64_t number = 0;
+
+	text = trim(text);
+	if (text.size == 0 || text.size > MAX_NUMBER_DIGITS)
+		return -1;
+	for (size_t i = 0; i < text.size; i++) {
+		if (text.data[i] < '0' || text.data[i] > '9')
+			return -1;
+		number = number * 10 + (text.data[i] - '0');
+	}
+	return number;
+}
--- /dev/null
+++ b/source/http/http_socket.c
@@ -0,0 +1,101 @@
+#include "http_socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bulrushwell/error.h"
+
+#define LISTEN_BACKLOG 1024
+#define KEEP_ALIVE_PROBES 2
+
+static void
+set_option(int fd, int level, int name, int value)
+{
+	setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+int
+http_socket_listen(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return BW_E_IO;
+	set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+	    listen(fd, LISTEN_BACKLOG) != 0) {
+		close(fd);
+		return BW_E_IO;
+	}
+	return fd;
+}
+
+int
+http_socket_accept(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0)
+		set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	return fd;
+}
+
+int
+http_socket_connect(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return BW_E_IO;
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
+		0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return BW_E_IO;
+	}
+	return fd;
+}
+
+void
+http_socket_detect_silence(int fd, usec_t limit)
+{
+	int seconds = (int)(limit / USEC_PER_SEC / (KEEP_ALIVE_PROBES + 1));
+
+	if (seconds < 1)
+		seconds = 1;
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEP_ALIVE_PROBES);
+	set_option(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)(limit / USEC_PER_MS));
+}
+
+int
+http_socket_parse(const char *text, struct sockaddr_in *address)
+{
+	char host[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+		return BW_E_INVALID;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (colon[1] == '\0' || *end != '\0' || port <= 0 || port > 65535)
+		return BW_E_INVALID;
+	*address = (struct sockaddr_in){.sin_family = AF_INET};
+	address->sin_port = htons((uint16_t)port);
+	if (inet_pton(AF_INET, host, &address->sin_addr) != 1)
+		return BW_E_INVALID;
+	return 0;
+}
