Bound discovery calls and connections by the number of nodes

Change: a watch pauses after a change; a node uses the servers that its place in the order of nodes gives it when connections are fewer than nodes; the bound of a leaving server is divided between discovery and last use.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -303,15 +303,21 @@
 }
 
 void
-gateway_nodes(gateway_t *gateway, uint32_t nodes)
+gateway_nodes(gateway_t *gateway, uint32_t nodes, uint32_t index)
 {
 	pool_t *pool = engine_pool(gateway->engine);
 
-	if (nodes == pool_nodes(pool))
-		return;
-	event_log(
-	    EVENT_NODES_COUNTED, "nodes=%u before=%u", nodes, pool_nodes(pool));
-	pool_set_nodes(pool, nodes);
+	if (nodes != pool_nodes(pool))
+		event_log(EVENT_NODES_COUNTED, "nodes=%u before=%u index=%u",
+		    nodes, pool_nodes(pool), index);
+	pool_set_nodes(pool, nodes, index);
+}
+
+void
+gateway_registry_answered(gateway_t *gateway, bool answered)
+{
+	pool_registry_answered(
+	    engine_pool(gateway->engine), answered, gateway_now(gateway));
 }
 
 void
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -42,8 +42,11 @@
 /** gateway_servers_listed() - The registry was read as a whole. */
 void gateway_servers_listed(gateway_t *gateway, GHashTable *present);
 
-/** gateway_nodes() - Number of nodes that run. */
-void gateway_nodes(gateway_t *gateway, uint32_t nodes);
+/** gateway_registry_answered() - The server registry answered, or did not. */
+void gateway_registry_answered(gateway_t *gateway, bool answered);
+
+/** gateway_nodes() - Number of nodes that run, and which of them this is. */
+void gateway_nodes(gateway_t *gateway, uint32_t nodes, uint32_t index);
 
 /** gateway_store_calls() - One more call to the store, for the metrics. */
 void gateway_store_call(gateway_t *gateway, bool answered);
--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -12,8 +12,13 @@
 #define DEFAULT_RETRY_SLACK "20"
 #define DEFAULT_DRAIN_MS "3000"
 #define DEFAULT_STOP_S "6"
-/* Requests sent this long before the bound still arrive within it. */
-#define DRAIN_MARGIN MS(800)
+/*
+ * Of the time within which a leaving server must get no more requests, these
+ * parts are spent until this node hears of it, and then as a last resort. The
+ * rest covers a slow store and requests on their way.
+ */
+#define DISCOVERY_PART 0.3
+#define LAST_RESORT_PART 0.4
 #define STOP_MARGIN MS(600)
 
 typedef enum {
@@ -139,8 +144,10 @@
 		texts, SET_STOP_S, 1.0, 3600.0, &stop_s, why, why_size) != 0)
 		return BW_E_SETTINGS;
 	settings->retries.window = (usec_t)(window_s * USEC_PER_SEC);
+	settings->discovery_interval =
+	    (usec_t)(DISCOVERY_PART * drain_ms * USEC_PER_MS);
 	settings->drain_limit =
-	    MAX((usec_t)(drain_ms * USEC_PER_MS) - DRAIN_MARGIN, MS(100));
+	    (usec_t)(LAST_RESORT_PART * drain_ms * USEC_PER_MS);
 	settings->stop_limit = (usec_t)(stop_s * USEC_PER_SEC) - STOP_MARGIN;
 	return 0;
 }
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -25,7 +25,8 @@
 	struct sockaddr_in store_address;
 	retry_limits_t retries;
 	usec_t drain_limit; /* a leaving server gets no request after this */
-	usec_t stop_limit;  /* a stopping process is killed after this */
+	usec_t discovery_interval; /* pause between two looks at the registry */
+	usec_t stop_limit;	   /* a stopping process is killed after this */
 	bool check_only;
 	bool version_only;
 } gateway_settings_t;
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -134,10 +134,26 @@
 	return time;
 }
 
+/* Servers are tried class by class. */
+typedef enum {
+	CLASS_ASSIGNED,
+	CLASS_OTHER,
+	CLASS_LEAVING,
+	CLASS_COUNT
+} class_t;
+
+static class_t
+class_of(const replica_view_t *view)
+{
+	if (view->leaving)
+		return CLASS_LEAVING;
+	return view->assigned ? CLASS_ASSIGNED : CLASS_OTHER;
+}
+
 static bool
-is_usable(const replica_view_t *view, bool leaving, usec_t now)
+is_usable(const replica_view_t *view, class_t class, usec_t now)
 {
-	return !view->excluded && view->leaving == leaving &&
+	return !view->excluded && class_of(view) == class &&
 	    !view->health->unproven && now >= view->health->ejected_until;
 }
 
@@ -149,7 +165,7 @@
 }
 
 static int
-choose_among(const replica_view_t *views, uint32_t count, bool leaving,
+choose_among(const replica_view_t *views, uint32_t count, class_t class,
     usec_t typical, usec_t now, bool *busy)
 {
 	double best_time = DBL_MAX;
@@ -158,7 +174,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		double time;
 
-		if (!is_usable(&views[i], leaving, now))
+		if (!is_usable(&views[i], class, now))
 			continue;
 		if (!has_room(&views[i])) {
 			*busy = true;
@@ -177,11 +193,13 @@
 placement_choose(const replica_view_t *views, uint32_t count, usec_t typical,
     usec_t now, bool *busy)
 {
-	int best;
-
 	*busy = false;
-	best = choose_among(views, count, false, typical, now, busy);
-	if (best == PLACEMENT_NONE && !*busy)
-		best = choose_among(views, count, true, typical, now, busy);
-	return best;
+	for (class_t class = CLASS_ASSIGNED; class < CLASS_COUNT; class ++) {
+		int best =
+		    choose_among(views, count, class, typical, now, busy);
+
+		if (best != PLACEMENT_NONE || *busy)
+			return best;
+	}
+	return PLACEMENT_NONE;
 }
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -54,6 +54,7 @@
 	bool has_connection;
 	bool same_data_centre;
 	bool warming_up;
+	bool assigned; /* one of the servers that this node shall use */
 	bool leaving;  /* it announced its stop, or its entry is gone */
 	bool excluded; /* this task has used it already */
 } replica_view_t;
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -9,6 +9,9 @@
 #define CONNECTION_PART 0.9
 #define DEFAULT_MAX_CONNECTIONS 8
 #define DEFAULT_NODES 8
+/* Entries that lapsed during an outage are back this soon after it. */
+#define LAPSE_RETURN MS(2600)
+#define LAPSE_DOUBT SECONDS(3) /* after an outage, lapses are doubted */
 #define FIRST_LIMIT 4.0 /* attempts at once on a server, before samples */
 
 static void
@@ -124,9 +127,25 @@
 }
 
 void
-pool_set_nodes(pool_t *pool, uint32_t nodes)
+pool_set_nodes(pool_t *pool, uint32_t nodes, uint32_t index)
 {
+	GHashTableIter iter;
+	void *value;
+
+	if (pool->nodes == MAX(nodes, 1) && pool->node_index == index)
+		return;
 	pool->nodes = MAX(nodes, 1);
+	pool->node_index = index;
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_assign(pool, value);
+}
+
+void
+pool_registry_answered(pool_t *pool, bool answered, usec_t now)
+{
+	if (!answered)
+		pool->registry_lost_at = now;
 }
 
 uint32_t
@@ -135,20 +154,72 @@
 	return pool->nodes;
 }
 
+/* This node's part of the connections that a server accepts. */
+static double
+connection_share(const pool_t *pool, const upstream_t *upstream)
+{
+	return upstream->max_connections * CONNECTION_PART / pool->nodes;
+}
+
 uint32_t
 pool_connection_limit(const pool_t *pool, const upstream_t *upstream)
 {
-	double share =
-	    upstream->max_connections * CONNECTION_PART / pool->nodes;
+	double share = connection_share(pool, upstream);
 
 	return share < 1.0 ? 1 : (uint32_t)share;
 }
 
+static int
+compare_for_node(const void *a, const void *b)
+{
+	const replica_t *left = *(replica_t *const *)a;
+	const replica_t *right = *(replica_t *const *)b;
+
+	if (left->entry.same_data_centre != right->entry.same_data_centre)
+		return left->entry.same_data_centre ? -1 : 1;
+	return strcmp(left->entry.id, right->entry.id);
+}
+
+/*
+ * When a server accepts fewer connections than there are nodes, each node uses
+ * some of the servers only: those of its data centre, and of the others those
+ * that its place in the order of nodes selects, so that all get equally many.
+ */
+void
+pool_assign(pool_t *pool, upstream_t *upstream)
+{
+	GPtrArray *replicas = upstream->replicas;
+	double share = connection_share(pool, upstream);
+	uint32_t used = replicas->len, near = 0;
+
+	if (share < 1.0)
+		used = MAX((uint32_t)(share * replicas->len), 1);
+	g_ptr_array_sort(replicas, compare_for_node);
+	for (guint i = 0; i < replicas->len; i++) {
+		replica_t *replica = replicas->pdata[i];
+
+		if (replica->entry.same_data_centre)
+			near++;
+	}
+	for (guint i = 0; i < replicas->len; i++) {
+		replica_t *replica = replicas->pdata[i];
+		uint32_t far = replicas->len - near;
+		uint32_t place = i < near ? i
+					  : near +
+			(i - near + pool->node_index +
+			    g_str_hash(upstream->name)) %
+			    far;
+
+		replica->assigned = place < used;
+	}
+}
+
 static void
 remove_replica(pool_t *pool, replica_t *replica)
 {
 	g_hash_table_remove(pool->replicas, replica->entry.id);
 	g_ptr_array_remove_fast(replica->upstream->replicas, replica);
+	pool_assign(pool, replica->upstream);
 	replica->removed = true;
 	pool_close_idle(replica);
 	if (replica->connections->len == 0)
@@ -173,6 +244,7 @@
 	replica_health_init(&replica->health, FIRST_LIMIT, now);
 	g_ptr_array_add(replica->upstream->replicas, replica);
 	g_hash_table_insert(pool->replicas, replica->entry.id, replica);
+	pool_assign(pool, replica->upstream);
 	event_log(EVENT_SERVER_FOUND, "server=%s upstream=%s state=%s",
 	    entry->id, entry->service, entry->draining ? "draining" : "ready");
 }
@@ -257,6 +329,23 @@
 			unlist(value, now);
 }
 
+/*
+ * An entry that lapsed while the registry was away may come back, so the server
+ * is used somewhat longer then.
+ */
+static bool
+has_left(const pool_t *pool, const replica_t *replica, usec_t now)
+{
+	usec_t limit = pool->settings.drain_limit;
+
+	if (replica->leaving_since == 0)
+		return false;
+	if (!replica->listed && pool->registry_lost_at != 0 &&
+	    replica->leaving_since - pool->registry_lost_at < LAPSE_DOUBT)
+		limit = MAX(limit, LAPSE_RETURN);
+	return now - replica->leaving_since >= limit;
+}
+
 void
 pool_remove_left(pool_t *pool, usec_t now)
 {
@@ -268,8 +357,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		replica_t *replica = value;
 
-		if (!replica->listed &&
-		    now - replica->leaving_since >= pool->settings.drain_limit)
+		if (!replica->listed && has_left(pool, replica, now))
 			g_ptr_array_add(left, replica);
 	}
 	for (guint i = 0; i < left->len; i++)
@@ -320,10 +408,10 @@
 	    .slots = replica->entry.slots,
 	    .same_data_centre = replica->entry.same_data_centre,
 	    .warming_up = now < replica->warm_until,
+	    .assigned = replica->assigned,
 	    .leaving = replica->leaving_since != 0,
 	};
-	if (view->leaving &&
-	    now - replica->leaving_since >= pool->settings.drain_limit)
+	if (has_left(pool, replica, now))
 		view->excluded = true;
 	view_connections(pool, replica, view);
 }
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -68,10 +68,19 @@
 /** pool_apply() - Takes connection limits from a new route table. */
 void pool_apply(pool_t *pool, const route_table_t *table);
 
-/** pool_set_nodes() - Number of nodes that share each server. */
-void pool_set_nodes(pool_t *pool, uint32_t nodes);
+/**
+ * pool_set_nodes() - The nodes that share each server.
+ * @index: which of them this one is
+ */
+void pool_set_nodes(pool_t *pool, uint32_t nodes, uint32_t index);
 uint32_t pool_nodes(const pool_t *pool);
 
+/**
+ * pool_registry_answered() - Whether the registry was reached. Entries that
+ * lapsed while it was away come back soon after.
+ */
+void pool_registry_answered(pool_t *pool, bool answered, usec_t now);
+
 /** pool_server_seen() - The registry has this entry. */
 void pool_server_seen(pool_t *pool, const server_entry_t *entry, usec_t now);
 
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -13,7 +13,7 @@
 #define RECENT_INTERVAL MS(500)
 #define BROKEN_IN_ROW_EJECTS 3
 #define SPARE_INTERVAL MS(400) /* between spare connections to a server */
-#define SPARE_MAX_REPLICAS 600 /* more servers get no spare connections */
+#define SPARE_PER_SWEEP 4      /* nodes that start together spread their load */
 
 usec_t
 pool_now(const pool_t *pool)
@@ -379,16 +379,31 @@
 	return true;
 }
 
+/* With few connections to go round, only the first server has a spare one. */
+static bool
+wants_spare(const pool_t *pool, const replica_t *replica)
+{
+	const upstream_t *upstream = replica->upstream;
+
+	if (!upstream->routed || replica->leaving_since != 0 ||
+	    replica->connections->len > 0)
+		return false;
+	if (replica->health.unproven)
+		return replica->assigned;
+	if (pool_connection_limit(pool, upstream) > 1)
+		return true;
+	return replica->assigned && replica->entry.same_data_centre;
+}
+
 /* A server that is in use always has a connection ready. */
 static void
 open_spare(pool_t *pool, replica_t *replica, usec_t now)
 {
-	if (!replica->upstream->routed || replica->leaving_since != 0 ||
-	    replica->connections->len > 0 ||
+	if (!wants_spare(pool, replica) ||
 	    now < replica->health.ejected_until ||
-	    now < replica->connect_again_at ||
-	    g_hash_table_size(pool->replicas) > SPARE_MAX_REPLICAS)
+	    now < replica->connect_again_at || pool->opened >= SPARE_PER_SWEEP)
 		return;
+	pool->opened++;
 	replica->connect_again_at = now + SPARE_INTERVAL;
 	pool_connection_open(pool, replica, now);
 }
@@ -419,6 +434,7 @@
 		pool->answered[0] = 0;
 		pool->broken[0] = 0;
 	}
+	pool->opened = 0;
 	pool_remove_left(pool, now);
 	replicas = g_hash_table_get_values(pool->replicas);
 	for (GList *at = replicas; at != NULL; at = at->next)
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -23,8 +23,11 @@
 	pool_settings_t settings;
 	pool_handlers_t handlers;
 	uint32_t nodes;
-	GHashTable *upstreams; /* by name */
-	GHashTable *replicas;  /* by server id */
+	uint32_t node_index;
+	usec_t registry_lost_at; /* last time that it did not answer */
+	uint32_t opened;	 /* spare connections of this sweep */
+	GHashTable *upstreams;	 /* by name */
+	GHashTable *replicas;	 /* by server id */
 	ev_timer sweep;
 	uint32_t answered[2]; /* this half second and the one before */
 	uint32_t broken[2];
@@ -34,6 +37,9 @@
 /** pool_connection_limit() - Connections to a server that are this node's. */
 uint32_t pool_connection_limit(const pool_t *pool, const upstream_t *upstream);
 
+/** pool_assign() - Marks the servers of an upstream that this node uses. */
+void pool_assign(pool_t *pool, upstream_t *upstream);
+
 /** pool_connection_open() - A new connection, or NULL. */
 pool_connection_t *pool_connection_open(
     pool_t *pool, replica_t *replica, usec_t now);
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -43,6 +43,7 @@
 	uint32_t broken_in_row;
 	bool removed; /* freed with its last connection */
 	GPtrArray *connections;
+	bool assigned; /* this node uses it while others are fine too */
 	usec_t connect_again_at; /* earliest time of a spare connection */
 };
 
