Weigh servers of other nodes against a slow subset; call attempts late by the typical time

Cause: with 20 % of servers slow, a node whose two assigned servers of a shard were both slow never used the third, and the quantile that starts a hedge was the time of the slow servers; before samples, hedges went out after 25 ms of 28 ms work. Change: an unassigned server costs one typical time more; late is 1.5 to 2 typical times; the first guess follows the route's goal; slowness is remembered longer.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -133,7 +133,7 @@
 		return state;
 	state = g_new0(route_state_t, 1);
 	state->name = g_strdup(route->name);
-	state->latency = latency_create();
+	state->latency = latency_create(route->goal);
 	state->answered = histogram_create();
 	state->failed = histogram_create();
 	g_hash_table_insert(engine->route_states, state->name, state);
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -24,6 +24,7 @@
 	uint32_t sent;	 /* attempts that a server may have received */
 	usec_t hedge_at; /* 0: no second attempt is planned */
 	bool queued;
+	bool denied; /* the retry budget allowed no further attempt */
 	bool ran;    /* a server may have run it */
 	char *stamp; /* fan-out: proof of the part that is in */
 } task_t;
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -42,21 +42,24 @@
 static void
 log_end(const exchange_t *exchange, int status, const char *cause, usec_t now)
 {
-	uint32_t sent = 0;
+	uint32_t sent = 0, in = 0, denied = 0;
 
-	for (uint32_t i = 0; i < exchange->task_count; i++)
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		sent += exchange->tasks[i].sent;
+		in += exchange->tasks[i].state == TASK_ANSWERED;
+		denied += exchange->tasks[i].denied;
+	}
 	event_log_sampled(
 	    status < 400 ? EVENT_REQUEST_ANSWERED : EVENT_REQUEST_FAILED,
 	    "request=%.*s route=%s version=%lld status=%d ms=%.1f tasks=%u "
-	    "sent=%u cause=%s",
+	    "in=%u sent=%u denied=%u cause=%s",
 	    (int)exchange->request_id.size, exchange->request_id.data,
 	    exchange->route != NULL ? exchange->route->name : "-",
 	    (long long)(exchange->table != NULL
 		    ? route_table_version(exchange->table)
 		    : 0),
 	    status, (double)(now - exchange->received_at) / USEC_PER_MS,
-	    exchange->task_count, sent, cause);
+	    exchange->task_count, in, sent, denied, cause);
 }
 
 static void
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -172,6 +172,7 @@
 		now))
 		return true;
 	engine->counters.budget_denied++;
+	task->denied = true;
 	return false;
 }
 
--- a/source/gateway/latency.c
+++ b/source/gateway/latency.c
@@ -4,8 +4,15 @@
 
 #define TYPICAL_QUANTILE 0.5
 #define LATE_QUANTILE 0.92
-#define DEFAULT_TYPICAL MS(10)
-#define DEFAULT_LATE MS(25)
+/*
+ * When more attempts than the quantile leaves out are slow, the quantile is
+ * their time, so "late" is also bounded by the typical time.
+ */
+#define LATE_MIN_FACTOR 1.5
+#define LATE_MAX_FACTOR 2.0
+/* Until there are samples, an attempt may take this part of the goal. */
+#define GUESS_TYPICAL_PART 0.15
+#define GUESS_LATE_PART 0.4
 #define REFRESH_SAMPLES 16 /* quantiles are computed this often */
 #define DECAY_SAMPLES 1024 /* older samples count half */
 #define MIN_SAMPLES 16	   /* fewer say nothing about the tail */
@@ -19,13 +26,13 @@
 };
 
 latency_t *
-latency_create(void)
+latency_create(usec_t goal)
 {
 	latency_t *latency = g_new0(latency_t, 1);
 
 	latency->samples = histogram_create();
-	latency->typical = DEFAULT_TYPICAL;
-	latency->late = DEFAULT_LATE;
+	latency->typical = MAX((usec_t)(GUESS_TYPICAL_PART * goal), MS(1));
+	latency->late = MAX((usec_t)(GUESS_LATE_PART * goal), MS(2));
 	return latency;
 }
 
@@ -44,10 +51,12 @@
 	latency->since_refresh = 0;
 	latency->typical =
 	    histogram_quantile(latency->samples, TYPICAL_QUANTILE);
-	if (histogram_count(latency->samples) >= MIN_SAMPLES)
-		latency->late =
-		    histogram_quantile(latency->samples, LATE_QUANTILE);
-	latency->late = MAX(latency->late, latency->typical);
+	if (histogram_count(latency->samples) < MIN_SAMPLES)
+		return;
+	latency->late =
+	    CLAMP(histogram_quantile(latency->samples, LATE_QUANTILE),
+		(usec_t)(LATE_MIN_FACTOR * latency->typical),
+		(usec_t)(LATE_MAX_FACTOR * latency->typical));
 }
 
 void
--- a/source/gateway/latency.h
+++ b/source/gateway/latency.h
@@ -12,7 +12,12 @@
  */
 typedef struct latency latency_t;
 
-latency_t *latency_create(void);
+/**
+ * latency_create() - An estimate without samples.
+ * @goal: time within which the route is to be answered; what is typical is
+ * guessed from it until there are samples
+ */
+latency_t *latency_create(usec_t goal);
 void latency_destroy(latency_t *latency);
 
 void latency_record(latency_t *latency, usec_t elapsed);
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -3,10 +3,10 @@
 #include <float.h>
 #include <math.h>
 
-#define SLOWNESS_WEIGHT 0.2 /* of a new sample */
+#define SLOWNESS_WEIGHT 0.35 /* of a new sample */
 #define SLOWNESS_MAX 50.0
 #define FAILURE_WEIGHT 0.25	/* of a new sample */
-#define FORGET_AFTER SECONDS(3) /* time constant of both estimates */
+#define FORGET_AFTER SECONDS(5) /* time constant of both estimates */
 #define LIMIT_GROWTH 0.2	/* attempts a success adds to the limit */
 #define LIMIT_SHED_PART 0.7	/* of the running attempts is kept */
 #define EJECT_FIRST MS(250)
@@ -16,7 +16,9 @@
 #define WARM_UP_SLOWNESS 1.5
 #define CONNECT_COST MS(6)
 #define REMOTE_COST MS(2) /* another data centre: the way and the traffic */
-#define STUCK_AFTER 2.5	  /* typical times; then the server seems stuck */
+/* A server that other nodes shall use is worth it when ours are slow. */
+#define UNASSIGNED_COST 1.0 /* typical times */
+#define STUCK_AFTER 2.5	    /* typical times; then the server seems stuck */
 #define STUCK_MIN MS(4)
 #define STUCK_COST 2.0 /* a stuck server stays so about as long again */
 
@@ -129,31 +131,17 @@
 	time += FAILURE_COST * health->failure * (double)typical;
 	if (!view->has_connection)
 		time += (double)CONNECT_COST;
+	if (!view->assigned)
+		time += UNASSIGNED_COST * (double)typical;
 	if (!view->same_data_centre)
 		time += (double)REMOTE_COST;
 	return time;
 }
 
-/* Servers are tried class by class. */
-typedef enum {
-	CLASS_ASSIGNED,
-	CLASS_OTHER,
-	CLASS_LEAVING,
-	CLASS_COUNT
-} class_t;
-
-static class_t
-class_of(const replica_view_t *view)
-{
-	if (view->leaving)
-		return CLASS_LEAVING;
-	return view->assigned ? CLASS_ASSIGNED : CLASS_OTHER;
-}
-
 static bool
-is_usable(const replica_view_t *view, class_t class, usec_t now)
+is_usable(const replica_view_t *view, bool leaving, usec_t now)
 {
-	return !view->excluded && class_of(view) == class &&
+	return !view->excluded && view->leaving == leaving &&
 	    !view->health->unproven && now >= view->health->ejected_until;
 }
 
@@ -165,7 +153,7 @@
 }
 
 static int
-choose_among(const replica_view_t *views, uint32_t count, class_t class,
+choose_among(const replica_view_t *views, uint32_t count, bool leaving,
     usec_t typical, usec_t now, bool *busy)
 {
 	double best_time = DBL_MAX;
@@ -174,7 +162,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		double time;
 
-		if (!is_usable(&views[i], class, now))
+		if (!is_usable(&views[i], leaving, now))
 			continue;
 		if (!has_room(&views[i])) {
 			*busy = true;
@@ -193,13 +181,11 @@
 placement_choose(const replica_view_t *views, uint32_t count, usec_t typical,
     usec_t now, bool *busy)
 {
-	*busy = false;
-	for (class_t class = CLASS_ASSIGNED; class < CLASS_COUNT; class ++) {
-		int best =
-		    choose_among(views, count, class, typical, now, busy);
+	int best;
 
-		if (best != PLACEMENT_NONE || *busy)
-			return best;
-	}
-	return PLACEMENT_NONE;
+	*busy = false;
+	best = choose_among(views, count, false, typical, now, busy);
+	if (best == PLACEMENT_NONE && !*busy)
+		best = choose_among(views, count, true, typical, now, busy);
+	return best;
 }
