Limit attempts by their time at the server; keep the retry budget for failures

Change: the limit of a server falls with answers that waited; a waiting task that can still be in time goes first; hedges leave a part of the budget, more so for shards that the answer can do without; client limits have defaults.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -267,6 +267,29 @@
 	return view;
 }
 
+/*
+ * Whether the shards that have failed or are late now are too many for an
+ * answer without one of them.
+ */
+bool
+exchange_needs(const exchange_t *exchange, usec_t now)
+{
+	gather_state_t view;
+	uint32_t at_risk = 0;
+
+	if (exchange->route->kind != ROUTE_FANOUT)
+		return true;
+	view = gather_view(exchange);
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const task_t *task = &exchange->tasks[i];
+
+		if (task->state == TASK_FAILED || task->state == TASK_WAITING ||
+		    (task->state == TASK_RUNNING && now >= task->late_at))
+			at_risk++;
+	}
+	return gather_needs(&view, at_risk);
+}
+
 static void
 check_fanout(exchange_t *exchange, usec_t now)
 {
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -22,6 +22,7 @@
 	uint32_t running_count;
 	const replica_t *tried[TASK_MAX_ATTEMPTS];
 	uint32_t sent;	 /* attempts that a server may have received */
+	usec_t late_at;	 /* its first attempt is late from then on */
 	usec_t hedge_at; /* 0: no second attempt is planned */
 	bool queued;
 	bool denied; /* the retry budget allowed no further attempt */
@@ -85,6 +86,7 @@
 /* exchange.c: called when a task has changed. */
 void exchange_task_answered(
     task_t *task, const attempt_t *attempt, const http_message_t *response);
+bool exchange_needs(const exchange_t *exchange, usec_t now);
 void exchange_check(exchange_t *exchange, usec_t now);
 void exchange_set_timer(exchange_t *exchange, usec_t now);
 usec_t engine_now(const exchange_engine_t *engine);
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -3,8 +3,12 @@
 #include "bulrushwell/event.h"
 #include "exchange_private.h"
 
-/* Hedges leave this part of the retry budget to repeats after failures. */
+/*
+ * Parts of the retry budget that hedges leave to repeats after failures, and
+ * that hedges of shards that an answer can do without leave further.
+ */
 #define HEDGE_RESERVE 0.3
+#define OPTIONAL_RESERVE 0.3
 /* A hedge is sent this many typical times before the goal at the latest. */
 #define HEDGE_LEAD 2.0
 
@@ -82,8 +86,9 @@
 	task->sent++;
 	task->running[task->running_count++] = attempt;
 	task->state = TASK_RUNNING;
+	task->late_at = hedge_time(task, now);
 	task->hedge_at = exchange->route->idempotent && may_send_again(task)
-	    ? hedge_time(task, now)
+	    ? task->late_at
 	    : 0;
 }
 
@@ -181,6 +186,7 @@
 {
 	exchange_engine_t *engine = task->exchange->engine;
 	uint32_t before = task->sent;
+	double reserve = HEDGE_RESERVE;
 	bool busy;
 
 	task->hedge_at = 0;
@@ -190,7 +196,9 @@
 		latency_typical(task->exchange->state->latency), now,
 		&busy) == NULL)
 		return;
-	if (!take_budget(task, HEDGE_RESERVE, now))
+	if (!exchange_needs(task->exchange, now))
+		reserve += OPTIONAL_RESERVE;
+	if (!take_budget(task, reserve, now))
 		return;
 	try_dispatch(task, now);
 	if (task->sent > before)
@@ -364,6 +372,27 @@
 	exchange_check(exchange, now);
 }
 
+/*
+ * The most urgent task that can still end before its goal; without one, the
+ * most urgent of the late ones. A backlog that makes every answer late would
+ * otherwise never end.
+ */
+static task_t *
+pop_waiting(upstream_t *upstream, usec_t now)
+{
+	for (GList *at = upstream->waiting.head; at != NULL; at = at->next) {
+		task_t *task = at->data;
+		const exchange_t *exchange = task->exchange;
+
+		if (now + latency_typical(exchange->state->latency) >
+		    exchange->goal_at)
+			continue;
+		g_queue_delete_link(&upstream->waiting, at);
+		return task;
+	}
+	return g_queue_pop_head(&upstream->waiting);
+}
+
 void
 task_room(void *context, upstream_t *upstream)
 {
@@ -371,7 +400,7 @@
 	usec_t now = engine_now(engine);
 	task_t *task;
 
-	while ((task = g_queue_pop_head(&upstream->waiting)) != NULL) {
+	while ((task = pop_waiting(upstream, now)) != NULL) {
 		exchange_t *exchange = task->exchange;
 
 		task->queued = false;
--- a/source/gateway/front.c
+++ b/source/gateway/front.c
@@ -227,17 +227,22 @@
 		client->exchange = exchange;
 }
 
+static const client_limits_t *
+front_limits(const front_t *front)
+{
+	const route_table_t *table = engine_table(front->engine);
+
+	return table != NULL ? route_table_limits(table)
+			     : &client_limits_default;
+}
+
 static void
 apply_limits(client_t *client)
 {
-	const route_table_t *table = engine_table(client->front->engine);
+	const client_limits_t *limits = front_limits(client->front);
 
-	if (table == NULL)
-		return;
-	client->request.max_header_bytes =
-	    route_table_limits(table)->max_header_bytes;
-	client->request.max_body_bytes =
-	    route_table_limits(table)->max_body_bytes;
+	client->request.max_header_bytes = limits->max_header_bytes;
+	client->request.max_body_bytes = limits->max_body_bytes;
 }
 
 static void
@@ -380,15 +385,12 @@
 on_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	front_t *front = timer->data;
-	route_table_t *table = engine_table(front->engine);
 	usec_t now = front_now(front);
 	GList *clients;
 
-	if (table == NULL)
-		return;
 	clients = g_hash_table_get_keys(front->clients);
 	for (GList *at = clients; at != NULL; at = at->next)
-		check_client(at->data, route_table_limits(table), now);
+		check_client(at->data, front_limits(front), now);
 	g_list_free(clients);
 }
 
--- a/source/gateway/gather.c
+++ b/source/gateway/gather.c
@@ -13,6 +13,13 @@
 	    state->in >= state->least * state->total - SHARE_EPSILON;
 }
 
+bool
+gather_needs(const gather_state_t *state, uint32_t at_risk)
+{
+	return (double)state->total - at_risk <
+	    state->least * state->total - SHARE_EPSILON;
+}
+
 static bool
 can_be_enough(const gather_state_t *state)
 {
--- a/source/gateway/gather.h
+++ b/source/gateway/gather.h
@@ -34,6 +34,12 @@
 /** gather_decide() - Whether to answer now. */
 gather_verdict_t gather_decide(const gather_state_t *state, usec_t now);
 
+/**
+ * gather_needs() - Whether an answer is out of reach if @at_risk shards, of
+ * those that have not answered, give none.
+ */
+bool gather_needs(const gather_state_t *state, uint32_t at_risk);
+
 /** gather_is_enough() - Whether the parts that are in make an answer. */
 bool gather_is_enough(const gather_state_t *state);
 
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -7,7 +7,9 @@
 #define SLOWNESS_MAX 50.0
 #define FAILURE_WEIGHT 0.25	/* of a new sample */
 #define FORGET_AFTER SECONDS(5) /* time constant of both estimates */
-#define LIMIT_GROWTH 0.2	/* attempts a success adds to the limit */
+#define LIMIT_GROWTH 0.1	/* attempts that a quick answer adds */
+#define LIMIT_LATE_PART 0.9	/* of the limit is kept after a late one */
+#define LIMIT_LATE_TIMES 3.0	/* typical times: it waited at the server */
 #define LIMIT_SHED_PART 0.7	/* of the running attempts is kept */
 #define EJECT_FIRST MS(250)
 #define EJECT_MAX SECONDS(2)
@@ -62,7 +64,10 @@
 	health->slowness += SLOWNESS_WEIGHT * (ratio - health->slowness);
 	add_failure(health, 0.0);
 	health->refusals = 0;
-	health->limit = fmin(max_limit, health->limit + LIMIT_GROWTH);
+	if (ratio > LIMIT_LATE_TIMES)
+		health->limit = fmax(1.0, health->limit * LIMIT_LATE_PART);
+	else
+		health->limit = fmin(max_limit, health->limit + LIMIT_GROWTH);
 }
 
 void
--- a/source/gateway/retry_budget.c
+++ b/source/gateway/retry_budget.c
@@ -4,7 +4,7 @@
  * Part of the budget that is used. The rest covers nodes that count a window
  * at other moments, and nodes that this one has not heard of yet.
  */
-#define USED_PART 0.85
+#define USED_PART 0.92
 
 static void
 advance(retry_budget_t *budget, const retry_limits_t *limits, usec_t now)
--- a/source/gateway/route_table.c
+++ b/source/gateway/route_table.c
@@ -3,11 +3,12 @@
 #include <glib.h>
 #include <string.h>
 
-/* Used until a configuration is known. */
-#define DEFAULT_HEADER_BYTES 16384
-#define DEFAULT_BODY_BYTES 262144
-#define DEFAULT_HEADER_TIMEOUT SECONDS(3)
-#define DEFAULT_IDLE_TIMEOUT SECONDS(15)
+const client_limits_t client_limits_default = {
+    .max_header_bytes = 16384,
+    .max_body_bytes = 262144,
+    .header_timeout = SECONDS(3),
+    .idle_timeout = SECONDS(15),
+};
 
 struct route_table {
 	int references;
@@ -47,12 +48,7 @@
 
 	table->references = 1;
 	table->version = version;
-	table->limits = (client_limits_t){
-	    .max_header_bytes = DEFAULT_HEADER_BYTES,
-	    .max_body_bytes = DEFAULT_BODY_BYTES,
-	    .header_timeout = DEFAULT_HEADER_TIMEOUT,
-	    .idle_timeout = DEFAULT_IDLE_TIMEOUT,
-	};
+	table->limits = client_limits_default;
 	table->routes = g_ptr_array_new_with_free_func(free_route);
 	table->services = g_array_new(FALSE, TRUE, sizeof(service_spec_t));
 	g_array_set_clear_func(table->services, clear_service);
--- a/source/gateway/route_table.h
+++ b/source/gateway/route_table.h
@@ -55,6 +55,9 @@
 	usec_t idle_timeout;
 } client_limits_t;
 
+/** client_limits_default - In force until a configuration is known. */
+extern const client_limits_t client_limits_default;
+
 typedef struct route_table route_table_t;
 
 route_table_t *route_table_create(int64_t version);
