--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -5,7 +5,7 @@
 
 #define SLOWNESS_WEIGHT 0.35 /* of a new sample */
 #define SLOWNESS_MAX 50.0
-#define FAILURE_WEIGHT 0.25	/* of a new sample */
+#define FAILURE_WEIGHT 0.4	/* of a new sample */
 #define FORGET_AFTER SECONDS(5) /* time constant of both estimates */
 #define LIMIT_GROWTH 0.1	/* attempts that a quick answer adds */
 #define LIMIT_LATE_PART 0.9	/* of the limit is kept after a late one */
@@ -14,7 +14,7 @@
 #define EJECT_FIRST MS(250)
 #define EJECT_MAX SECONDS(2)
 #define EJECT_DOUBLINGS 3
-#define FAILURE_COST 4.0 /* typical times that a failed attempt costs */
+#define FAILURE_COST 16.0 /* typical times that a failed attempt costs */
 #define WARM_UP_SLOWNESS 1.5
 #define CONNECT_COST MS(6)
 #define REMOTE_COST MS(2) /* another data centre: the way and the traffic */
