Judge servers by the load of all nodes; let a remote server cost a typical time

Change: a cubic load factor over slots with the average load of the other nodes; a remote server costs 1.2 typical times; smaller reserves.

--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -7,8 +7,8 @@
  * Parts of the retry budget that hedges leave to repeats after failures, and
  * that hedges of shards that an answer can do without leave further.
  */
-#define HEDGE_RESERVE 0.3
-#define OPTIONAL_RESERVE 0.3
+#define HEDGE_RESERVE 0.25
+#define OPTIONAL_RESERVE 0.15
 /* A hedge is sent this many typical times before the goal at the latest. */
 #define HEDGE_LEAD 2.0
 
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -7,6 +7,7 @@
 #define SLOWNESS_MAX 50.0
 #define FAILURE_WEIGHT 0.4	/* of a new sample */
 #define FORGET_AFTER SECONDS(5) /* time constant of both estimates */
+#define BUSY_TIME SECONDS(2)	/* time constant of the average load */
 #define LIMIT_GROWTH 0.1	/* attempts that a quick answer adds */
 #define LIMIT_LATE_PART 0.9	/* of the limit is kept after a late one */
 #define LIMIT_LATE_TIMES 3.0	/* typical times: it waited at the server */
@@ -17,7 +18,11 @@
 #define FAILURE_COST 16.0 /* typical times that a failed attempt costs */
 #define WARM_UP_SLOWNESS 1.5
 #define CONNECT_COST MS(6)
-#define REMOTE_COST MS(2) /* another data centre: the way and the traffic */
+/*
+ * Traffic between data centres is dear, and the estimates of single servers
+ * vary by about a typical time, so a remote server must be clearly better.
+ */
+#define REMOTE_COST 1.2 /* typical times */
 /* A server that other nodes shall use is worth it when ours are slow. */
 #define UNASSIGNED_COST 1.0 /* typical times */
 #define STUCK_AFTER 2.5	    /* typical times; then the server seems stuck */
@@ -44,6 +49,8 @@
 		return;
 	health->slowness = 1.0 + (health->slowness - 1.0) * kept;
 	health->failure *= kept;
+	health->busy *=
+	    exp(-(double)(now - health->updated) / (double)BUSY_TIME);
 	health->updated = now;
 }
 
@@ -63,6 +70,7 @@
 	ratio = fmin(ratio, SLOWNESS_MAX);
 	health->slowness += SLOWNESS_WEIGHT * (ratio - health->slowness);
 	add_failure(health, 0.0);
+	health->busy += (double)elapsed / (double)BUSY_TIME;
 	health->refusals = 0;
 	if (ratio > LIMIT_LATE_TIMES)
 		health->limit = fmax(1.0, health->limit * LIMIT_LATE_PART);
@@ -120,18 +128,32 @@
 	return STUCK_COST * age;
 }
 
+/*
+ * How much longer an attempt takes because of the others: little while slots
+ * are free, then steeply more. Other nodes are taken to load the server as this
+ * one does on average.
+ */
+static double
+load_factor(const replica_view_t *view)
+{
+	uint32_t slots = view->slots > 0 ? view->slots : 1;
+	double others = fmax(view->sharers - 1.0, 0.0) * view->health->busy;
+	double load = (view->running + others) / slots;
+
+	return 1.0 + load * load * load;
+}
+
 static double
 expected_time(const replica_view_t *view, usec_t typical, usec_t now)
 {
 	replica_health_t *health = view->health;
-	uint32_t slots = view->slots > 0 ? view->slots : 1;
 	double expected, time;
 
 	forget(health, now);
 	expected = (double)typical * health->slowness;
 	if (view->warming_up)
 		expected *= WARM_UP_SLOWNESS;
-	time = expected * (1.0 + (double)view->running / slots);
+	time = expected * load_factor(view);
 	time += stuck_cost(view, expected, now);
 	time += FAILURE_COST * health->failure * (double)typical;
 	if (!view->has_connection)
@@ -139,7 +161,7 @@
 	if (!view->assigned)
 		time += UNASSIGNED_COST * (double)typical;
 	if (!view->same_data_centre)
-		time += (double)REMOTE_COST;
+		time += REMOTE_COST * (double)typical;
 	return time;
 }
 
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -19,7 +19,8 @@
 typedef struct {
 	double slowness;   /* time of its attempts relative to the typical */
 	double failure;	   /* recent share of failed attempts */
-	usec_t updated;	   /* when both were last brought up to date */
+	double busy;	   /* attempts that ran at once, lately on average */
+	usec_t updated;	   /* when these were last brought up to date */
 	double limit;	   /* attempts that may run at once */
 	uint32_t refusals; /* ejections in a row */
 	usec_t ejected_until;
@@ -48,6 +49,7 @@
 typedef struct {
 	replica_health_t *health;
 	uint32_t slots;	    /* requests that it runs at once, of all nodes */
+	double sharers;	    /* nodes that send about as much as this one */
 	uint32_t running;   /* attempts of this node */
 	usec_t oldest_sent; /* start of the oldest of them; 0: none */
 	bool can_send;	    /* a connection is idle or may be opened */
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -406,6 +406,7 @@
 	*view = (replica_view_t){
 	    .health = &replica->health,
 	    .slots = replica->entry.slots,
+	    .sharers = (double)pool->nodes / replica->upstream->replicas->len,
 	    .same_data_centre = replica->entry.same_data_centre,
 	    .warming_up = now < replica->warm_until,
 	    .assigned = replica->assigned,
