--- a/Makefile
+++ b/Makefile
@@ -100,7 +100,7 @@
 	@echo "LD $@"
 	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(FAKE_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(OPT) -o $@ $^ $(PKG_LIBS) -lcmocka
--- a/source/gateway/gateway_metrics.c
+++ b/source/gateway/gateway_metrics.c
@@ -109,6 +109,7 @@
 	write_value(out, "store_failures_total", "", gauges->store_failures);
 	write_value(out, "running_requests", "", engine_running(engine));
 	write_value(out, "nodes", "", pool_nodes(engine_pool(engine)));
+	write_value(out, "servers", "", pool_server_count(engine_pool(engine)));
 	write_value(out, "config_version", "",
 	    table != NULL ? (unsigned long long)route_table_version(table) : 0);
 	write_counters(out, engine_counters(engine));
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -452,3 +452,9 @@
 	*answered = pool->answered[0] + pool->answered[1];
 	*broken = pool->broken[0] + pool->broken[1];
 }
+
+uint32_t
+pool_server_count(const pool_t *pool)
+{
+	return g_hash_table_size(pool->replicas);
+}
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -121,7 +121,10 @@
 /** attempt_cancel() - Closes the connection, so that the server stops. */
 void attempt_cancel(pool_t *pool, attempt_t *attempt);
 
-/** pool_recent_successes() - Attempts answered and broken in the last second.
+/** pool_server_count() - Servers that may be used. */
+uint32_t pool_server_count(const pool_t *pool);
+
+/** pool_recent() - Attempts answered and broken in the last second.
  */
 void pool_recent(const pool_t *pool, uint32_t *answered, uint32_t *broken);
 
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -9,11 +9,15 @@
     "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
     "content-length", "expect", "proxy-authorization", "proxy-authenticate"};
 
+/* 1 and 2 have a meaning of their own for on_headers_complete(). */
+#define STOP_PARSER (-1)
+#define SKIP_BODY 1
+
 static int
 stop(http_message_t *message, http_feed_t failure)
 {
 	message->failure = failure;
-	return 1;
+	return STOP_PARSER;
 }
 
 static bool
@@ -101,7 +105,7 @@
 		return stop(message, HTTP_FEED_BODY_TOO_LARGE);
 	if (parser->type == HTTP_RESPONSE && !message->no_body)
 		message->ends_at_close = ends_at_close(parser);
-	return message->no_body ? 1 : 0;
+	return message->no_body ? SKIP_BODY : 0;
 }
 
 static int
--- /dev/null
+++ b/tests/lib/gateway_world.c
@@ -0,0 +1,306 @@
+#include "gateway_world.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define STORE_PAGE 5 /* smaller than the number of servers */
+#define POLL_STEP_MS 20
+#define DEFAULT_TIMEOUT_MS 2000
+#define FIRST_INCARNATION 1000
+
+static const char *const service_names[WORLD_SHARDS + 2] = {
+    "shard-a", "shard-b", "shard-c", "shard-d", "one", "two"};
+
+static void
+create_servers(gateway_world_t *world)
+{
+	for (int i = 0; i < WORLD_SERVERS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "i-%02d", i);
+		world->servers[i] = plain_server_create(id);
+	}
+}
+
+static void
+start_gateway(gateway_world_t *world)
+{
+	const char *arguments[] = {"--node=n1", "--data-centre=dc1",
+	    "--clients", world->clients, "--health", world->health, "--metrics",
+	    world->metrics, "--store", object_store_address(world->store),
+	    "--drain-ms=1500", "--stop-s=6", "--retry-slack=200", NULL};
+
+	world->gateway = harness_spawn(
+	    world->harness, "bulrushwell-gateway", "gateway", arguments, false);
+}
+
+gateway_world_t *
+world_create_empty(harness_t *harness)
+{
+	gateway_world_t *world = g_new0(gateway_world_t, 1);
+
+	world->harness = harness;
+	world->timeout_ms = DEFAULT_TIMEOUT_MS;
+	world->store = object_store_create(STORE_PAGE);
+	create_servers(world);
+	harness_free_address(world->clients);
+	harness_free_address(world->health);
+	harness_free_address(world->metrics);
+	start_gateway(world);
+	return world;
+}
+
+static bool
+has_all_servers(gateway_world_t *world)
+{
+	return world_metric(world, "servers") == WORLD_SERVERS;
+}
+
+gateway_world_t *
+world_create(harness_t *harness)
+{
+	gateway_world_t *world = world_create_empty(harness);
+
+	world_register_all(world);
+	world_configure(world);
+	harness_wait_status(world->health, "/ready", 200, WORLD_START_MS);
+	assert_true(world_wait(has_all_servers, world, WORLD_START_MS));
+	return world;
+}
+
+void
+world_destroy(gateway_world_t *world)
+{
+	harness_kill(world->harness, world->gateway);
+	for (int i = 0; i < WORLD_SERVERS; i++)
+		plain_server_destroy(world->servers[i]);
+	object_store_destroy(world->store);
+	g_free(world);
+}
+
+void
+world_register(gateway_world_t *world, int server, const char *state)
+{
+	static int sequence;
+
+	object_store_put(world->store, "servers",
+	    plain_server_id(world->servers[server]),
+	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:i}", "service",
+		service_names[server / WORLD_REPLICAS], "address",
+		plain_server_address(world->servers[server]), "zone",
+		server % WORLD_REPLICAS == 0 ? "dc1" : "dc2", "version", "v1",
+		"slots", 4, "state", state, "warmup_left_ms", 0, "sequence",
+		++sequence, "born", FIRST_INCARNATION));
+}
+
+void
+world_register_all(gateway_world_t *world)
+{
+	for (int i = 0; i < WORLD_SERVERS; i++)
+		world_register(world, i, "ready");
+}
+
+static json_t *
+route(const gateway_world_t *world, const char *prefix, const char *type)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i}", "name", prefix,
+	    "host", "example.test", "path_prefix", prefix, "route_type", type,
+	    "timeout_ms", world->timeout_ms, "target_latency_ms", 400,
+	    "priority", 1, "max_attempts", 2);
+}
+
+static json_t *
+fanout_route(const gateway_world_t *world)
+{
+	json_t *fanout = route(world, "/all/", "idempotent");
+	json_t *shards = json_array();
+
+	for (int i = 0; i < WORLD_SHARDS; i++)
+		json_array_append_new(shards, json_string(service_names[i]));
+	json_object_set_new(fanout, "fanout_services", shards);
+	json_object_set_new(fanout, "top_k", json_integer(5));
+	json_object_set_new(fanout, "min_shard_share", json_real(0.75));
+	return fanout;
+}
+
+static json_t *
+single_route(const gateway_world_t *world, const char *prefix, const char *type)
+{
+	json_t *single = route(world, prefix, type);
+
+	json_object_set_new(single, "service", json_string("one"));
+	return single;
+}
+
+static json_t *
+split_route(const gateway_world_t *world)
+{
+	json_t *split = route(world, "/split/", "idempotent");
+
+	json_object_set_new(split, "weighted_services",
+	    json_pack("[{s:s,s:i},{s:s,s:i}]", "service", "one", "weight", 3,
+		"service", "two", "weight", 1));
+	return split;
+}
+
+static json_t *
+services(void)
+{
+	json_t *list = json_array();
+
+	for (int i = 0; i < WORLD_SHARDS + 2; i++)
+		json_array_append_new(list,
+		    json_pack("{s:s,s:i}", "name", service_names[i],
+			"max_connections", 40));
+	return list;
+}
+
+void
+world_configure(gateway_world_t *world)
+{
+	json_t *routes = json_pack("[o,o,o,o]", fanout_route(world),
+	    single_route(world, "/one/", "idempotent"),
+	    single_route(world, "/once/", "non_idempotent"),
+	    split_route(world));
+
+	world->version += 3;
+	object_store_put(world->store, "config", "main",
+	    json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version",
+		world->version, "routes", routes, "services", services(),
+		"limits", "max_header_bytes", 4096, "max_body_bytes", 8192,
+		"header_timeout_ms", 1000, "idle_timeout_ms", 15000));
+}
+
+plain_server_t *
+world_replica(gateway_world_t *world, int service, int replica)
+{
+	return world->servers[service * WORLD_REPLICAS + replica];
+}
+
+void
+world_fault_service(
+    gateway_world_t *world, int service, plain_fault_t fault, uint32_t count)
+{
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_fault(
+		    world_replica(world, service, i), fault, count);
+}
+
+uint32_t
+world_runs(gateway_world_t *world, int service)
+{
+	uint32_t runs = 0;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++) {
+		plain_record_t record;
+
+		plain_server_read(world_replica(world, service, i), &record);
+		runs += record.runs;
+	}
+	return runs;
+}
+
+uint32_t
+world_arrivals(gateway_world_t *world, int service)
+{
+	uint32_t arrivals = 0;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++) {
+		plain_record_t record;
+
+		plain_server_read(world_replica(world, service, i), &record);
+		arrivals += record.arrivals;
+	}
+	return arrivals;
+}
+
+http_result_t
+world_ask(gateway_world_t *world, const char *method, const char *path,
+    int deadline_ms, const char *body)
+{
+	static int serial;
+	char id[64], deadline[64];
+	const char *headers[] = {"Host: example.test", id, deadline, NULL};
+
+	snprintf(id, sizeof(id), "Bulrushwell-Request-Id: q%06d", ++serial);
+	snprintf(deadline, sizeof(deadline), "Bulrushwell-Deadline-Ms: %d",
+	    deadline_ms);
+	return harness_http(
+	    method, world->clients, path, headers, body, deadline_ms + 2000);
+}
+
+int64_t
+world_metric(gateway_world_t *world, const char *name)
+{
+	http_result_t result =
+	    harness_http("GET", world->metrics, "/metrics", NULL, NULL, 2000);
+	char *line = g_strdup_printf("bulrushwell_gateway_%s ", name);
+	int64_t value = -1;
+
+	if (result.status == 200) {
+		const char *at = strstr(result.body->str, line);
+
+		if (at != NULL)
+			value = atoll(at + strlen(line));
+	}
+	g_free(line);
+	http_result_clear(&result);
+	return value;
+}
+
+int
+world_connect(gateway_world_t *world)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port =
+	    htons((uint16_t)atoi(strchr(world->clients, ':') + 1));
+	assert_int_equal(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+char *
+world_read(int fd, const char *text, int timeout_ms)
+{
+	GString *read_bytes = g_string_new(NULL);
+	gint64 until = g_get_monotonic_time() + timeout_ms * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		struct pollfd poller = {.fd = fd, .events = POLLIN};
+		char data[4096];
+		ssize_t n;
+
+		if (poll(&poller, 1, POLL_STEP_MS) <= 0)
+			continue;
+		n = recv(fd, data, sizeof(data), 0);
+		if (n <= 0)
+			break;
+		g_string_append_len(read_bytes, data, n);
+		if (text != NULL && strstr(read_bytes->str, text) != NULL)
+			break;
+	}
+	return g_string_free(read_bytes, FALSE);
+}
+
+bool
+world_wait(bool (*check)(gateway_world_t *world), gateway_world_t *world,
+    int timeout_ms)
+{
+	gint64 until = g_get_monotonic_time() + timeout_ms * 1000;
+
+	while (!check(world)) {
+		if (g_get_monotonic_time() > until)
+			return false;
+		g_usleep(POLL_STEP_MS * 1000);
+	}
+	return true;
+}
--- /dev/null
+++ b/tests/lib/object_store.c
@@ -0,0 +1,367 @@
+#include "object_store.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../fakes/lib/fake_http.h"
+#include "harness.h"
+
+#define MAX_BODY_BYTES 1048576
+#define LOST_CALL_TIME SECONDS(60)
+#define WAIT_STEP MS(10)
+
+typedef struct {
+	char *kind;
+	char *name;
+	json_t *spec;
+	json_int_t revision;
+	json_int_t created;
+	bool removed;
+} stored_t;
+
+struct object_store {
+	address_t address;
+	fake_server_t *http;
+	GMutex lock;
+	GPtrArray *objects; /* stored_t, by kind and name */
+	json_int_t revision;
+	json_int_t compacted; /* history up to here is gone */
+	uint32_t page;
+	store_fault_t fault;
+	uint64_t calls;
+	GHashTable *watches; /* kind to number */
+};
+
+static void
+free_stored(void *data)
+{
+	stored_t *stored = data;
+
+	g_free(stored->kind);
+	g_free(stored->name);
+	json_decref(stored->spec);
+	g_free(stored);
+}
+
+static int
+compare_stored(const void *a, const void *b)
+{
+	const stored_t *left = *(stored_t *const *)a;
+	const stored_t *right = *(stored_t *const *)b;
+	int order = strcmp(left->kind, right->kind);
+
+	return order != 0 ? order : strcmp(left->name, right->name);
+}
+
+static stored_t *
+find(object_store_t *store, const char *kind, const char *name)
+{
+	for (guint i = 0; i < store->objects->len; i++) {
+		stored_t *stored = store->objects->pdata[i];
+
+		if (strcmp(stored->kind, kind) == 0 &&
+		    strcmp(stored->name, name) == 0)
+			return stored;
+	}
+	return NULL;
+}
+
+static json_t *
+print_object(const stored_t *stored)
+{
+	return json_pack("{s:{s:s,s:I,s:I,s:[],s:b},s:O,s:n}", "meta", "name",
+	    stored->name, "revision", stored->revision, "created_rev",
+	    stored->created, "finalizers", "deleting", 0, "spec", stored->spec,
+	    "status");
+}
+
+static void
+write_object(
+    object_store_t *store, const char *kind, const char *name, json_t *spec)
+{
+	stored_t *stored = find(store, kind, name);
+
+	store->revision++;
+	if (stored == NULL) {
+		stored = g_new0(stored_t, 1);
+		stored->kind = g_strdup(kind);
+		stored->name = g_strdup(name);
+		stored->created = store->revision;
+		g_ptr_array_add(store->objects, stored);
+		g_ptr_array_sort(store->objects, compare_stored);
+	}
+	json_decref(stored->spec);
+	stored->spec = spec;
+	stored->revision = store->revision;
+	stored->removed = false;
+}
+
+static void
+answer_list(object_store_t *store, const char *kind, const char *after,
+    fake_reply_t *reply)
+{
+	json_t *items = json_array();
+	bool more = false;
+
+	g_mutex_lock(&store->lock);
+	for (guint i = 0; i < store->objects->len; i++) {
+		const stored_t *stored = store->objects->pdata[i];
+
+		if (strcmp(stored->kind, kind) != 0 || stored->removed ||
+		    (after != NULL && strcmp(stored->name, after) <= 0))
+			continue;
+		if (json_array_size(items) == store->page) {
+			more = true;
+			break;
+		}
+		json_array_append_new(items, print_object(stored));
+	}
+	fake_reply_json(reply, 200,
+	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more,
+		"at_rev", store->revision));
+	g_mutex_unlock(&store->lock);
+}
+
+static json_t *
+changes_since(object_store_t *store, const char *kind, json_int_t revision)
+{
+	json_t *events = json_array();
+
+	for (guint i = 0; i < store->objects->len; i++) {
+		const stored_t *stored = store->objects->pdata[i];
+
+		if (strcmp(stored->kind, kind) == 0 &&
+		    stored->revision > revision)
+			json_array_append_new(events,
+			    json_pack("{s:b,s:o}", "tombstone", stored->removed,
+				"object", print_object(stored)));
+	}
+	return events;
+}
+
+static void
+count_watch(object_store_t *store, const char *kind, int change)
+{
+	int now = GPOINTER_TO_INT(g_hash_table_lookup(store->watches, kind));
+
+	g_hash_table_insert(
+	    store->watches, g_strdup(kind), GINT_TO_POINTER(now + change));
+}
+
+static void
+answer_watch(object_store_t *store, const char *kind,
+    const fake_request_t *request, fake_reply_t *reply)
+{
+	json_int_t revision = atoll(fake_request_argument(request, "watch"));
+	const char *wait = fake_request_argument(request, "wait_ms");
+	usec_t until = clock_monotonic() + MS(wait != NULL ? atoll(wait) : 0);
+	json_t *events;
+
+	g_mutex_lock(&store->lock);
+	count_watch(store, kind, 1);
+	for (;;) {
+		events = changes_since(store, kind, revision);
+		if (revision < store->compacted ||
+		    json_array_size(events) > 0 || clock_monotonic() >= until ||
+		    fake_server_is_stopping(store->http))
+			break;
+		json_decref(events);
+		g_mutex_unlock(&store->lock);
+		fake_connection_wait(
+		    request->connection, clock_monotonic() + WAIT_STEP);
+		g_mutex_lock(&store->lock);
+	}
+	count_watch(store, kind, -1);
+	if (revision < store->compacted) {
+		json_decref(events);
+		fake_reply_text(reply, 410, "{}");
+	} else {
+		fake_reply_json(reply, 200,
+		    json_pack("{s:o,s:I}", "events", events, "at_rev",
+			store->revision));
+	}
+	g_mutex_unlock(&store->lock);
+}
+
+static void
+answer_write(object_store_t *store, const char *kind, const char *name,
+    const fake_request_t *request, fake_reply_t *reply)
+{
+	json_t *object =
+	    json_loadb(request->body.data, request->body.size, 0, NULL);
+	const char *given = json_string_value(
+	    json_object_get(json_object_get(object, "meta"), "name"));
+	bool creates = strcmp(request->method, "POST") == 0;
+	const char *used = creates ? given : name;
+
+	g_mutex_lock(&store->lock);
+	if (used == NULL) {
+		fake_reply_text(reply, 400, "{}");
+	} else if (creates != (find(store, kind, used) == NULL)) {
+		fake_reply_text(reply, creates ? 409 : 404, "{}");
+	} else {
+		write_object(store, kind, used,
+		    json_incref(json_object_get(object, "spec")));
+		fake_reply_json(
+		    reply, 200, print_object(find(store, kind, used)));
+	}
+	g_mutex_unlock(&store->lock);
+	json_decref(object);
+}
+
+static bool
+meet_fault(
+    object_store_t *store, const fake_request_t *request, fake_reply_t *reply)
+{
+	store_fault_t fault;
+
+	g_mutex_lock(&store->lock);
+	store->calls++;
+	fault = store->fault;
+	g_mutex_unlock(&store->lock);
+	switch (fault) {
+	case STORE_SERVING:
+		return false;
+	case STORE_BUSY:
+		fake_reply_text(reply, 503, "{}");
+		return true;
+	case STORE_CLOSING:
+		reply->status = 0;
+		return true;
+	case STORE_SILENT:
+		fake_connection_sleep(
+		    request->connection, clock_monotonic() + LOST_CALL_TIME);
+		reply->status = 0;
+		return true;
+	}
+	return false;
+}
+
+static void
+handle(void *context, const fake_request_t *request, fake_reply_t *reply)
+{
+	object_store_t *store = context;
+	char **parts = g_strsplit(request->path, "/", 4);
+	guint count = g_strv_length(parts);
+
+	if (meet_fault(store, request, reply)) {
+		g_strfreev(parts);
+		return;
+	}
+	if (count < 3 || strcmp(parts[1], "objects") != 0)
+		fake_reply_text(reply, 404, "{}");
+	else if (strcmp(request->method, "GET") != 0)
+		answer_write(store, parts[2], count > 3 ? parts[3] : NULL,
+		    request, reply);
+	else if (fake_request_argument(request, "watch") != NULL)
+		answer_watch(store, parts[2], request, reply);
+	else
+		answer_list(store, parts[2],
+		    fake_request_argument(request, "after"), reply);
+	g_strfreev(parts);
+}
+
+object_store_t *
+object_store_create(uint32_t page)
+{
+	object_store_t *store = g_new0(object_store_t, 1);
+
+	g_mutex_init(&store->lock);
+	store->objects = g_ptr_array_new_with_free_func(free_stored);
+	store->watches =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->revision = 1;
+	store->page = page;
+	harness_free_address(store->address);
+	store->http = fake_server_create(
+	    store->address, handle, store, MAX_BODY_BYTES, 0);
+	if (!fake_server_start(store->http))
+		fail_msg("the store can't listen on %s", store->address);
+	return store;
+}
+
+void
+object_store_destroy(object_store_t *store)
+{
+	if (store == NULL)
+		return;
+	object_store_fault(store, STORE_SERVING);
+	fake_server_stop(store->http);
+	g_ptr_array_free(store->objects, TRUE);
+	g_hash_table_destroy(store->watches);
+	g_mutex_clear(&store->lock);
+	g_free(store);
+}
+
+const char *
+object_store_address(const object_store_t *store)
+{
+	return store->address;
+}
+
+void
+object_store_put(
+    object_store_t *store, const char *kind, const char *name, json_t *spec)
+{
+	g_mutex_lock(&store->lock);
+	write_object(store, kind, name, spec);
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http);
+}
+
+void
+object_store_remove(object_store_t *store, const char *kind, const char *name)
+{
+	stored_t *stored;
+
+	g_mutex_lock(&store->lock);
+	stored = find(store, kind, name);
+	if (stored != NULL) {
+		stored->removed = true;
+		stored->revision = ++store->revision;
+	}
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http);
+}
+
+void
+object_store_fault(object_store_t *store, store_fault_t fault)
+{
+	g_mutex_lock(&store->lock);
+	store->fault = fault;
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http);
+}
+
+void
+object_store_compact(object_store_t *store)
+{
+	g_mutex_lock(&store->lock);
+	store->compacted = ++store->revision;
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http);
+}
+
+uint64_t
+object_store_calls(object_store_t *store)
+{
+	uint64_t calls;
+
+	g_mutex_lock(&store->lock);
+	calls = store->calls;
+	g_mutex_unlock(&store->lock);
+	return calls;
+}
+
+uint32_t
+object_store_watches(object_store_t *store, const char *kind)
+{
+	uint32_t watches;
+
+	g_mutex_lock(&store->lock);
+	watches = GPOINTER_TO_UINT(g_hash_table_lookup(store->watches, kind));
+	g_mutex_unlock(&store->lock);
+	return watches;
+}
--- /dev/null
+++ b/tests/lib/plain_server.c
@@ -0,0 +1,415 @@
+#include "plain_server.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define REQUEST_MAX_BYTES 65536
+#define HANG_CHECK_MS 20
+#define EXTRA_DELAY_MS 30
+#define RECORD_BYTES 16
+
+struct plain_server {
+	char id[64];
+	char address[64];
+	int listener;
+	GThread *acceptor;
+	GMutex lock;
+	GPtrArray *threads;
+	GArray *sockets;
+	plain_fault_t fault;
+	uint32_t fault_count;
+	int delay_ms;
+	bool stopping;
+	plain_record_t record;
+	uint32_t serial;
+};
+
+typedef struct {
+	plain_server_t *server;
+	int fd;
+	char data[REQUEST_MAX_BYTES];
+	size_t size;
+	size_t head_size;
+	size_t body_size;
+	char request_id[128];
+	char stamp[96];
+} plain_connection_t;
+
+static bool
+is_stopping(plain_server_t *server)
+{
+	bool stopping;
+
+	g_mutex_lock(&server->lock);
+	stopping = server->stopping;
+	g_mutex_unlock(&server->lock);
+	return stopping;
+}
+
+static void
+send_text(const plain_connection_t *connection, const char *text, size_t size)
+{
+	while (size > 0) {
+		ssize_t n = send(connection->fd, text, size, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return;
+		text += n;
+		size -= (size_t)n;
+	}
+}
+
+static void
+header_value(const char *head, const char *name, char *value, size_t size)
+{
+	const char *at = strcasestr(head, name);
+	const char *end;
+
+	value[0] = '\0';
+	if (at == NULL)
+		return;
+	at += strlen(name) + 1;
+	while (*at == ' ')
+		at++;
+	end = strstr(at, "\r\n");
+	g_strlcpy(value, at, MIN(size, (size_t)(end - at) + 1));
+}
+
+static bool
+receive_more(plain_connection_t *connection)
+{
+	ssize_t n;
+
+	if (connection->size >= sizeof(connection->data) - 1)
+		return false;
+	n = recv(connection->fd, connection->data + connection->size,
+	    sizeof(connection->data) - 1 - connection->size, 0);
+	if (n <= 0)
+		return false;
+	connection->size += (size_t)n;
+	connection->data[connection->size] = '\0';
+	return true;
+}
+
+static bool
+read_request(plain_connection_t *connection)
+{
+	char length[32];
+	char *end;
+
+	while ((end = strstr(connection->data, "\r\n\r\n")) == NULL)
+		if (!receive_more(connection))
+			return false;
+	connection->head_size = (size_t)(end - connection->data) + 4;
+	header_value(
+	    connection->data, "Content-Length:", length, sizeof(length));
+	connection->body_size = (size_t)atol(length);
+	while (connection->size < connection->head_size + connection->body_size)
+		if (!receive_more(connection))
+			return false;
+	header_value(connection->data,
+	    "Bulrushwell-Request-Id:", connection->request_id,
+	    sizeof(connection->request_id));
+	return true;
+}
+
+static plain_fault_t
+note_arrival(plain_connection_t *connection)
+{
+	plain_server_t *server = connection->server;
+	plain_record_t *record = &server->record;
+	plain_fault_t fault = PLAIN_ANSWER;
+	char deadline[32];
+
+	g_mutex_lock(&server->lock);
+	record->arrivals++;
+	header_value(connection->data, "Bulrushwell-Deadline-Ms:", deadline,
+	    sizeof(deadline));
+	record->last_deadline_ms = atol(deadline);
+	g_strlcpy(record->last_head, connection->data,
+	    MIN(sizeof(record->last_head), connection->head_size));
+	g_strlcpy(record->last_body, connection->data + connection->head_size,
+	    MIN(sizeof(record->last_body), connection->body_size + 1));
+	if (server->fault_count > 0) {
+		server->fault_count--;
+		fault = server->fault;
+	}
+	if (fault != PLAIN_SHED && fault != PLAIN_MISDIRECTED)
+		record->runs++;
+	snprintf(connection->stamp, sizeof(connection->stamp), "%s.%u",
+	    server->id, ++server->serial);
+	g_mutex_unlock(&server->lock);
+	return fault;
+}
+
+/* Three records that begin with the server's id, so that they differ. */
+static void
+write_body(const plain_server_t *server, char body[3 * RECORD_BYTES + 1])
+{
+	for (int i = 0; i < 3; i++) {
+		char record[RECORD_BYTES + 1];
+
+		snprintf(record, sizeof(record), "%d%-15.15s", 9 - i * 3,
+		    server->id);
+		memcpy(body + i * RECORD_BYTES, record, RECORD_BYTES);
+	}
+	body[3 * RECORD_BYTES] = '\0';
+}
+
+static void
+send_response(const plain_connection_t *connection, int status,
+    const char *extra_headers, bool framed, size_t withheld)
+{
+	char body[3 * RECORD_BYTES + 1], length[64] = "";
+	char text[1024];
+	int size;
+
+	write_body(connection->server, body);
+	if (framed)
+		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+		    strlen(body));
+	size = snprintf(text, sizeof(text),
+	    "HTTP/1.1 %d Status\r\nBulrushwell-Request-Id: %s\r\n"
+	    "Bulrushwell-Response-Stamp: %s\r\n%s%s\r\n%s",
+	    status, connection->request_id, connection->stamp, length,
+	    extra_headers, body);
+	send_text(connection, text, (size_t)size - withheld);
+}
+
+static void
+reset_on_close(const plain_connection_t *connection)
+{
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(
+	    connection->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void
+hang(plain_connection_t *connection)
+{
+	struct pollfd poller = {.fd = connection->fd, .events = POLLIN};
+
+	while (!is_stopping(connection->server)) {
+		if (poll(&poller, 1, HANG_CHECK_MS) <= 0)
+			continue;
+		g_mutex_lock(&connection->server->lock);
+		connection->server->record.left++;
+		g_mutex_unlock(&connection->server->lock);
+		return;
+	}
+}
+
+static void
+send_interim(const plain_connection_t *connection)
+{
+	static const char interim[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+	send_text(connection, interim, strlen(interim));
+}
+
+/* Returns whether the connection stays open. */
+static bool
+respond(plain_connection_t *connection, plain_fault_t fault)
+{
+	switch (fault) {
+	case PLAIN_ANSWER:
+		send_response(connection, 200, "", true, 0);
+		return true;
+	case PLAIN_SHED:
+		send_response(connection, 503,
+		    "Bulrushwell-Not-Executed: 1\r\n", true, 0);
+		return true;
+	case PLAIN_FAIL:
+		send_response(connection, 500, "", true, 0);
+		return true;
+	case PLAIN_OVERLOADED:
+		send_response(connection, 503, "", true, 0);
+		return true;
+	case PLAIN_MISDIRECTED:
+		send_response(connection, 421,
+		    "Bulrushwell-Instance-Id: other\r\n", true, 0);
+		return true;
+	case PLAIN_RESET:
+		return false;
+	case PLAIN_TRUNCATE:
+		send_response(connection, 200, "", true, 10);
+		return false;
+	case PLAIN_UNFRAMED:
+		send_response(connection, 200, "", false, 0);
+		return false;
+	case PLAIN_UNFRAMED_RESET:
+		send_response(connection, 200, "", false, 10);
+		g_usleep(EXTRA_DELAY_MS * 1000);
+		reset_on_close(connection);
+		return false;
+	case PLAIN_GARBAGE:
+		send_text(connection, "0 0 no response\r\n\r\n", 19);
+		return false;
+	case PLAIN_EXTRA:
+		send_response(connection, 200, "", true, 0);
+		g_usleep(EXTRA_DELAY_MS * 1000);
+		send_response(connection, 200, "", true, 0);
+		return true;
+	case PLAIN_INTERIM:
+		send_interim(connection);
+		send_response(connection, 200, "", true, 0);
+		return true;
+	case PLAIN_ENCODED:
+		send_response(
+		    connection, 200, "Content-Encoding: gzip\r\n", true, 0);
+		return true;
+	case PLAIN_HANG:
+		hang(connection);
+		return false;
+	}
+	return false;
+}
+
+static void
+forget_request(plain_connection_t *connection)
+{
+	size_t used = connection->head_size + connection->body_size;
+
+	memmove(
+	    connection->data, connection->data + used, connection->size - used);
+	connection->size -= used;
+	connection->data[connection->size] = '\0';
+}
+
+static void *
+serve_connection(void *argument)
+{
+	plain_connection_t *connection = argument;
+	plain_server_t *server = connection->server;
+	bool open = true;
+
+	while (open && read_request(connection)) {
+		plain_fault_t fault = note_arrival(connection);
+
+		if (server->delay_ms > 0)
+			g_usleep((gulong)server->delay_ms * 1000);
+		open = respond(connection, fault);
+		forget_request(connection);
+	}
+	g_mutex_lock(&server->lock);
+	for (guint i = 0; i < server->sockets->len; i++)
+		if (g_array_index(server->sockets, int, i) == connection->fd)
+			g_array_remove_index_fast(server->sockets, i--);
+	close(connection->fd);
+	g_mutex_unlock(&server->lock);
+	g_free(connection);
+	return NULL;
+}
+
+static void *
+accept_connections(void *argument)
+{
+	plain_server_t *server = argument;
+
+	for (;;) {
+		int fd = accept(server->listener, NULL, NULL);
+		plain_connection_t *connection;
+
+		if (fd < 0 || is_stopping(server)) {
+			if (fd >= 0)
+				close(fd);
+			return NULL;
+		}
+		connection = g_new0(plain_connection_t, 1);
+		connection->server = server;
+		connection->fd = fd;
+		g_mutex_lock(&server->lock);
+		g_array_append_val(server->sockets, fd);
+		g_ptr_array_add(server->threads,
+		    g_thread_new("plain", serve_connection, connection));
+		g_mutex_unlock(&server->lock);
+	}
+}
+
+plain_server_t *
+plain_server_create(const char *id)
+{
+	plain_server_t *server = g_new0(plain_server_t, 1);
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+
+	g_strlcpy(server->id, id, sizeof(server->id));
+	g_mutex_init(&server->lock);
+	server->threads = g_ptr_array_new();
+	server->sockets = g_array_new(FALSE, FALSE, sizeof(int));
+	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(server->listener, (struct sockaddr *)&address,
+		sizeof(address)) != 0 ||
+	    listen(server->listener, 64) != 0)
+		g_error("plain server: no port");
+	getsockname(server->listener, (struct sockaddr *)&address, &size);
+	snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
+	    ntohs(address.sin_port));
+	server->acceptor = g_thread_new("accept", accept_connections, server);
+	return server;
+}
+
+void
+plain_server_destroy(plain_server_t *server)
+{
+	if (server == NULL)
+		return;
+	g_mutex_lock(&server->lock);
+	server->stopping = true;
+	shutdown(server->listener, SHUT_RDWR);
+	for (guint i = 0; i < server->sockets->len; i++)
+		shutdown(g_array_index(server->sockets, int, i), SHUT_RDWR);
+	g_mutex_unlock(&server->lock);
+	g_thread_join(server->acceptor);
+	for (guint i = 0; i < server->threads->len; i++)
+		g_thread_join(server->threads->pdata[i]);
+	close(server->listener);
+	g_ptr_array_free(server->threads, TRUE);
+	g_array_free(server->sockets, TRUE);
+	g_mutex_clear(&server->lock);
+	g_free(server);
+}
+
+const char *
+plain_server_id(const plain_server_t *server)
+{
+	return server->id;
+}
+
+const char *
+plain_server_address(const plain_server_t *server)
+{
+	return server->address;
+}
+
+void
+plain_server_fault(plain_server_t *server, plain_fault_t fault, uint32_t count)
+{
+	g_mutex_lock(&server->lock);
+	server->fault = fault;
+	server->fault_count = count;
+	g_mutex_unlock(&server->lock);
+}
+
+void
+plain_server_delay(plain_server_t *server, int ms)
+{
+	server->delay_ms = ms;
+}
+
+void
+plain_server_read(plain_server_t *server, plain_record_t *record)
+{
+	g_mutex_lock(&server->lock);
+	*record = server->record;
+	g_mutex_unlock(&server->lock);
+}
--- /dev/null
+++ b/tests/test_process_gateway.c
@@ -0,0 +1,606 @@
+/* Guards the gateway process between stand-ins of the store and of servers: a
+ * wrong, doubled, lost or untrue answer, a stale configuration, a request to a
+ * server that leaves, and a planned stop that cuts a request. */
+#include "lib/gateway_world.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define DEADLINE_MS 1500
+#define SOON_MS 4000
+
+static void
+asks_all_shards(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_result_t result =
+	    world_ask(world, "GET", "/all/x?y=1", DEADLINE_MS, NULL);
+	const char *stamps;
+
+	assert_int_equal(result.status, 200);
+	assert_string_equal(
+	    http_result_header(&result, "bulrushwell-missing-parts"), "0");
+	assert_int_equal(result.body->len, 5 * 16);
+	/* Four shards have a record that begins with 9, the fifth with 6. */
+	for (int i = 0; i < 5; i++)
+		assert_int_equal(result.body->str[i * 16], i < 4 ? '9' : '6');
+	for (int i = 1; i < 5; i++)
+		assert_true(memcmp(result.body->str + (i - 1) * 16,
+				result.body->str + i * 16, 16) >= 0);
+	stamps = http_result_header(&result, "bulrushwell-part-stamps");
+	for (int i = 0; i < WORLD_SHARDS; i++)
+		assert_int_equal(world_runs(world, i), 1);
+	assert_non_null(stamps);
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+static void
+leaves_out_a_shard_that_is_down(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_result_t result;
+
+	world_fault_service(world, 2, PLAIN_HANG, 100);
+	result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 200);
+	assert_string_equal(
+	    http_result_header(&result, "bulrushwell-missing-parts"), "1");
+	assert_null(strstr(
+	    http_result_header(&result, "bulrushwell-part-stamps"), "i-04."));
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+/* Each fault of a first server must end in one whole, own answer. */
+static void
+answers_through_a_fault_of_one_server(void **state)
+{
+	static const struct {
+		const char *failure;
+		plain_fault_t fault;
+	} cases[] = {
+	    {"a refusal marked as not run", PLAIN_SHED},
+	    {"a server's failure", PLAIN_FAIL},
+	    {"503 without the mark", PLAIN_OVERLOADED},
+	    {"another server at the address", PLAIN_MISDIRECTED},
+	    {"a connection that ends after the request ran", PLAIN_RESET},
+	    {"a body that ends early", PLAIN_TRUNCATE},
+	    {"a body without a length", PLAIN_UNFRAMED},
+	    {"a body without a length that is reset", PLAIN_UNFRAMED_RESET},
+	    {"bytes that are no response", PLAIN_GARBAGE},
+	    {"an interim response", PLAIN_INTERIM},
+	    {"an encoding that nobody asked for", PLAIN_ENCODED},
+	};
+	gateway_world_t *world = world_create(*state);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_result_t result;
+
+		for (int j = 0; j < WORLD_REPLICAS; j++)
+			plain_server_fault(world_replica(world, WORLD_ONE, j),
+			    j == 0 ? cases[i].fault : PLAIN_ANSWER, 1);
+		result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+		if (result.status != 200 || result.body->len != 48)
+			fail_msg("%s: %d with %zu bytes", cases[i].failure,
+			    result.status, result.body->len);
+		assert_null(http_result_header(&result, "content-encoding"));
+		http_result_clear(&result);
+	}
+	world_destroy(world);
+}
+
+/* The extra response must not become the answer to the next request. */
+static void
+drops_a_late_second_response(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	world_fault_service(world, WORLD_ONE, PLAIN_EXTRA, 100);
+	for (int i = 0; i < 20; i++) {
+		http_result_t result =
+		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+		char expected[32];
+		const char *id;
+
+		snprintf(expected, sizeof(expected), "q");
+		id = http_result_header(&result, "bulrushwell-request-id");
+		assert_int_equal(result.status, 200);
+		assert_non_null(id);
+		assert_true(id[0] == expected[0]);
+		http_result_clear(&result);
+		if (i % 3 == 0)
+			g_usleep(40 * 1000);
+	}
+	world_destroy(world);
+}
+
+static const struct {
+	const char *failure;
+	plain_fault_t fault;
+	int status;
+	uint32_t runs; /* at most */
+} once_cases[] = {
+    {"lost after it ran", PLAIN_RESET, 502, 1},
+    {"cut in the body", PLAIN_TRUNCATE, 502, 1},
+    {"garbled", PLAIN_GARBAGE, 502, 1},
+    {"503 that may have run", PLAIN_OVERLOADED, 502, 1},
+    {"the server's own failure", PLAIN_FAIL, 500, 1},
+    {"refused by all, not run", PLAIN_SHED, 503, 0},
+    {"all addresses taken by others", PLAIN_MISDIRECTED, 503, 0},
+};
+
+static void
+never_runs_twice_and_never_denies_a_run(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(once_cases); i++) {
+		gateway_world_t *world = world_create(*state);
+		http_result_t result;
+
+		world_fault_service(world, WORLD_ONE, once_cases[i].fault, 100);
+		result =
+		    world_ask(world, "POST", "/once/x", DEADLINE_MS, "reel");
+		if (result.status != once_cases[i].status)
+			fail_msg("%s: status %d", once_cases[i].failure,
+			    result.status);
+		if (world_runs(world, WORLD_ONE) > once_cases[i].runs)
+			fail_msg("%s: ran %u times", once_cases[i].failure,
+			    world_runs(world, WORLD_ONE));
+		if (result.status == 502)
+			assert_null(http_result_header(
+			    &result, "bulrushwell-response-stamp"));
+		http_result_clear(&result);
+		world_destroy(world);
+	}
+}
+
+static void
+hands_on_body_and_time(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_result_t result =
+	    world_ask(world, "POST", "/once/x/y?z=1", 700, "one reel");
+	plain_record_t record;
+
+	assert_int_equal(result.status, 200);
+	plain_server_read(world_replica(world, WORLD_ONE, 0), &record);
+	if (record.arrivals == 0)
+		plain_server_read(world_replica(world, WORLD_ONE, 1), &record);
+	assert_string_equal(record.last_body, "one reel");
+	assert_non_null(
+	    strstr(record.last_head, "POST /once/x/y?z=1 HTTP/1.1\r\n"));
+	assert_non_null(
+	    strstr(record.last_head, "Bulrushwell-Expected-Instance: i-"));
+	assert_true(record.last_deadline_ms > 0);
+	assert_true(record.last_deadline_ms <= 700);
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+static void
+sends_no_more_attempts_than_allowed(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_result_t result;
+
+	world_fault_service(world, WORLD_ONE, PLAIN_FAIL, 100);
+	for (int shard = 0; shard < WORLD_SHARDS; shard++)
+		world_fault_service(world, shard, PLAIN_FAIL, 100);
+	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 500);
+	assert_int_equal(world_arrivals(world, WORLD_ONE), 2);
+	http_result_clear(&result);
+	result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 502);
+	for (int shard = 0; shard < WORLD_SHARDS; shard++)
+		assert_true(world_arrivals(world, shard) <= 2);
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+static bool
+a_hanging_server_was_left(gateway_world_t *world)
+{
+	for (int i = 0; i < WORLD_SERVERS; i++) {
+		plain_record_t record;
+
+		plain_server_read(world->servers[i], &record);
+		if (record.left > 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+	assert_int_equal(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
+}
+
+#define REQUEST(method, path, more)                           \
+	method " " path " HTTP/1.1\r\nHost: example.test\r\n" \
+	       "Bulrushwell-Request-Id: raw1\r\n"             \
+	       "Bulrushwell-Deadline-Ms: 1500\r\n" more "\r\n"
+
+static void
+stops_servers_when_the_client_leaves(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int fd;
+
+	world_fault_service(world, WORLD_ONE, PLAIN_HANG, 100);
+	fd = world_connect(world);
+	send_text(fd, REQUEST("GET", "/one/x", ""));
+	g_usleep(100 * 1000);
+	close(fd);
+	assert_true(world_wait(a_hanging_server_was_left, world, 500));
+	assert_int_equal(world_metric(world, "client_gone_total"), 1);
+	world_destroy(world);
+}
+
+/* What a client may send on a plain connection, and what it must get. */
+static void
+keeps_to_the_protocol(void **state)
+{
+	static const struct {
+		const char *failure;
+		const char *bytes;
+		const char *expected;
+	} cases
+	    [] =
+		{
+		    {"two requests in one packet",
+			REQUEST("GET", "/one/a", "")
+			    REQUEST("GET", "/one/b", ""),
+			"HTTP/1.1 200"},
+		    {"a body in chunks",
+			REQUEST("POST", "/once/a",
+			    "Transfer-Encoding: chunked\r\n") "3\r\nabc\r\n0\r"
+							      "\n\r\n",
+			"HTTP/1.1 200"},
+		    {"a length and chunks",
+			REQUEST("POST", "/once/a",
+			    "Content-Length: 3\r\nTransfer-Encoding: "
+			    "chunked\r\n") "0\r\n\r\nGET /one/x "
+					   "HTTP/1.1\r\n\r\n",
+			"HTTP/1.1 400"},
+		    {"two lengths",
+			REQUEST("POST", "/once/a",
+			    "Content-Length: 3\r\nContent-Length: 4\r\n") "abc"
+									  "d",
+			"HTTP/1.1 400"},
+		    {"no HTTP", "hello\r\n\r\n", "HTTP/1.1 400"},
+		    {"a body that is too long",
+			REQUEST("POST", "/once/a", "Content-Length: 9000\r\n"),
+			"HTTP/1.1 413"},
+		    {"a header that never ends",
+			"GET /one/x HTTP/1.1\r\nHost: ", "HTTP/1.1 408"},
+		    {"no request id",
+			"GET /one/x HTTP/1.1\r\nHost: example.test\r\n\r\n",
+			"HTTP/1.1 400"},
+		    {"an unknown route", REQUEST("GET", "/none/x", ""),
+			"HTTP/1.1 404"},
+		    {"a client that waits for 100",
+			REQUEST("POST", "/once/a",
+			    "Expect: 100-continue\r\nContent-Length: 3\r\n"),
+			"HTTP/1.1 100"},
+		};
+	gateway_world_t *world = world_create(*state);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = world_connect(world);
+		char *answer;
+
+		send_text(fd, cases[i].bytes);
+		answer = world_read(fd, cases[i].expected, 3000);
+		if (strstr(answer, cases[i].expected) != answer)
+			fail_msg("%s: '%.40s'", cases[i].failure, answer);
+		free(answer);
+		close(fd);
+	}
+	world_destroy(world);
+}
+
+static void
+refuses_headers_beyond_the_limit(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	GString *request = g_string_new(
+	    "GET /one/x HTTP/1.1\r\nHost: example.test\r\nX-Long: ");
+	int fd = world_connect(world);
+	char *answer;
+
+	for (int i = 0; i < 6000; i++)
+		g_string_append_c(request, 'x');
+	g_string_append(request, "\r\n\r\n");
+	send_text(fd, request->str);
+	answer = world_read(fd, "431", 3000);
+	assert_non_null(strstr(answer, "HTTP/1.1 431"));
+	free(answer);
+	close(fd);
+	g_string_free(request, TRUE);
+	world_destroy(world);
+}
+
+/*
+ * A node without a configuration answered 431, as its header limit was 0, and
+ * clients don't repeat that.
+ */
+static void
+says_not_run_before_its_first_configuration(void **state)
+{
+	gateway_world_t *world = world_create_empty(*state);
+	http_result_t result;
+
+	harness_wait_status(world->health, "/ready", 503, WORLD_START_MS);
+	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 503);
+	assert_non_null(http_result_header(&result, "retry-after"));
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+static bool
+adopted(gateway_world_t *world)
+{
+	return world_metric(world, "config_version") == world->version;
+}
+
+static void
+follows_the_configuration(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int newest;
+
+	for (int i = 0; i < 3; i++) {
+		world_configure(world);
+		assert_true(world_wait(adopted, world, SOON_MS));
+	}
+	newest = world->version;
+	world->version = 1; /* an older version is written: 1 + 3 */
+	world_configure(world);
+	g_usleep(800 * 1000);
+	assert_int_equal(world_metric(world, "config_version"), newest);
+	world->version = newest;
+	object_store_compact(world->store);
+	world_configure(world);
+	assert_true(world_wait(adopted, world, SOON_MS));
+	world_destroy(world);
+}
+
+static bool
+watches_again(gateway_world_t *world)
+{
+	return object_store_watches(world->store, "config") > 0;
+}
+
+/*
+ * The store was silent just when a long poll began. The poll stayed lost after
+ * the store's return, and the node kept an old configuration for 25 s.
+ */
+static void
+notices_a_watch_that_was_lost_in_an_outage(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	assert_true(world_wait(watches_again, world, SOON_MS));
+	world_configure(world);
+	assert_true(world_wait(adopted, world, SOON_MS));
+	object_store_fault(world->store, STORE_SILENT);
+	g_usleep(4000 * 1000);
+	object_store_fault(world->store, STORE_SERVING);
+	world_configure(world);
+	assert_true(world_wait(adopted, world, SOON_MS));
+	world_destroy(world);
+}
+
+static void
+serves_while_the_store_is_away(void **state)
+{
+	static const store_fault_t faults[] = {
+	    STORE_BUSY, STORE_CLOSING, STORE_SILENT};
+	gateway_world_t *world = world_create(*state);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		http_result_t result;
+
+		object_store_fault(world->store, faults[i]);
+		object_store_compact(world->store);
+		g_usleep(300 * 1000);
+		result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
+		assert_int_equal(result.status, 200);
+		http_result_clear(&result);
+	}
+	object_store_fault(world->store, STORE_SERVING);
+	world_configure(world);
+	assert_true(world_wait(adopted, world, 2 * SOON_MS));
+	world_destroy(world);
+}
+
+/* A server that leaves gets no request later than its bound, 1.5 s here. */
+static void
+sends_nothing_to_a_server_that_leaves(void **state)
+{
+	static const struct {
+		const char *failure;
+		bool draining; /* else its entry is removed */
+		bool only;     /* no other server is left */
+	} cases[] = {
+	    {"draining", true, false},
+	    {"entry removed", false, false},
+	    {"draining, the last server", true, true},
+	    {"entry removed, the last server", false, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gateway_world_t *world = world_create(*state);
+		plain_record_t before, after;
+		int first = WORLD_ONE * WORLD_REPLICAS;
+
+		for (int j = 0; j < (cases[i].only ? 2 : 1); j++) {
+			if (cases[i].draining)
+				world_register(world, first + j, "draining");
+			else
+				object_store_remove(world->store, "servers",
+				    plain_server_id(world->servers[first + j]));
+		}
+		g_usleep(1500 * 1000);
+		plain_server_read(world->servers[first], &before);
+		for (int j = 0; j < 10; j++) {
+			http_result_t result = world_ask(
+			    world, "GET", "/one/x", DEADLINE_MS, NULL);
+
+			if (result.status != (cases[i].only ? 503 : 200))
+				fail_msg("%s: status %d", cases[i].failure,
+				    result.status);
+			http_result_clear(&result);
+		}
+		plain_server_read(world->servers[first], &after);
+		if (after.arrivals != before.arrivals)
+			fail_msg("%s: a request reached it", cases[i].failure);
+		world_destroy(world);
+	}
+}
+
+/* Entries that can't be used name no server and hide no others. */
+static void
+ignores_entries_of_other_writers(void **state)
+{
+	static const char *const specs[] = {"{}", "[]", "\"text\"", "null",
+	    "{\"service\":\"one\"}",
+	    "{\"service\":\"one\",\"address\":\"127.0.0.1\",\"zone\":\"dc1\","
+	    "\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
+	    "\"sequence\":1}",
+	    "{\"service\":\"one\",\"address\":\"127.0.0.1:1\","
+	    "\"zone\":\"dc1\",\"slots\":\"2\",\"state\":\"ready\","
+	    "\"warmup_left_ms\":0,\"sequence\":1}",
+	    "{\"service\":\"one\",\"address\":\"127.0.0.1:1\","
+	    "\"zone\":\"dc1\",\"slots\":2,\"state\":\"sleeping\","
+	    "\"warmup_left_ms\":0,\"sequence\":1}"};
+	gateway_world_t *world = world_create(*state);
+	http_result_t result;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "stray-%zu", i);
+		object_store_put(world->store, "servers", name,
+		    json_loads(specs[i], JSON_DECODE_ANY, NULL));
+	}
+	g_usleep(1200 * 1000);
+	assert_int_equal(world_metric(world, "servers"), WORLD_SERVERS);
+	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 200);
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+static void
+splits_by_weight(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	for (int i = 0; i < 40; i++) {
+		http_result_t result =
+		    world_ask(world, "GET", "/split/x", DEADLINE_MS, NULL);
+
+		assert_int_equal(result.status, 200);
+		http_result_clear(&result);
+	}
+	assert_int_equal(world_runs(world, WORLD_ONE), 30);
+	assert_int_equal(world_runs(world, WORLD_TWO), 10);
+	world_destroy(world);
+}
+
+static void
+a_planned_stop_cuts_no_request(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	char *answer;
+	int fd, status;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_delay(world_replica(world, WORLD_ONE, i), 800);
+	fd = world_connect(world);
+	send_text(fd, REQUEST("GET", "/one/x", ""));
+	g_usleep(100 * 1000);
+	harness_signal(world->harness, world->gateway, SIGTERM);
+	harness_wait_status(world->health, "/ready", 503, SOON_MS);
+	answer = world_read(fd, "i-0", 3000);
+	assert_non_null(strstr(answer, "HTTP/1.1 200"));
+	assert_non_null(strstr(answer, "Connection: close"));
+	free(answer);
+	close(fd);
+	status = harness_wait_exit(world->harness, world->gateway, 6000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	world_destroy(world);
+}
+
+static void
+a_hangup_changes_nothing(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	for (int i = 0; i < 5; i++) {
+		http_result_t result;
+
+		harness_signal(world->harness, world->gateway, SIGHUP);
+		result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
+		assert_int_equal(result.status, 200);
+		http_result_clear(&result);
+	}
+	world_destroy(world);
+}
+
+/* A request that can't be served is refused at once, not at its deadline. */
+static void
+refuses_at_once_without_servers(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_result_t result;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		object_store_remove(world->store, "servers",
+		    plain_server_id(world_replica(world, WORLD_ONE, i)));
+	g_usleep(1500 * 1000);
+	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 503);
+	assert_true(result.elapsed < MS(DEADLINE_MS) / 2);
+	http_result_clear(&result);
+	world_destroy(world);
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(asks_all_shards),
+	    HARNESS_TEST(leaves_out_a_shard_that_is_down),
+	    HARNESS_TEST(answers_through_a_fault_of_one_server),
+	    HARNESS_TEST(drops_a_late_second_response),
+	    HARNESS_TEST(never_runs_twice_and_never_denies_a_run),
+	    HARNESS_TEST(hands_on_body_and_time),
+	    HARNESS_TEST(sends_no_more_attempts_than_allowed),
+	    HARNESS_TEST(stops_servers_when_the_client_leaves),
+	    HARNESS_TEST(keeps_to_the_protocol),
+	    HARNESS_TEST(refuses_headers_beyond_the_limit),
+	    HARNESS_TEST(says_not_run_before_its_first_configuration),
+	    HARNESS_TEST(follows_the_configuration),
+	    HARNESS_TEST(notices_a_watch_that_was_lost_in_an_outage),
+	    HARNESS_TEST(serves_while_the_store_is_away),
+	    HARNESS_TEST(sends_nothing_to_a_server_that_leaves),
+	    HARNESS_TEST(ignores_entries_of_other_writers),
+	    HARNESS_TEST(splits_by_weight),
+	    HARNESS_TEST(a_planned_stop_cuts_no_request),
+	    HARNESS_TEST(a_hangup_changes_nothing),
+	    HARNESS_TEST(refuses_at_once_without_servers),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
