--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -44,14 +44,14 @@
 	X(SERVER_LYING, 602, WARN, "a server's reply names another request")   \
 	X(SERVER_DOWN, 603, WARN, "a server fails repeatedly")                 \
 	X(SERVER_UP, 604, INFO, "a server answers again")                      \
+	X(SERVER_FOUND, 605, INFO, "discovery reports a new server")           \
+	X(SERVER_REPLACED, 606, WARN, "another server has the address")        \
 	X(SUSPECT_ADDED, 610, WARN, "a request ran when a server died")        \
 	X(SUSPECT_REFUSED, 611, WARN,                                          \
 	    "a request that kills servers is refused")                         \
 	X(CLAIM_CONFLICT, 700, INFO, "another node wrote the claim bucket")    \
 	X(CLAIM_UNKNOWN, 701, WARN, "a reservation's outcome is not known")    \
 	X(CLAIM_READ_BACK, 702, WARN, "a claim write's answer was lost")       \
-	X(SERVER_FOUND, 605, INFO, "discovery reports a new server")           \
-	X(SERVER_REPLACED, 606, WARN, "another server has the address")        \
 	X(GATEWAY_STARTED, 1000, INFO, "the gateway listens")                  \
 	X(GATEWAY_READY, 1001, INFO, "the gateway serves clients")             \
 	X(GATEWAY_NOT_READY, 1002, WARN, "the gateway asks for no clients")    \
--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -26,7 +26,7 @@
 {
 	route_state_t *state = data;
 
-	latency_destroy(state->latency);
+	latency_model_destroy(state->latency);
 	histogram_destroy(state->answered);
 	histogram_destroy(state->failed);
 	g_free(state->credits);
@@ -133,7 +133,7 @@
 		return state;
 	state = g_new0(route_state_t, 1);
 	state->name = g_strdup(route->name);
-	state->latency = latency_create(route->goal);
+	state->latency = latency_model_create(route->goal);
 	state->answered = histogram_create();
 	state->failed = histogram_create();
 	g_hash_table_insert(engine->route_states, state->name, state);
@@ -193,6 +193,11 @@
 exchange_client_gone(exchange_t *exchange)
 {
 	exchange->engine->counters.client_gone++;
+	event_log_sampled(EVENT_CLIENT_GONE, "request=%.*s route=%s ms=%.1f",
+	    (int)exchange->request_id.size, exchange->request_id.data,
+	    exchange->route->name,
+	    (double)(engine_now(exchange->engine) - exchange->received_at) /
+		USEC_PER_MS);
 	exchange->done = true;
 	release_exchange(exchange, true);
 }
@@ -225,7 +230,7 @@
 abandon_rest(task_t *task)
 {
 	for (uint32_t i = 0; i < task->running_count; i++)
-		attempt_abandon(task->running[i]);
+		pool_attempt_abandon(task->running[i]);
 	task->running_count = 0;
 	task->hedge_at = 0;
 }
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -32,7 +32,7 @@
 
 struct route_state {
 	char *name;
-	latency_t *latency;
+	latency_model_t *latency;
 	histogram_t *answered; /* time until an answer */
 	histogram_t *failed;   /* time until a failure or refusal */
 	double *credits;       /* ROUTE_WEIGHTED: balance of each target */
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -43,9 +43,9 @@
 hedge_time(const task_t *task, usec_t now)
 {
 	const exchange_t *exchange = task->exchange;
-	usec_t typical = latency_typical(exchange->state->latency);
+	usec_t typical = latency_model_typical(exchange->state->latency);
 	usec_t latest = exchange->goal_at - (usec_t)(HEDGE_LEAD * typical);
-	usec_t at = now + latency_late(exchange->state->latency);
+	usec_t at = now + latency_model_late(exchange->state->latency);
 
 	if (at > latest)
 		at = MAX(latest, now + typical);
@@ -110,7 +110,7 @@
 expected_wait(const task_t *task)
 {
 	const upstream_t *upstream = task->upstream;
-	usec_t typical = latency_typical(task->exchange->state->latency);
+	usec_t typical = latency_model_typical(task->exchange->state->latency);
 	uint32_t places = 0;
 
 	for (guint i = 0; i < upstream->replicas->len; i++) {
@@ -125,7 +125,7 @@
 wait_for_room(task_t *task, usec_t now)
 {
 	const exchange_t *exchange = task->exchange;
-	usec_t typical = latency_typical(exchange->state->latency);
+	usec_t typical = latency_model_typical(exchange->state->latency);
 
 	if (now + expected_wait(task) + typical > exchange->final_at) {
 		fail_task(task, "overloaded");
@@ -145,7 +145,7 @@
 	bool busy;
 	replica_t *replica = pool_choose(exchange->engine->pool, task->upstream,
 	    task->tried, MIN(task->sent, TASK_MAX_ATTEMPTS),
-	    latency_typical(exchange->state->latency), now, &busy);
+	    latency_model_typical(exchange->state->latency), now, &busy);
 
 	if (replica != NULL)
 		send_attempt(task, replica, now);
@@ -193,7 +193,7 @@
 	if (task->state != TASK_RUNNING || !may_send_again(task))
 		return;
 	if (pool_choose(engine->pool, task->upstream, task->tried, task->sent,
-		latency_typical(task->exchange->state->latency), now,
+		latency_model_typical(task->exchange->state->latency), now,
 		&busy) == NULL)
 		return;
 	if (!exchange_needs(task->exchange, now))
@@ -201,8 +201,14 @@
 	if (!take_budget(task, reserve, now))
 		return;
 	try_dispatch(task, now);
-	if (task->sent > before)
-		engine->counters.hedges++;
+	if (task->sent == before)
+		return;
+	engine->counters.hedges++;
+	event_log_sampled(EVENT_HEDGE_SENT,
+	    "request=%.*s upstream=%s server=%s late_us=%lld",
+	    (int)task->exchange->request_id.size,
+	    task->exchange->request_id.data, task->upstream->name,
+	    task->tried[before]->entry.id, (long long)(now - task->late_at));
 }
 
 static void
@@ -234,9 +240,9 @@
 		attempt_t *attempt = task->running[i];
 
 		if (client_gone && exchange->route->idempotent)
-			attempt_cancel(exchange->engine->pool, attempt);
+			pool_attempt_cancel(exchange->engine->pool, attempt);
 		else
-			attempt_abandon(attempt);
+			pool_attempt_abandon(attempt);
 	}
 	task->running_count = 0;
 	g_free(task->stamp);
@@ -384,7 +390,7 @@
 		task_t *task = at->data;
 		const exchange_t *exchange = task->exchange;
 
-		if (now + latency_typical(exchange->state->latency) >
+		if (now + latency_model_typical(exchange->state->latency) >
 		    exchange->goal_at)
 			continue;
 		g_queue_delete_link(&upstream->waiting, at);
--- a/source/gateway/latency.c
+++ b/source/gateway/latency_model.c
@@ -1,4 +1,4 @@
-#include "latency.h"
+#include "latency_model.h"
 
 #include <glib.h>
 
@@ -17,7 +17,7 @@
 #define DECAY_SAMPLES 1024 /* older samples count half */
 #define MIN_SAMPLES 16	   /* fewer say nothing about the tail */
 
-struct latency {
+struct latency_model {
 	histogram_t *samples;
 	uint32_t since_refresh;
 	uint32_t since_decay;
@@ -25,10 +25,10 @@
 	usec_t late;
 };
 
-latency_t *
-latency_create(usec_t goal)
+latency_model_t *
+latency_model_create(usec_t goal)
 {
-	latency_t *latency = g_new0(latency_t, 1);
+	latency_model_t *latency = g_new0(latency_model_t, 1);
 
 	latency->samples = histogram_create();
 	latency->typical = MAX((usec_t)(GUESS_TYPICAL_PART * goal), MS(1));
@@ -37,7 +37,7 @@
 }
 
 void
-latency_destroy(latency_t *latency)
+latency_model_destroy(latency_model_t *latency)
 {
 	if (latency == NULL)
 		return;
@@ -46,7 +46,7 @@
 }
 
 static void
-refresh(latency_t *latency)
+refresh(latency_model_t *latency)
 {
 	latency->since_refresh = 0;
 	latency->typical =
@@ -60,7 +60,7 @@
 }
 
 void
-latency_record(latency_t *latency, usec_t elapsed)
+latency_model_record(latency_model_t *latency, usec_t elapsed)
 {
 	histogram_record(latency->samples, elapsed);
 	if (++latency->since_decay >= DECAY_SAMPLES) {
@@ -72,13 +72,13 @@
 }
 
 usec_t
-latency_typical(const latency_t *latency)
+latency_model_typical(const latency_model_t *latency)
 {
 	return latency->typical;
 }
 
 usec_t
-latency_late(const latency_t *latency)
+latency_model_late(const latency_model_t *latency)
 {
 	return latency->late;
 }
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -4,7 +4,7 @@
 #include <ev.h>
 
 #include "../http/http_connection.h"
-#include "latency.h"
+#include "latency_model.h"
 #include "route_table.h"
 #include "upstream.h"
 
@@ -28,7 +28,7 @@
 struct attempt {
 	replica_t *replica;
 	void *owner; /* NULL: the answer is no longer wanted */
-	latency_t *latency;
+	latency_model_t *latency;
 	usec_t started_at;
 	usec_t expires_at;  /* the server stops work here */
 	bool arrived_maybe; /* a byte of the request has left */
@@ -106,7 +106,7 @@
 	slice_t request_id;
 	bool head_only;
 	usec_t expires_at;
-	latency_t *latency;
+	latency_model_t *latency;
 } pool_request_t;
 
 /** pool_send() - Starts an attempt; NULL when no connection can be had. */
@@ -114,12 +114,13 @@
     const pool_request_t *request, void *owner, usec_t now);
 
 /**
- * attempt_abandon() - The answer is no longer wanted; the server may finish.
+ * pool_attempt_abandon() - The answer is no longer wanted; the server may
+ * finish.
  */
-void attempt_abandon(attempt_t *attempt);
+void pool_attempt_abandon(attempt_t *attempt);
 
-/** attempt_cancel() - Closes the connection, so that the server stops. */
-void attempt_cancel(pool_t *pool, attempt_t *attempt);
+/** pool_attempt_cancel() - Closes the connection, so that the server stops. */
+void pool_attempt_cancel(pool_t *pool, attempt_t *attempt);
 
 /** pool_server_count() - Servers that may be used. */
 uint32_t pool_server_count(const pool_t *pool);
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -167,7 +167,7 @@
 	replica_t *replica = connection->replica;
 	attempt_t *attempt = connection->attempt;
 	usec_t elapsed = now - attempt->started_at;
-	usec_t typical = latency_typical(attempt->latency);
+	usec_t typical = latency_model_typical(attempt->latency);
 	double most =
 	    pool_connection_limit(connection->pool, replica->upstream);
 
@@ -180,7 +180,7 @@
 	} else {
 		replica_health_answered(
 		    &replica->health, elapsed, typical, most, now);
-		latency_record(attempt->latency, elapsed);
+		latency_model_record(attempt->latency, elapsed);
 	}
 }
 
@@ -315,13 +315,13 @@
 }
 
 void
-attempt_abandon(attempt_t *attempt)
+pool_attempt_abandon(attempt_t *attempt)
 {
 	attempt->owner = NULL;
 }
 
 void
-attempt_cancel(pool_t *pool, attempt_t *attempt)
+pool_attempt_cancel(pool_t *pool, attempt_t *attempt)
 {
 	pool_connection_t *connection = attempt->connection;
 	upstream_t *upstream = connection->replica->upstream;
--- /dev/null
+++ b/tests/test_gateway_decisions.c
@@ -0,0 +1,345 @@
+/* Guards the gateway's decisions one by one: a budget that is overdrawn or
+ * never given back, an answer that waits for nothing or leaves out too much,
+ * records in the wrong order, and an attempt for a server that should not get
+ * it. */
+#include "lib/runner.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../source/gateway/gather.h"
+#include "../source/gateway/latency_model.h"
+#include "../source/gateway/placement.h"
+#include "../source/gateway/retry_budget.h"
+#include "../source/gateway/route_table.h"
+#include "lib/random.h"
+
+#define START SECONDS(1000)
+
+static const retry_limits_t limits = {.ratio = 0.2,
+    .window = SECONDS(10),
+    .slack = 50};
+
+/* The bound of all nodes holds in every window, whatever the pattern. */
+static void
+nodes_together_keep_to_the_retry_budget(void **state)
+{
+	enum { NODES = 7, TICKS = 3000 };
+	static uint32_t requests[TICKS], extras[TICKS];
+	retry_budget_t budgets[NODES] = {0};
+	GRand *random = g_rand_new_with_seed(11);
+
+	for (int tick = 0; tick < TICKS; tick++) {
+		usec_t now = START + tick * MS(10);
+		int burst = (tick / 300) % 3 == 1 ? 6 : 1;
+
+		for (int node = 0; node < NODES; node++) {
+			int arrivals = g_rand_int_range(random, 0, burst + 1);
+
+			requests[tick] += (uint32_t)arrivals;
+			for (int i = 0; i < arrivals; i++)
+				retry_budget_request(
+				    &budgets[node], &limits, now);
+			for (int i = 0; i < 10; i++)
+				extras[tick] += retry_budget_take(
+				    &budgets[node], &limits, NODES, 0.0, now);
+		}
+	}
+	for (int from = 0; from + 1000 <= TICKS; from++) {
+		uint32_t asked = 0, extra = 0, before = 0;
+
+		for (int tick = from; tick < from + 1000; tick++) {
+			asked += requests[tick];
+			extra += extras[tick];
+			if (tick >= 500)
+				before += requests[tick - 500];
+		}
+		assert_true(
+		    extra <= limits.ratio * MAX(asked, before) + limits.slack);
+	}
+	g_rand_free(random);
+}
+
+static void
+the_retry_budget_is_given_and_comes_back(void **state)
+{
+	retry_budget_t budget = {0};
+	int first = 0, again = 0, reserved = 0;
+
+	for (int i = 0; i < 1000; i++)
+		retry_budget_request(&budget, &limits, START);
+	while (retry_budget_take(&budget, &limits, 10, 0.5, START))
+		reserved++;
+	while (retry_budget_take(&budget, &limits, 10, 0.0, START))
+		first++;
+	assert_true(reserved > 80 && reserved < 110);
+	assert_true(reserved + first > 170 && reserved + first <= 205);
+	for (int i = 0; i < 1000; i++)
+		retry_budget_request(&budget, &limits, START + SECONDS(11));
+	while (
+	    retry_budget_take(&budget, &limits, 10, 0.0, START + SECONDS(11)))
+		again++;
+	assert_true(again > 170);
+}
+
+static void
+a_fanout_answers_when_it_should(void **state)
+{
+	static const struct {
+		const char *failure;
+		gather_state_t view;
+		int at_ms;
+		gather_verdict_t verdict;
+	} cases[] = {
+	    {"answers before the goal with an open shard",
+		{10, 9, 1, 0.89, MS(60), MS(400)}, 59, GATHER_WAIT},
+	    {"waits beyond the goal although it has enough",
+		{10, 9, 1, 0.89, MS(60), MS(400)}, 60, GATHER_ANSWER},
+	    {"answers late with too few", {10, 8, 2, 0.89, MS(60), MS(400)}, 61,
+		GATHER_WAIT},
+	    {"waits for a shard that has failed",
+		{10, 9, 0, 0.89, MS(60), MS(400)}, 5, GATHER_ANSWER},
+	    {"waits although it can't have enough",
+		{10, 3, 5, 0.89, MS(60), MS(400)}, 5, GATHER_FAIL},
+	    {"waits beyond the final time", {10, 8, 2, 0.89, MS(60), MS(400)},
+		400, GATHER_FAIL},
+	    {"answers without any part", {10, 0, 0, 0.0, MS(60), MS(400)}, 5,
+		GATHER_FAIL},
+	    {"rounds the least share against the caller",
+		{9, 8, 0, 0.8888888888888888, MS(60), MS(400)}, 5,
+		GATHER_ANSWER},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (gather_decide(&cases[i].view, MS(cases[i].at_ms)) !=
+		    cases[i].verdict)
+			fail_msg("%s", cases[i].failure);
+}
+
+static void
+a_shard_is_needed_when_too_many_are_at_risk(void **state)
+{
+	const gather_state_t view = {.total = 10, .least = 0.89};
+
+	assert_false(gather_needs(&view, 1));
+	assert_true(gather_needs(&view, 2));
+}
+
+static int
+compare_falling(const void *a, const void *b)
+{
+	return memcmp(b, a, GATHER_RECORD_BYTES);
+}
+
+static void
+records_are_the_greatest_in_falling_order(void **state)
+{
+	GRand *random = g_rand_new_with_seed(5);
+
+	for (int round = 0; round < 200; round++) {
+		uint32_t top = (uint32_t)g_rand_int_range(random, 1, 20);
+		gather_records_t *records = gather_records_create(top);
+		char all[60 * GATHER_RECORD_BYTES + 7];
+		uint32_t count = (uint32_t)g_rand_int_range(random, 0, 60);
+
+		for (size_t i = 0; i < sizeof(all); i++)
+			all[i] = (char)g_rand_int_range(random, 0, 3);
+		gather_records_add(
+		    records, (slice_t){all, count * GATHER_RECORD_BYTES + 7});
+		qsort(all, count, GATHER_RECORD_BYTES, compare_falling);
+		assert_int_equal(records->count, MIN(top, count));
+		assert_memory_equal(records->records, all,
+		    records->count * GATHER_RECORD_BYTES);
+		gather_records_destroy(records);
+	}
+	g_rand_free(random);
+}
+
+#define SERVERS 3
+
+typedef struct {
+	const char *failure; /* that the choice guards against */
+	replica_view_t views[SERVERS];
+	double slowness[SERVERS];
+	double failures[SERVERS];
+	int ejected; /* bit for each server */
+	int chosen;
+	bool busy;
+} choice_t;
+
+#define COMMON .slots = 2, .sharers = 1
+#define SENDS .can_send = true
+#define LINKED .has_connection = true
+#define NEAR .same_data_centre = true
+#define OURS .assigned = true
+#define FINE COMMON, SENDS, LINKED, NEAR, OURS
+
+static const choice_t choices[] = {
+    {"a slow server", {{FINE}, {FINE}, {FINE}}, {5, 1, 5}, {0}, 0, 1, false},
+    {"a failing server", {{FINE}, {FINE}, {FINE}}, {1, 1, 1}, {0.4, 0.4, 0}, 0,
+	2, false},
+    {"a server stuck with an attempt",
+	{{FINE, .running = 1, .oldest_sent = START - MS(90)},
+	    {FINE, .running = 1, .oldest_sent = START - MS(2)},
+	    {FINE, .running = 1, .oldest_sent = START - MS(80)}},
+	{1, 1, 1}, {0}, 0, 1, false},
+    {"another data centre without need",
+	{{COMMON, SENDS, LINKED, OURS}, {FINE}, {FINE, .excluded = true}},
+	{1, 1.8, 1}, {0}, 0, 1, false},
+    {"a slow near server when a remote one is fast",
+	{{COMMON, SENDS, LINKED, OURS}, {FINE}, {FINE, .excluded = true}},
+	{1, 8, 1}, {0}, 0, 0, false},
+    {"a server without connection when one is open",
+	{{COMMON, SENDS, NEAR, OURS}, {FINE}, {FINE, .excluded = true}},
+	{1, 1, 1}, {0}, 0, 1, false},
+    {"a server that warms up",
+	{{FINE, .warming_up = true}, {FINE}, {FINE, .warming_up = true}},
+	{1, 1, 1}, {0}, 0, 1, false},
+    {"a server that other nodes shall use",
+	{{COMMON, SENDS, LINKED, NEAR}, {FINE}, {COMMON, SENDS, LINKED, NEAR}},
+	{1, 1.5, 1}, {0}, 0, 1, false},
+    {"slow servers of its own when others are fast",
+	{{COMMON, SENDS, LINKED, NEAR}, {FINE}, {FINE}}, {1, 6, 6}, {0}, 0, 0,
+	false},
+    {"a leaving server while another one works",
+	{{FINE, .leaving = true}, {FINE}, {FINE, .leaving = true}}, {1, 9, 1},
+	{0}, 0, 1, false},
+    {"no server although a leaving one still works",
+	{{FINE, .excluded = true}, {FINE, .leaving = true},
+	    {FINE, .excluded = true}},
+	{1, 1, 1}, {0}, 0, 1, false},
+    {"an ejected server", {{FINE}, {FINE}, {FINE}}, {1, 1, 1}, {0}, 5, 1,
+	false},
+    {"a leaving server while the others are only busy",
+	{{COMMON, LINKED, NEAR, OURS}, {FINE, .leaving = true},
+	    {COMMON, LINKED, NEAR, OURS}},
+	{1, 1, 1}, {0}, 0, PLACEMENT_NONE, true},
+    {"a server when all are ejected", {{FINE}, {FINE}, {FINE}}, {1, 1, 1}, {0},
+	7, PLACEMENT_NONE, false},
+};
+
+static void
+the_best_server_is_chosen(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(choices); i++) {
+		replica_health_t health[SERVERS];
+		replica_view_t views[SERVERS];
+		bool busy;
+		int chosen;
+
+		for (int j = 0; j < SERVERS; j++) {
+			views[j] = choices[i].views[j];
+			views[j].health = &health[j];
+			replica_health_init(&health[j], 4.0, START);
+			health[j].slowness = choices[i].slowness[j];
+			health[j].failure = choices[i].failures[j];
+			if ((choices[i].ejected >> j & 1) != 0)
+				replica_health_broken(&health[j], START);
+		}
+		chosen = placement_choose(views, SERVERS, MS(10), START, &busy);
+		if (chosen != choices[i].chosen || busy != choices[i].busy)
+			fail_msg("chose %s: %d, busy %d", choices[i].failure,
+			    chosen, busy);
+	}
+}
+
+static void
+an_ejected_server_comes_back_after_a_connection(void **state)
+{
+	replica_health_t health;
+	replica_view_t view = {FINE, .health = &health};
+	bool busy;
+
+	replica_health_init(&health, 4.0, START);
+	replica_health_broken(&health, START);
+	assert_int_equal(
+	    placement_choose(&view, 1, MS(10), START + SECONDS(30), &busy),
+	    PLACEMENT_NONE);
+	replica_health_connected(&health);
+	assert_int_equal(
+	    placement_choose(&view, 1, MS(10), START + SECONDS(30), &busy), 0);
+}
+
+static void
+late_follows_the_typical_time_not_the_slow_servers(void **state)
+{
+	latency_model_t *model = latency_model_create(MS(200));
+
+	assert_true(latency_model_late(model) >= MS(60));
+	for (int i = 0; i < 1000; i++)
+		latency_model_record(model, i % 5 == 0 ? MS(224) : MS(28));
+	assert_true(latency_model_typical(model) <= MS(30));
+	assert_true(latency_model_late(model) <= MS(70));
+	latency_model_destroy(model);
+}
+
+static route_t
+plain_route(const char *host, const char *prefix)
+{
+	route_t route = {
+	    .name = g_strdup(prefix),
+	    .host = g_strdup(host),
+	    .prefix = g_strdup(prefix),
+	    .targets = g_new0(route_target_t, 1),
+	    .target_count = 1,
+	};
+
+	route.targets[0].service = g_strdup("s");
+	return route;
+}
+
+static void
+the_longest_prefix_of_the_host_wins(void **state)
+{
+	static const struct {
+		const char *host, *target, *prefix; /* NULL: no route */
+	} cases[] = {
+	    {"a.test", "/x/1", "/x/"},
+	    {"A.Test:8080", "/x/1", "/x/"},
+	    {"a.test", "/x/y/1?q=/z/", "/x/y/"},
+	    {"a.test", "/x/y", "/x/"},
+	    {"a.test", "/x", NULL},
+	    {"a.test", "/xy/1", NULL},
+	    {"b.test", "/x/1", NULL},
+	    {"a.test", "*", NULL},
+	    {"", "/x/1", NULL},
+	};
+	route_table_t *table = route_table_create(1);
+	route_t routes[] = {
+	    plain_route("a.test", "/x/"), plain_route("a.test", "/x/y/")};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++)
+		route_table_add(table, &routes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const route_t *route = route_table_match(table,
+		    slice_from(cases[i].host), slice_from(cases[i].target));
+
+		if (cases[i].prefix == NULL)
+			assert_null(route);
+		else
+			assert_string_equal(route->prefix, cases[i].prefix);
+	}
+	route_table_drop(table);
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(nodes_together_keep_to_the_retry_budget),
+	    cmocka_unit_test(the_retry_budget_is_given_and_comes_back),
+	    cmocka_unit_test(a_fanout_answers_when_it_should),
+	    cmocka_unit_test(a_shard_is_needed_when_too_many_are_at_risk),
+	    cmocka_unit_test(records_are_the_greatest_in_falling_order),
+	    cmocka_unit_test(the_best_server_is_chosen),
+	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
+	    cmocka_unit_test(
+		late_follows_the_typical_time_not_the_slow_servers),
+	    cmocka_unit_test(the_longest_prefix_of_the_host_wins),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
