--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -52,6 +52,7 @@
 	X(CLAIM_CONFLICT, 700, INFO, "another node wrote the claim bucket")    \
 	X(CLAIM_UNKNOWN, 701, WARN, "a reservation's outcome is not known")    \
 	X(CLAIM_READ_BACK, 702, WARN, "a claim write's answer was lost")       \
+	X(INVARIANT_BROKEN, 900, FATAL, "an internal invariant does not hold") \
 	X(GATEWAY_STARTED, 1000, INFO, "the gateway listens")                  \
 	X(GATEWAY_READY, 1001, INFO, "the gateway serves clients")             \
 	X(GATEWAY_NOT_READY, 1002, WARN, "the gateway asks for no clients")    \
@@ -73,8 +74,7 @@
 	X(CLIENT_REFUSED, 1104, WARN, "a client or its bytes were refused")    \
 	X(CLIENT_GONE, 1105, INFO, "a client left before its answer")          \
 	X(HEDGE_SENT, 1106, INFO, "a late attempt got a second one")           \
-	X(LOG_DROPPED, 1110, WARN, "log lines were left out")                  \
-	X(INVARIANT_BROKEN, 900, FATAL, "an internal invariant does not hold")
+	X(LOG_DROPPED, 1110, WARN, "log lines were left out")
 
 typedef enum {
 #define X(name, number, level, text) EVENT_##name = number,
--- a/source/gateway/latency_model.c
+++ b/source/gateway/latency_model.c
@@ -10,6 +10,7 @@
  */
 #define LATE_MIN_FACTOR 1.5
 #define LATE_MAX_FACTOR 2.0
+#define LATE_MIN MS(3) /* less is within the scheduling noise of a VM */
 /* Until there are samples, an attempt may take this part of the goal. */
 #define GUESS_TYPICAL_PART 0.15
 #define GUESS_LATE_PART 0.4
@@ -57,6 +58,7 @@
 	    CLAMP(histogram_quantile(latency->samples, LATE_QUANTILE),
 		(usec_t)(LATE_MIN_FACTOR * latency->typical),
 		(usec_t)(LATE_MAX_FACTOR * latency->typical));
+	latency->late = MAX(latency->late, LATE_MIN);
 }
 
 void
