--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -28,6 +28,7 @@
 	int delay_ms;
 	bool stopping;
 	plain_record_t record;
+	GHashTable *runs; /* by request id */
 	uint32_t serial;
 };
 
@@ -120,6 +121,16 @@
 	return true;
 }
 
+static void
+count_run(plain_server_t *server, const char *request_id)
+{
+	uint32_t runs =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(server->runs, request_id));
+
+	g_hash_table_insert(
+	    server->runs, g_strdup(request_id), GUINT_TO_POINTER(runs + 1));
+}
+
 static plain_fault_t
 note_arrival(plain_connection_t *connection)
 {
@@ -141,8 +152,10 @@
 		server->fault_count--;
 		fault = server->fault;
 	}
-	if (fault != PLAIN_SHED && fault != PLAIN_MISDIRECTED)
+	if (fault != PLAIN_SHED && fault != PLAIN_MISDIRECTED) {
 		record->runs++;
+		count_run(server, connection->request_id);
+	}
 	snprintf(connection->stamp, sizeof(connection->stamp), "%s.%u",
 	    server->id, ++server->serial);
 	g_mutex_unlock(&server->lock);
@@ -344,6 +357,8 @@
 	g_strlcpy(server->id, id, sizeof(server->id));
 	g_mutex_init(&server->lock);
 	server->threads = g_ptr_array_new();
+	server->runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	server->sockets = g_array_new(FALSE, FALSE, sizeof(int));
 	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -374,6 +389,7 @@
 		g_thread_join(server->threads->pdata[i]);
 	close(server->listener);
 	g_ptr_array_free(server->threads, TRUE);
+	g_hash_table_destroy(server->runs);
 	g_array_free(server->sockets, TRUE);
 	g_mutex_clear(&server->lock);
 	g_free(server);
@@ -413,3 +429,14 @@
 	*record = server->record;
 	g_mutex_unlock(&server->lock);
 }
+
+uint32_t
+plain_server_runs(plain_server_t *server, const char *request_id)
+{
+	uint32_t runs;
+
+	g_mutex_lock(&server->lock);
+	runs = GPOINTER_TO_UINT(g_hash_table_lookup(server->runs, request_id));
+	g_mutex_unlock(&server->lock);
+	return runs;
+}
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -53,6 +53,9 @@
 /** plain_server_delay() - Each answer takes this long. */
 void plain_server_delay(plain_server_t *server, int ms);
 
+/** plain_server_runs() - How often it ran the request of that id. */
+uint32_t plain_server_runs(plain_server_t *server, const char *request_id);
+
 void plain_server_read(plain_server_t *server, plain_record_t *record);
 
 #endif
