Refuse new requests late in a planned stop; ignore late reports of departed servers

Change: after 2.8 s new requests get 503 (not run); the process ends once none runs. Change: the last report of a removed server is remembered for 120 s.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -100,6 +100,12 @@
 	return &engine->counters;
 }
 
+void
+engine_refuse(exchange_engine_t *engine)
+{
+	engine->refusing = true;
+}
+
 uint32_t
 engine_running(const exchange_engine_t *engine)
 {
@@ -438,6 +444,10 @@
 		*cause = "no_configuration";
 		return BW_E_NOT_READY;
 	}
+	if (engine->refusing) {
+		*cause = "stopping";
+		return BW_E_STOPPING;
+	}
 	if (!http_message_find(request, engine->settings.headers.request_id,
 		&exchange->request_id) ||
 	    exchange->request_id.size == 0 ||
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -76,6 +76,9 @@
 	const histogram_t *failed),
     void *context);
 
+/** engine_refuse() - From now on, new requests are refused as not run. */
+void engine_refuse(exchange_engine_t *engine);
+
 /** engine_running() - Exchanges without an answer so far. */
 uint32_t engine_running(const exchange_engine_t *engine);
 
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -69,6 +69,7 @@
 	route_table_t *table;
 	GHashTable *route_states; /* by route name */
 	exchange_counters_t counters;
+	bool refusing; /* a planned stop takes no more requests */
 	uint32_t running;
 	buffer_t scratch; /* head of the request that is sent */
 };
--- a/source/gateway/front.c
+++ b/source/gateway/front.c
@@ -333,10 +333,8 @@
 }
 
 static void
-on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+accept_clients(front_t *front)
 {
-	front_t *front = watcher->data;
-
 	for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
 		int fd = http_socket_accept(front->fd);
 
@@ -352,6 +350,12 @@
 	}
 }
 
+static void
+on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	accept_clients(watcher->data);
+}
+
 static bool
 is_idle(const client_t *client)
 {
@@ -427,13 +431,12 @@
 
 	if (front == NULL)
 		return;
+	front_close_listener(front);
 	clients = g_hash_table_get_keys(front->clients);
 	for (GList *at = clients; at != NULL; at = at->next)
 		close_client(at->data);
 	g_list_free(clients);
-	ev_io_stop(front->loop, &front->listener);
 	ev_timer_stop(front->loop, &front->check);
-	close(front->fd);
 	g_hash_table_destroy(front->clients);
 	g_free(front);
 }
@@ -455,6 +458,17 @@
 	g_list_free(clients);
 }
 
+void
+front_close_listener(front_t *front)
+{
+	if (front->fd < 0)
+		return;
+	accept_clients(front);
+	ev_io_stop(front->loop, &front->listener);
+	close(front->fd);
+	front->fd = -1;
+}
+
 uint32_t
 front_connections(const front_t *front)
 {
--- a/source/gateway/front.h
+++ b/source/gateway/front.h
@@ -30,6 +30,9 @@
 /** front_close_idle() - Closes connections on which no request runs. */
 void front_close_idle(front_t *front);
 
+/** front_close_listener() - Takes the clients that wait, and no more. */
+void front_close_listener(front_t *front);
+
 /** front_connections() - Open client connections. */
 uint32_t front_connections(const front_t *front);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -15,8 +15,7 @@
  * The balancer needs two failed health checks, a second apart, before it sends
  * no more clients.
  */
-#define STOP_ACCEPT_TIME MS(2500)
-#define STOP_IDLE_TIME MS(3500) /* then idle connections are closed */
+#define STOP_ACCEPT_TIME MS(2800) /* then new requests are refused */
 /* A node that only breaks attempts has lost its ways to the servers. */
 #define ISOLATED_BROKEN 8
 
@@ -108,10 +107,19 @@
 {
 	usec_t age = gateway_now(gateway) - gateway->stopping_since;
 
-	if (age >= STOP_IDLE_TIME)
-		front_close_idle(gateway->front);
-	if (age >= gateway->settings.stop_limit ||
-	    (age >= STOP_ACCEPT_TIME && front_connections(gateway->front) == 0))
+	if (age < STOP_ACCEPT_TIME)
+		return;
+	engine_refuse(gateway->engine);
+	front_close_idle(gateway->front);
+	if (age >= gateway->settings.stop_limit) {
+		finish_stop(gateway);
+		return;
+	}
+	if (engine_running(gateway->engine) > 0 ||
+	    front_connections(gateway->front) > 0)
+		return;
+	front_close_listener(gateway->front);
+	if (front_connections(gateway->front) == 0)
 		finish_stop(gateway);
 }
 
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -9,11 +9,19 @@
 #define CONNECTION_PART 0.9
 #define DEFAULT_MAX_CONNECTIONS 8
 #define DEFAULT_NODES 8
+/* A report that was delayed longer than this is taken for a new server. */
+#define DEPARTED_TIME SECONDS(120)
 /* Entries that lapsed during an outage are back this soon after it. */
 #define LAPSE_RETURN MS(2600)
 #define LAPSE_DOUBT SECONDS(3) /* after an outage, lapses are doubted */
 #define FIRST_LIMIT 4.0 /* attempts at once on a server, before samples */
 
+/* The last report of a server that was removed. */
+typedef struct {
+	server_entry_t entry;
+	usec_t removed_at;
+} departed_t;
+
 static void
 free_replica(void *data)
 {
@@ -48,6 +56,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
 	pool->replicas =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	pool->departed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	pool_sweep_start(pool);
 	return pool;
 }
@@ -76,6 +86,7 @@
 	pool_sweep_stop(pool);
 	close_all(pool);
 	g_hash_table_destroy(pool->replicas);
+	g_hash_table_destroy(pool->departed);
 	g_hash_table_destroy(pool->upstreams);
 	g_free(pool);
 }
@@ -214,9 +225,29 @@
 	}
 }
 
+static void
+remember_departed(pool_t *pool, const replica_t *replica)
+{
+	departed_t *departed = g_new0(departed_t, 1);
+
+	departed->entry = replica->entry;
+	departed->removed_at = pool_now(pool);
+	g_hash_table_replace(pool->departed, departed->entry.id, departed);
+}
+
+static gboolean
+is_forgotten(void *key, void *value, void *context)
+{
+	const departed_t *departed = value;
+	const pool_t *pool = context;
+
+	return pool_now(pool) - departed->removed_at > DEPARTED_TIME;
+}
+
 static void
 remove_replica(pool_t *pool, replica_t *replica)
 {
+	remember_departed(pool, replica);
 	g_hash_table_remove(pool->replicas, replica->entry.id);
 	g_ptr_array_remove_fast(replica->upstream->replicas, replica);
 	pool_assign(pool, replica->upstream);
@@ -279,12 +310,25 @@
 	}
 }
 
+/* Whether a server said something newer before, even if it is gone now. */
+static bool
+is_outdated(
+    const pool_t *pool, const replica_t *replica, const server_entry_t *entry)
+{
+	const departed_t *departed =
+	    g_hash_table_lookup(pool->departed, entry->id);
+
+	if (replica != NULL)
+		return is_late_report(&replica->entry, entry);
+	return departed != NULL && is_late_report(&departed->entry, entry);
+}
+
 void
 pool_server_seen(pool_t *pool, const server_entry_t *entry, usec_t now)
 {
 	replica_t *replica = g_hash_table_lookup(pool->replicas, entry->id);
 
-	if (replica != NULL && is_late_report(&replica->entry, entry))
+	if (is_outdated(pool, replica, entry))
 		return;
 	if (replica != NULL && is_other_process(&replica->entry, entry)) {
 		remove_replica(pool, replica);
@@ -363,6 +407,7 @@
 	for (guint i = 0; i < left->len; i++)
 		remove_replica(pool, left->pdata[i]);
 	g_ptr_array_free(left, TRUE);
+	g_hash_table_foreach_remove(pool->departed, is_forgotten, pool);
 }
 
 static bool
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -28,6 +28,7 @@
 	uint32_t opened;	 /* spare connections of this sweep */
 	GHashTable *upstreams;	 /* by name */
 	GHashTable *replicas;	 /* by server id */
+	GHashTable *departed;	 /* departed_t of removed servers, by id */
 	ev_timer sweep;
 	uint32_t answered[2]; /* this half second and the one before */
 	uint32_t broken[2];
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -87,8 +87,15 @@
 void
 world_register(gateway_world_t *world, int server, const char *state)
 {
-	static int sequence;
+	static int sequence = 100;
 
+	world_register_report(world, server, state, ++sequence);
+}
+
+void
+world_register_report(
+    gateway_world_t *world, int server, const char *state, int sequence)
+{
 	object_store_put(world->store, "servers",
 	    plain_server_id(world->servers[server]),
 	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:i}", "service",
@@ -96,7 +103,7 @@
 		plain_server_address(world->servers[server]), "zone",
 		server % WORLD_REPLICAS == 0 ? "dc1" : "dc2", "version", "v1",
 		"slots", 4, "state", state, "warmup_left_ms", 0, "sequence",
-		++sequence, "born", FIRST_INCARNATION));
+		sequence, "born", FIRST_INCARNATION));
 }
 
 void
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -39,6 +39,9 @@
 
 /** world_register() - Writes the entry of a server. */
 void world_register(gateway_world_t *world, int server, const char *state);
+/** world_register_report() - As above, with the number of the report. */
+void world_register_report(
+    gateway_world_t *world, int server, const char *state, int sequence);
 void world_register_all(gateway_world_t *world);
 
 /** world_configure() - Writes the next version of the configuration. */
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -463,6 +463,37 @@
 	}
 }
 
+/*
+ * A report that a server wrote before it announced its stop reached the
+ * registry after its entry was removed, and the server got requests again.
+ */
+static void
+a_late_report_brings_no_server_back(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int server = WORLD_ONE * WORLD_REPLICAS;
+	plain_record_t before, after;
+
+	world_register(world, server, "draining");
+	g_usleep(900 * 1000);
+	object_store_remove(
+	    world->store, "servers", plain_server_id(world->servers[server]));
+	g_usleep(1200 * 1000);
+	world_register_report(world, server, "ready", 1);
+	g_usleep(1200 * 1000);
+	plain_server_read(world->servers[server], &before);
+	for (int i = 0; i < 20; i++) {
+		http_result_t result =
+		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+
+		assert_int_equal(result.status, 200);
+		http_result_clear(&result);
+	}
+	plain_server_read(world->servers[server], &after);
+	assert_int_equal(after.arrivals, before.arrivals);
+	world_destroy(world);
+}
+
 /* Entries that can't be used name no server and hide no others. */
 static void
 ignores_entries_of_other_writers(void **state)
@@ -544,6 +575,45 @@
 	world_destroy(world);
 }
 
+/*
+ * Clients that keep coming after the signal got connections that were closed
+ * while a server worked on their requests.
+ */
+static void
+a_planned_stop_cuts_no_late_request(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int answered = 0, refused = 0, crossed = 0, status;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_delay(world_replica(world, WORLD_ONE, i), 400);
+	harness_signal(world->harness, world->gateway, SIGTERM);
+	for (;;) {
+		http_result_t result =
+		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+		bool none = result.refused;
+
+		/* Only the last connection may cross the end of listening. */
+		if (crossed > 0 && !none)
+			fail_msg("a connection was closed while it listened");
+		crossed += !none && result.status == 0;
+		if (result.status != 0 && result.status != 200 &&
+		    result.status != 503)
+			fail_msg("status %d", result.status);
+		answered += result.status == 200;
+		refused += result.status == 503;
+		http_result_clear(&result);
+		if (none)
+			break;
+	}
+	assert_true(answered > 0);
+	assert_true(crossed <= 1);
+	print_message("answered %d, refused %d\n", answered, refused);
+	status = harness_wait_exit(world->harness, world->gateway, 6000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	world_destroy(world);
+}
+
 static void
 a_hangup_changes_nothing(void **state)
 {
@@ -597,9 +667,11 @@
 	    HARNESS_TEST(notices_a_watch_that_was_lost_in_an_outage),
 	    HARNESS_TEST(serves_while_the_store_is_away),
 	    HARNESS_TEST(sends_nothing_to_a_server_that_leaves),
+	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
 	    HARNESS_TEST(splits_by_weight),
 	    HARNESS_TEST(a_planned_stop_cuts_no_request),
+	    HARNESS_TEST(a_planned_stop_cuts_no_late_request),
 	    HARNESS_TEST(a_hangup_changes_nothing),
 	    HARNESS_TEST(refuses_at_once_without_servers),
 	};
