--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -186,6 +186,7 @@
 {
 	exchange_engine_t *engine = task->exchange->engine;
 	uint32_t before = task->sent;
+	usec_t late_at = task->late_at;
 	double reserve = HEDGE_RESERVE;
 	bool busy;
 
@@ -208,7 +209,7 @@
 	    "request=%.*s upstream=%s server=%s late_us=%lld",
 	    (int)task->exchange->request_id.size,
 	    task->exchange->request_id.data, task->upstream->name,
-	    task->tried[before]->entry.id, (long long)(now - task->late_at));
+	    task->tried[before]->entry.id, (long long)(now - late_at));
 }
 
 static void
