Limit running fan-outs by the answers that come in time

Change: the product's limiter of running queries also guards the gateway's fan-outs; late and failed ones are signs of overload, a missing part in time is not.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -13,6 +13,8 @@
 #define FINAL_MARGIN_PART 0.04
 #define FINAL_MARGIN_MIN MS(8)
 #define FINAL_MARGIN_MAX MS(100)
+/* An answer that leaves at the goal leaves a little later. */
+#define GOAL_TOLERANCE MS(3)
 #define MAX_RESPONSE_BYTES ((size_t)8 * 1024 * 1024)
 
 usec_t
@@ -57,6 +59,7 @@
 	engine->loop = loop;
 	engine->settings = *settings;
 	engine->pool = pool_create(loop, &pool_settings, &handlers);
+	engine->limiter = limiter_create();
 	engine->route_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, free_route_state);
 	return engine;
@@ -68,6 +71,7 @@
 	if (engine == NULL)
 		return;
 	pool_destroy(engine->pool);
+	limiter_destroy(engine->limiter);
 	route_table_drop(engine->table);
 	g_hash_table_destroy(engine->route_states);
 	buffer_free(&engine->scratch);
@@ -168,11 +172,41 @@
 	return route->targets[best].service;
 }
 
+/* Routes over the same shards share one limit, that of their first shard. */
+static const char *
+index_name(const exchange_t *exchange)
+{
+	return exchange->route->targets[0].service;
+}
+
+/*
+ * Late and failed fan-outs are signs of overload. A part that is missing in
+ * time is not: one shard may be down or pause while the others have room.
+ */
+static void
+report_to_limiter(exchange_t *exchange, bool client_gone)
+{
+	usec_t now = engine_now(exchange->engine);
+	limiter_outcome_t outcome = LIMITER_OVERLOADED;
+
+	if (!exchange->admitted)
+		return;
+	if (client_gone)
+		outcome = LIMITER_OTHER;
+	else if (exchange->answered &&
+	    now <= exchange->goal_at + GOAL_TOLERANCE)
+		outcome = LIMITER_COMPLETE;
+	limiter_ended(exchange->engine->limiter, index_name(exchange),
+	    exchange->route->name, outcome, now - exchange->received_at, now);
+}
+
 static void
 release_exchange(exchange_t *exchange, bool client_gone)
 {
 	exchange_engine_t *engine = exchange->engine;
 
+	report_to_limiter(exchange, client_gone);
+
 	ev_timer_stop(engine->loop, &exchange->timer);
 	for (uint32_t i = 0; i < exchange->task_count; i++)
 		task_leave_queue(&exchange->tasks[i]);
@@ -484,12 +518,30 @@
 	    : 1;
 }
 
+/* Whether as many fan-outs run as can be answered in time. */
+static bool
+is_beyond_limit(exchange_t *exchange, usec_t now)
+{
+	exchange_engine_t *engine = exchange->engine;
+
+	if (exchange->route->kind != ROUTE_FANOUT)
+		return false;
+	exchange->admitted =
+	    limiter_admit(engine->limiter, index_name(exchange),
+		exchange->route->name, 1, now) == 0;
+	return !exchange->admitted;
+}
+
 static void
 begin(exchange_t *exchange, bool fresh, usec_t now)
 {
 	exchange_engine_t *engine = exchange->engine;
 
 	exchange->state = find_route_state(engine, exchange->route);
+	if (is_beyond_limit(exchange, now)) {
+		reply_error(exchange, BW_E_OVERLOADED, "limit", now);
+		return;
+	}
 	if (exchange->route->kind == ROUTE_FANOUT)
 		exchange->records =
 		    gather_records_create(exchange->route->top_records);
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -1,6 +1,7 @@
 #ifndef EXCHANGE_PRIVATE_H
 #define EXCHANGE_PRIVATE_H
 
+#include "bulrushwell/limiter.h"
 #include "exchange.h"
 
 /** DOC: Shared by the files of the exchange */
@@ -53,6 +54,8 @@
 	usec_t goal_at;
 	usec_t final_at;
 	ev_timer timer;
+	bool admitted; /* counted by the limiter */
+	bool answered; /* the reply was a success */
 	bool in_start; /* exchange_start() has not returned */
 	bool done;
 	gather_records_t *records;
@@ -66,6 +69,7 @@
 	struct ev_loop *loop;
 	engine_settings_t settings;
 	pool_t *pool;
+	limiter_t *limiter; /* of running fan-outs */
 	route_table_t *table;
 	GHashTable *route_states; /* by route name */
 	exchange_counters_t counters;
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -172,6 +172,7 @@
 	buffer_t head = {0};
 
 	counters->answered++;
+	exchange->answered = true;
 	if (in < exchange->task_count)
 		counters->partial++;
 	log_end(exchange, 200, in < exchange->task_count ? "partial" : "whole",
--- a/tests/lib/load_model.c
+++ b/tests/lib/load_model.c
@@ -7,6 +7,7 @@
 #include "../../source/gateway/latency_model.h"
 #include "../../source/gateway/placement.h"
 #include "../../source/gateway/retry_budget.h"
+#include "bulrushwell/limiter.h"
 
 #define NODES 4
 #define SHARDS 10
@@ -64,6 +65,7 @@
 	usec_t oldest[SHARDS][REPLICAS];
 	retry_budget_t budgets[SHARDS];
 	latency_model_t *latency;
+	limiter_t *limiter;
 	int turn[SHARDS];
 } sim_node_t;
 
@@ -238,12 +240,22 @@
 		node->oldest[shard][replica] = sim->now;
 	add_event(sim, sim->now + WAY, EVENT_ARRIVE, query, send, shard);
 	if (query->sends[shard] < MAX_SENDS &&
-	    (sim->policy == LOAD_DECISIONS || sim->policy == LOAD_FREE_HEDGES))
+	    (sim->policy == LOAD_DECISIONS || sim->policy == LOAD_FREE_HEDGES ||
+		sim->policy == LOAD_NO_LIMIT))
 		add_event(sim, sim->now + latency_model_late(node->latency),
 		    EVENT_HEDGE, query, NULL, shard);
 	return true;
 }
 
+static void
+report_end(sim_t *sim, const query_t *query, bool in_time)
+{
+	if (sim->policy != LOAD_NO_LIMIT)
+		limiter_ended(sim->nodes[query->node].limiter, "index", "all",
+		    in_time ? LIMITER_COMPLETE : LIMITER_OVERLOADED,
+		    sim->now - query->at, sim->now);
+}
+
 static void
 finish(sim_t *sim, query_t *query, bool answered)
 {
@@ -251,6 +263,7 @@
 	double share = (double)query->in / SHARDS;
 
 	query->done = true;
+	report_end(sim, query, answered && in_time);
 	if (query->at < WARM_UP)
 		return;
 	sim->judged++;
@@ -352,6 +365,16 @@
 	g_ptr_array_add(sim->queries, query);
 	query->at = sim->now;
 	query->node = g_rand_int_range(sim->random, 0, NODES);
+	if (sim->now < DURATION)
+		add_event(sim, sim->now + (usec_t)(gap * USEC_PER_SEC),
+		    EVENT_QUERY, NULL, NULL, 0);
+	if (sim->policy != LOAD_NO_LIMIT &&
+	    limiter_admit(sim->nodes[query->node].limiter, "index", "all", 1,
+		sim->now) != 0) {
+		query->done = true;
+		sim->judged += query->at >= WARM_UP;
+		return;
+	}
 	for (int shard = 0; shard < SHARDS; shard++) {
 		sim->requests++;
 		retry_budget_request(&sim->nodes[query->node].budgets[shard],
@@ -363,9 +386,6 @@
 	    NULL, 0);
 	add_event(sim, sim->now + FINAL_TIMES * MS(sim->pattern->goal_ms),
 	    EVENT_GOAL, query, NULL, 0);
-	if (sim->now < DURATION)
-		add_event(sim, sim->now + (usec_t)(gap * USEC_PER_SEC),
-		    EVENT_QUERY, NULL, NULL, 0);
 }
 
 static void
@@ -422,6 +442,7 @@
 	for (int i = 0; i < NODES; i++) {
 		sim->nodes[i].latency =
 		    latency_model_create(MS(sim->pattern->goal_ms));
+		sim->nodes[i].limiter = limiter_create();
 		for (int shard = 0; shard < SHARDS; shard++)
 			for (int j = 0; j < REPLICAS; j++)
 				replica_health_init(
@@ -457,12 +478,16 @@
 	result = (load_result_t){
 	    .worth = sim->worth / MAX(sim->judged, 1),
 	    .in_time = (double)sim->in_time / MAX(sim->judged, 1),
+	    .useful_per_s = (double)sim->in_time /
+		((double)(DURATION - WARM_UP) / USEC_PER_SEC),
 	    .extra =
 		(double)(sim->arrivals - sim->requests) / (double)sim->requests,
 	    .queries = sim->judged,
 	};
-	for (int i = 0; i < NODES; i++)
+	for (int i = 0; i < NODES; i++) {
 		latency_model_destroy(sim->nodes[i].latency);
+		limiter_destroy(sim->nodes[i].limiter);
+	}
 	for (int shard = 0; shard < SHARDS; shard++)
 		for (int i = 0; i < REPLICAS; i++)
 			g_queue_clear(&sim->servers[shard][i].waiting);
--- a/tests/lib/load_model.h
+++ b/tests/lib/load_model.h
@@ -16,7 +16,8 @@
 	LOAD_DECISIONS,	  /* the gateway's */
 	LOAD_ROUND_ROBIN, /* servers in turn; a refused attempt is repeated */
 	LOAD_NO_HEDGES,	  /* the gateway's placement, no second attempts */
-	LOAD_FREE_HEDGES  /* without the retry budget */
+	LOAD_FREE_HEDGES, /* without the retry budget */
+	LOAD_NO_LIMIT	  /* without the limit of running queries */
 } load_policy_t;
 
 typedef struct {
@@ -36,7 +37,8 @@
 typedef struct {
 	double worth;	/* of 1: squares of the shares answered in time */
 	double in_time; /* share of queries with an answer before the goal */
-	double extra;	/* extra arrivals for each request */
+	double useful_per_s; /* queries answered in time */
+	double extra;	     /* extra arrivals for each request */
 	uint32_t queries;
 } load_result_t;
 
--- a/tests/test_gateway_load.c
+++ b/tests/test_gateway_load.c
@@ -11,6 +11,7 @@
 #define SEEDS 3
 #define CALM 0.95	/* goal for days that the servers can serve */
 #define WORST 0.70	/* goal for the worst days */
+#define KEPT 0.95	/* goal for useful answers under overload */
 #define MOST_EXTRA 0.25 /* ratio of 0.2, and the slack */
 
 typedef struct {
@@ -116,12 +117,48 @@
 	assert_true(free_extra > MOST_EXTRA);
 }
 
+static double
+useful_per_s(double queries_per_s, load_policy_t policy)
+{
+	load_pattern_t pattern = {.queries_per_s = queries_per_s,
+	    .work_ms = 7,
+	    .goal_ms = 68,
+	    .seed = 1};
+
+	return load_model_run(&pattern, policy).useful_per_s;
+}
+
+/* Three times the most useful load must not make the answers late. */
+static void
+overload_takes_no_useful_answers_away(void **state)
+{
+	static const double rates[] = {300, 400, 500, 600, 700};
+	double best = 0.0, best_rate = 0.0, limited, unlimited;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+		double useful = useful_per_s(rates[i], LOAD_DECISIONS);
+
+		if (useful > best) {
+			best = useful;
+			best_rate = rates[i];
+		}
+	}
+	limited = useful_per_s(3 * best_rate, LOAD_DECISIONS);
+	unlimited = useful_per_s(3 * best_rate, LOAD_NO_LIMIT);
+	print_message("most useful %.0f/s at %.0f/s; at three times that "
+		      "%.0f/s, without a limit %.0f/s\n",
+	    best, best_rate, limited, unlimited);
+	assert_true(limited >= KEPT * best);
+	assert_true(unlimited < KEPT * best);
+}
+
 int
 main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(callers_are_served_better_than_before),
 	    cmocka_unit_test(the_budget_bounds_extra_requests),
+	    cmocka_unit_test(overload_takes_no_useful_answers_away),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
