Use the one address parser; time out stalled bodies

Cause: the gateway had a second parser of addresses, and a client that stopped in the middle of a body kept its connection for ever. Change: net_parse_address() for both; 408 after the idle timeout.

--- a/source/gateway/front.c
+++ b/source/gateway/front.c
@@ -377,8 +377,9 @@
 		if (age > WRITE_STALL)
 			close_client(client);
 	} else if (client->request.started) {
-		if (age > limits->header_timeout &&
-		    !client->request.headers_done)
+		if (age > (client->request.headers_done
+				  ? limits->idle_timeout
+				  : limits->header_timeout))
 			refuse(client, 408);
 	} else if (age > limits->idle_timeout) {
 		close_client(client);
--- a/source/http/http_socket.c
+++ b/source/http/http_socket.c
@@ -1,14 +1,12 @@
 #include "http_socket.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../net/net_address.h"
 #include "bulrushwell/error.h"
 
 #define LISTEN_BACKLOG 1024
@@ -81,21 +79,11 @@
 int
 http_socket_parse(const char *text, struct sockaddr_in *address)
 {
-	char host[INET_ADDRSTRLEN];
-	const char *colon = strrchr(text, ':');
-	char *end;
-	long port;
+	struct sockaddr_storage parsed;
 
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
-		return BW_E_INVALID;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (colon[1] == '\0' || *end != '\0' || port <= 0 || port > 65535)
-		return BW_E_INVALID;
-	*address = (struct sockaddr_in){.sin_family = AF_INET};
-	address->sin_port = htons((uint16_t)port);
-	if (inet_pton(AF_INET, host, &address->sin_addr) != 1)
+	if (net_parse_address(text, &parsed) != 0 ||
+	    parsed.ss_family != AF_INET)
 		return BW_E_INVALID;
+	memcpy(address, &parsed, sizeof(*address));
 	return 0;
 }
