--- /dev/null
+++ b/tests/test_gateway_inputs.c
@@ -0,0 +1,306 @@
+/* Guards the gateway's inputs: settings, configurations, server entries and
+ * HTTP messages that are malformed, out of range, cut or hostile. Each is
+ * refused and none is taken for something else. */
+#include "lib/runner.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../platform/decode_config.h"
+#include "../platform/decode_server.h"
+#include "../source/gateway/gateway_settings.h"
+#include "../source/http/http_message.h"
+#include "bulrushwell/error.h"
+
+#define GOOD_FLAGS                                                 \
+	"--node=n1", "--data-centre=dc1", "--clients=127.0.0.1:1", \
+	    "--health=127.0.0.1:2", "--store=127.0.0.1:3"
+#define MAX_FLAGS 12
+
+typedef struct {
+	const char *failure;
+	const char *flags[MAX_FLAGS];
+	const char *named; /* what the message must name; NULL: accepted */
+} settings_case_t;
+
+static const settings_case_t settings_cases[] = {
+    {"the least settings are refused", {GOOD_FLAGS}, NULL},
+    {"all settings are refused",
+	{GOOD_FLAGS, "--metrics=127.0.0.1:4", "--retry-ratio=0.1",
+	    "--retry-window-s=5", "--retry-slack=7", "--drain-ms=2000",
+	    "--stop-s=8"},
+	NULL},
+    {"a node without a store",
+	{"--node=n1", "--data-centre=dc1", "--clients=127.0.0.1:1",
+	    "--health=127.0.0.1:2"},
+	"--store"},
+    {"a name instead of an address", {GOOD_FLAGS, "--metrics=host:80"},
+	"--metrics"},
+    {"an address without a port", {GOOD_FLAGS, "--metrics=127.0.0.1"},
+	"--metrics"},
+    {"a port out of range", {GOOD_FLAGS, "--metrics=127.0.0.1:70000"},
+	"--metrics"},
+    {"a negative ratio", {GOOD_FLAGS, "--retry-ratio=-1"}, "--retry-ratio"},
+    {"a number with letters", {GOOD_FLAGS, "--drain-ms=3s"}, "--drain-ms"},
+    {"no time to stop", {GOOD_FLAGS, "--stop-s=0"}, "--stop-s"},
+    {"an unknown flag", {GOOD_FLAGS, "--tune=1"}, "tune"},
+    {"a stray word", {GOOD_FLAGS, "word"}, "word"},
+};
+
+static int
+load(const settings_case_t *row, gateway_settings_t *settings, char *why,
+    size_t why_size)
+{
+	char *argv[MAX_FLAGS + 2] = {"bulrushwell-gateway"};
+	int argc = 1;
+
+	for (int i = 0; i < MAX_FLAGS && row->flags[i] != NULL; i++)
+		argv[argc++] = (char *)row->flags[i];
+	return gateway_settings_load(argc, argv, settings, why, why_size);
+}
+
+static void
+settings_are_checked(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(settings_cases); i++) {
+		const settings_case_t *row = &settings_cases[i];
+		gateway_settings_t settings;
+		char why[256] = "";
+		int error = load(row, &settings, why, sizeof(why));
+
+		if ((error == 0) != (row->named == NULL))
+			fail_msg("%s: %d %s", row->failure, error, why);
+		if (row->named != NULL && strstr(why, row->named) == NULL)
+			fail_msg("%s: '%s'", row->failure, why);
+	}
+}
+
+static void
+a_flag_goes_before_its_variable(void **state)
+{
+	const settings_case_t row = {"", {GOOD_FLAGS, "--retry-slack=7"}, NULL};
+	gateway_settings_t settings;
+	char why[256];
+
+	g_setenv("BULRUSHWELL_GATEWAY_RETRY_SLACK", "9", TRUE);
+	g_setenv("BULRUSHWELL_GATEWAY_RETRY_RATIO", "0.5", TRUE);
+	assert_int_equal(load(&row, &settings, why, sizeof(why)), 0);
+	assert_true(settings.retries.slack == 7.0);
+	assert_true(settings.retries.ratio == 0.5);
+	g_unsetenv("BULRUSHWELL_GATEWAY_RETRY_SLACK");
+	g_unsetenv("BULRUSHWELL_GATEWAY_RETRY_RATIO");
+}
+
+#define ENTRY(rest)                                       \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\"," \
+	"\"zone\":\"dc1\",\"warmup_left_ms\":1500,\"sequence\":4" rest "}"
+
+static const struct {
+	const char *failure;
+	const char *text;
+	bool used;
+} entries[] = {
+    {"a ready server", ENTRY(",\"slots\":2,\"state\":\"ready\""), true},
+    {"a draining server", ENTRY(",\"slots\":2,\"state\":\"draining\""), true},
+    {"with its start",
+	ENTRY(",\"slots\":2,\"state\":\"ready\",\"born\":1700000000000"), true},
+    {"no slots", ENTRY(",\"state\":\"ready\""), false},
+    {"slots as text", ENTRY(",\"slots\":\"2\",\"state\":\"ready\""), false},
+    {"slots as a fraction", ENTRY(",\"slots\":2.5,\"state\":\"ready\""), false},
+    {"zero slots", ENTRY(",\"slots\":0,\"state\":\"ready\""), false},
+    {"an unknown state", ENTRY(",\"slots\":2,\"state\":\"asleep\""), false},
+    {"a start that is no whole number",
+	ENTRY(",\"slots\":2,\"state\":\"ready\",\"born\":\"now\""), false},
+    {"an address without a port",
+	"{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"dc1\","
+	"\"warmup_left_ms\":0,\"sequence\":1,\"slots\":2,"
+	"\"state\":\"ready\"}",
+	false},
+    {"a list", "[]", false},
+    {"a text", "\"entry\"", false},
+    {"nothing", "null", false},
+};
+
+static void
+entries_name_servers_or_nothing(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+		json_t *spec =
+		    json_loads(entries[i].text, JSON_DECODE_ANY, NULL);
+		server_entry_t entry;
+		int error = decode_server("i-1", spec, "dc1", &entry);
+
+		if ((error == 0) != entries[i].used)
+			fail_msg("%s: %d", entries[i].failure, error);
+		if (error == 0) {
+			assert_true(entry.same_data_centre);
+			assert_true(entry.warm_up_left == MS(1500));
+			assert_int_equal(entry.slots, 2);
+		}
+		json_decref(spec);
+	}
+}
+
+#define CONFIG(routes) "{\"version\":7,\"routes\":[" routes "]}"
+#define ROUTE(rest) \
+	"{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\"" rest "}"
+
+static const struct {
+	const char *failure;
+	const char *text;
+	bool valid;
+	bool idempotent;
+	route_kind_t kind;
+} configs[] = {
+    {"one service",
+	CONFIG(ROUTE(",\"service\":\"s\",\"route_type\":\"idempotent\"")), true,
+	true, ROUTE_SINGLE},
+    {"a type that is not known may run once only",
+	CONFIG(ROUTE(",\"service\":\"s\",\"route_type\":\"keyed\"")), true,
+	false, ROUTE_SINGLE},
+    {"no type: it may run once only", CONFIG(ROUTE(",\"service\":\"s\"")), true,
+	false, ROUTE_SINGLE},
+    {"weights",
+	CONFIG(ROUTE(",\"weighted_services\":[{\"service\":\"s\","
+		     "\"weight\":3}]")),
+	true, false, ROUTE_WEIGHTED},
+    {"shards",
+	CONFIG(ROUTE(",\"fanout_services\":[\"a\",\"b\"],"
+		     "\"route_type\":\"idempotent\"")),
+	true, true, ROUTE_FANOUT},
+    {"a route without a target", CONFIG(ROUTE("")), false, false, 0},
+    {"a shard that is no name", CONFIG(ROUTE(",\"fanout_services\":[\"a\",5]")),
+	false, false, 0},
+    {"a route without a host",
+	CONFIG("{\"path_prefix\":\"/\",\"service\":\"s\"}"), false, false, 0},
+    {"a version as text", "{\"version\":\"7\",\"routes\":[]}", false, false, 0},
+    {"no routes", "{\"version\":7}", false, false, 0},
+};
+
+static void
+configurations_are_adopted_whole_or_not(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(configs); i++) {
+		json_t *spec = json_loads(configs[i].text, 0, NULL);
+		char why[128] = "";
+		route_table_t *table = decode_config(spec, why, sizeof(why));
+
+		if ((table != NULL) != configs[i].valid)
+			fail_msg("%s: %s", configs[i].failure, why);
+		if (table == NULL) {
+			assert_true(why[0] != '\0');
+		} else {
+			const route_t *route = route_table_route(table, 0);
+
+			assert_int_equal(route_table_version(table), 7);
+			assert_int_equal(route->kind, configs[i].kind);
+			if (route->idempotent != configs[i].idempotent)
+				fail_msg("%s", configs[i].failure);
+		}
+		route_table_drop(table);
+		json_decref(spec);
+	}
+}
+
+typedef struct {
+	const char *failure;
+	enum http_parser_type type;
+	const char *bytes;
+	http_feed_t result;
+	const char *body;
+} message_case_t;
+
+static const message_case_t messages[] = {
+    {"a body with a length", HTTP_RESPONSE,
+	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", HTTP_FEED_DONE,
+	"abc"},
+    {"chunks", HTTP_RESPONSE,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"2\r\nab\r\n1\r\nc\r\n0\r\nX: y\r\n\r\n",
+	HTTP_FEED_DONE, "abc"},
+    {"interim responses before the final one", HTTP_RESPONSE,
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz",
+	HTTP_FEED_DONE, "z"},
+    {"a cut body", HTTP_RESPONSE,
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", HTTP_FEED_MORE,
+	NULL},
+    {"length and chunks", HTTP_REQUEST,
+	"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	HTTP_FEED_BAD, NULL},
+    {"a negative length", HTTP_REQUEST,
+	"POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n", HTTP_FEED_BAD, NULL},
+    {"a chunk size that is no number", HTTP_REQUEST,
+	"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+	HTTP_FEED_BAD, NULL},
+    {"a body beyond the limit", HTTP_REQUEST,
+	"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+	HTTP_FEED_BODY_TOO_LARGE, NULL},
+    {"headers beyond the limit", HTTP_REQUEST,
+	"GET / HTTP/1.1\r\nA: 0123456789012345678901234567890123456789"
+	"0123456789012345678901234567890123456789012345678901234567890123456"
+	"\r\n\r\n",
+	HTTP_FEED_HEADERS_TOO_LARGE, NULL},
+};
+
+#define LIMIT_BYTES 64
+
+static http_feed_t
+feed_in_pieces(http_message_t *message, const char *bytes, size_t piece)
+{
+	http_feed_t fed = HTTP_FEED_MORE;
+	size_t size = strlen(bytes), at = 0;
+
+	while (at < size && fed == HTTP_FEED_MORE) {
+		size_t used;
+
+		fed = http_message_feed(
+		    message, bytes + at, MIN(piece, size - at), &used);
+		at += used;
+	}
+	return fed;
+}
+
+/* The result is the same however the bytes arrive. */
+static void
+messages_are_read_in_any_pieces(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(messages); i++) {
+		for (size_t piece = 1; piece < 200; piece++) {
+			const message_case_t *row = &messages[i];
+			http_message_t message;
+			http_feed_t fed;
+
+			http_message_init(
+			    &message, row->type, LIMIT_BYTES, LIMIT_BYTES);
+			fed = feed_in_pieces(&message, row->bytes, piece);
+			if (fed != row->result)
+				fail_msg("%s in pieces of %zu: %d",
+				    row->failure, piece, fed);
+			if (row->body != NULL) {
+				assert_int_equal(
+				    message.body.size, strlen(row->body));
+				assert_memory_equal(message.body.data,
+				    row->body, strlen(row->body));
+			}
+			http_message_free(&message);
+		}
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(settings_are_checked),
+	    cmocka_unit_test(a_flag_goes_before_its_variable),
+	    cmocka_unit_test(entries_name_servers_or_nothing),
+	    cmocka_unit_test(configurations_are_adopted_whole_or_not),
+	    cmocka_unit_test(messages_are_read_in_any_pieces),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
