Make the assignment of servers to nodes a decision of its own; document the exchange

Change: placement_is_assigned() with a test that spreads 90 nodes over three servers; doc comments on the exchange's parts; an unused header name removed.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -45,7 +45,6 @@
 		{
 		    .request_id = settings->headers.request_id,
 		    .not_run = settings->headers.not_run,
-		    .server_id = settings->headers.server_id,
 		},
 	    .drain_limit = settings->drain_limit,
 	    .max_response_bytes = MAX_RESPONSE_BYTES,
@@ -312,10 +311,6 @@
 	return view;
 }
 
-/*
- * Whether the shards that have failed or are late now are too many for an
- * answer without one of them.
- */
 bool
 exchange_needs(const exchange_t *exchange, usec_t now)
 {
@@ -373,21 +368,8 @@
 	}
 }
 
-void
-exchange_check(exchange_t *exchange, usec_t now)
-{
-	if (exchange->done || exchange->in_start)
-		return;
-	if (exchange->route->kind == ROUTE_FANOUT)
-		check_fanout(exchange, now);
-	else
-		check_single(exchange, now);
-	if (!end_if_done(exchange))
-		exchange_set_timer(exchange, now);
-}
-
-void
-exchange_set_timer(exchange_t *exchange, usec_t now)
+static void
+set_timer(exchange_t *exchange, usec_t now)
 {
 	struct ev_loop *loop = exchange->engine->loop;
 	usec_t next = exchange->final_at;
@@ -406,6 +388,19 @@
 	ev_timer_start(loop, &exchange->timer);
 }
 
+void
+exchange_check(exchange_t *exchange, usec_t now)
+{
+	if (exchange->done || exchange->in_start)
+		return;
+	if (exchange->route->kind == ROUTE_FANOUT)
+		check_fanout(exchange, now);
+	else
+		check_single(exchange, now);
+	if (!end_if_done(exchange))
+		set_timer(exchange, now);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -593,6 +588,6 @@
 		release_exchange(exchange, false);
 		return NULL;
 	}
-	exchange_set_timer(exchange, now);
+	set_timer(exchange, now);
 	return exchange;
 }
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -22,7 +22,6 @@
 	const char *deadline_ms;     /* how long the sender waits */
 	const char *expected_server; /* only this server may run it */
 	const char *not_run;	     /* the server did not run the request */
-	const char *server_id;	     /* the server that responds */
 	const char *stamp;	     /* proof of a server's response */
 	const char *part_stamps;     /* stamps of the parts of an answer */
 	const char *missing_parts;   /* shards that are not in the answer */
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -78,39 +78,81 @@
 	buffer_t scratch; /* head of the request that is sent */
 };
 
-/* exchange_task.c: attempts of one task. */
+/** task_start() - Sends the first attempt, waits for room, or fails. */
 void task_start(task_t *task, usec_t now);
+
+/** task_leave_queue() - No longer waits for a server. */
 void task_leave_queue(task_t *task);
+
+/**
+ * task_release() - Gives up all attempts of an ended exchange.
+ * @client_gone: servers stop work on requests that may be repeated
+ */
 void task_release(task_t *task, bool client_gone);
+
+/** task_hedge() - Sends a second attempt beside a late one, if it may. */
 void task_hedge(task_t *task, usec_t now);
+
+/** task_ended(), task_room() - Handlers for the pool. */
 void task_ended(void *owner, attempt_t *attempt, attempt_outcome_t outcome,
     const http_message_t *response);
 void task_room(void *context, upstream_t *upstream);
+
+/** task_is_open() - Whether it may still be answered. */
 bool task_is_open(const task_t *task);
 
-/* exchange.c: called when a task has changed. */
+/** exchange_task_answered() - Ends the task; may end and free the exchange. */
 void exchange_task_answered(
     task_t *task, const attempt_t *attempt, const http_message_t *response);
+
+/**
+ * exchange_needs() - Whether the shards that have failed or are late now are
+ * too many for an answer without one of them.
+ */
 bool exchange_needs(const exchange_t *exchange, usec_t now);
+
+/** exchange_check() - Answers if it is time; may free the exchange. */
 void exchange_check(exchange_t *exchange, usec_t now);
-void exchange_set_timer(exchange_t *exchange, usec_t now);
+
+/** engine_now() - Time of the loop's iteration. */
 usec_t engine_now(const exchange_engine_t *engine);
 
-/* exchange_head.c: heads of requests and responses. */
+/** head_prepare() - Builds what the heads for all servers have in common. */
 void head_prepare(exchange_t *exchange);
+
+/** head_for_attempt() - The head for one server, with the time that is left. */
 void head_for_attempt(
     exchange_t *exchange, const replica_t *replica, usec_t now, buffer_t *out);
+
+/**
+ * head_forward() - A server's head, without the blank line at its end.
+ * @keep_stamp: the answer is the server's own, unchanged
+ */
 void head_forward(const header_names_t *names, const http_message_t *response,
     bool keep_stamp, int status, size_t body_size, buffer_t *out);
+
+/**
+ * head_own() - Head of an answer of our own.
+ * @retry_after_s: negative for none
+ */
 void head_own(
     int status, double retry_after_s, size_t body_size, buffer_t *out);
 
-/* exchange_reply.c: the final answer. */
+/**
+ * reply_error() - Refuses or fails the request. An error that says "not run"
+ * becomes another one when a server may have run it.
+ */
 void reply_error(
     exchange_t *exchange, int error, const char *cause, usec_t now);
+
+/** reply_response() - Passes on a server's response. */
 void reply_response(exchange_t *exchange, const attempt_t *attempt,
     const http_message_t *response, usec_t now);
+
+/** reply_kept_failure() - Passes on the last failure that a server gave. */
 void reply_kept_failure(exchange_t *exchange, usec_t now);
+
+/** reply_parts() - Answers a fan-out with @in parts. */
 void reply_parts(exchange_t *exchange, uint32_t in, usec_t now);
 
 /** exchange_finish() - Sends the answer and ends the exchange. */
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -216,3 +216,15 @@
 		best = choose_among(views, count, true, typical, now, busy);
 	return best;
 }
+
+bool
+placement_is_assigned(const placement_share_t *share, uint32_t position)
+{
+	uint32_t far = share->count - share->near;
+	uint32_t rank = position;
+
+	if (position >= share->near)
+		rank =
+		    share->near + (position - share->near + share->turn) % far;
+	return rank < share->used;
+}
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -191,37 +191,29 @@
 	return strcmp(left->entry.id, right->entry.id);
 }
 
-/*
- * When a server accepts fewer connections than there are nodes, each node uses
- * some of the servers only: those of its data centre, and of the others those
- * that its place in the order of nodes selects, so that all get equally many.
- */
 void
 pool_assign(pool_t *pool, upstream_t *upstream)
 {
 	GPtrArray *replicas = upstream->replicas;
-	double share = connection_share(pool, upstream);
-	uint32_t used = replicas->len, near = 0;
+	double part = connection_share(pool, upstream);
+	placement_share_t share = {
+	    .count = replicas->len,
+	    .used = replicas->len,
+	    .turn = pool->node_index + g_str_hash(upstream->name),
+	};
 
-	if (share < 1.0)
-		used = MAX((uint32_t)(share * replicas->len), 1);
+	if (part < 1.0)
+		share.used = MAX((uint32_t)(part * replicas->len), 1);
 	g_ptr_array_sort(replicas, compare_for_node);
 	for (guint i = 0; i < replicas->len; i++) {
-		replica_t *replica = replicas->pdata[i];
+		const replica_t *replica = replicas->pdata[i];
 
-		if (replica->entry.same_data_centre)
-			near++;
+		share.near += replica->entry.same_data_centre;
 	}
 	for (guint i = 0; i < replicas->len; i++) {
 		replica_t *replica = replicas->pdata[i];
-		uint32_t far = replicas->len - near;
-		uint32_t place = i < near ? i
-					  : near +
-			(i - near + pool->node_index +
-			    g_str_hash(upstream->name)) %
-			    far;
-
-		replica->assigned = place < used;
+
+		replica->assigned = placement_is_assigned(&share, i);
 	}
 }
 
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -40,7 +40,6 @@
 typedef struct {
 	const char *request_id; /* header that names the request */
 	const char *not_run;	/* header: the server did not run it */
-	const char *server_id;	/* header: which server responds */
 } pool_headers_t;
 
 typedef struct {
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -263,6 +263,39 @@
 	    placement_choose(&view, 1, MS(10), START + SECONDS(30), &busy), 0);
 }
 
+/* Servers that accept fewer connections than there are nodes share them. */
+static void
+nodes_are_spread_over_the_servers(void **state)
+{
+	enum { NODES = 90, SERVERS_EACH = 3, CENTRES = 4 };
+	uint32_t users[SERVERS_EACH] = {0};
+
+	for (uint32_t node = 0; node < NODES; node++) {
+		uint32_t centre = node % CENTRES;
+		bool near = centre < SERVERS_EACH;
+		placement_share_t share = {.count = SERVERS_EACH,
+		    .near = near,
+		    .used = 2,
+		    .turn = node / CENTRES};
+		uint32_t used = 0;
+
+		for (uint32_t i = 0; i < SERVERS_EACH; i++) {
+			/* Position 0 is the near server, if there is one. */
+			uint32_t server =
+			    near ? (centre + i) % SERVERS_EACH : i;
+			bool assigned = placement_is_assigned(&share, i);
+
+			users[server] += assigned;
+			used += assigned;
+			if (near && i == 0)
+				assert_true(assigned);
+		}
+		assert_int_equal(used, 2);
+	}
+	for (int i = 0; i < SERVERS_EACH; i++)
+		assert_true(users[i] >= 55 && users[i] <= 65);
+}
+
 static void
 late_follows_the_typical_time_not_the_slow_servers(void **state)
 {
@@ -336,6 +369,7 @@
 	    cmocka_unit_test(records_are_the_greatest_in_falling_order),
 	    cmocka_unit_test(the_best_server_is_chosen),
 	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
+	    cmocka_unit_test(nodes_are_spread_over_the_servers),
 	    cmocka_unit_test(
 		late_follows_the_typical_time_not_the_slow_servers),
 	    cmocka_unit_test(the_longest_prefix_of_the_host_wins),
