Keep the gateway's deadlines in steady time; reconnect to every ejected server

Cause: ev_now() follows the time of day, so a step of the clock moved every deadline, goal and retry window; on sites with few connections a server of other nodes was never tried again after one ejection; a refused connection could drop the wrong server from the list of tried ones. Change: a loop clock that reads the steady clock once an iteration; connections to unproven servers whoever uses them; the attempt that reached nothing is taken back.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "../base/loop_clock.h"
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
 #include "exchange_private.h"
@@ -20,7 +21,7 @@
 usec_t
 engine_now(const exchange_engine_t *engine)
 {
-	return (usec_t)(ev_now(engine->loop) * USEC_PER_SEC);
+	return loop_clock_now(engine->loop);
 }
 
 static void
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -82,7 +82,7 @@
 		return;
 	}
 	engine->counters.attempts++;
-	task->tried[MIN(task->sent, TASK_MAX_ATTEMPTS - 1)] = replica;
+	task->tried[task->sent] = replica;
 	task->sent++;
 	task->running[task->running_count++] = attempt;
 	task->state = TASK_RUNNING;
@@ -223,6 +223,20 @@
 	}
 }
 
+/* The attempt reached no server, so it counts neither as sent nor as tried. */
+static void
+take_back(task_t *task, const attempt_t *attempt)
+{
+	for (uint32_t i = 0; i < task->sent; i++) {
+		if (task->tried[i] != attempt->replica)
+			continue;
+		task->sent--;
+		for (; i < task->sent; i++)
+			task->tried[i] = task->tried[i + 1];
+		return;
+	}
+}
+
 void
 task_leave_queue(task_t *task)
 {
@@ -367,8 +381,8 @@
 		take_response(task, attempt, response);
 		return; /* the exchange may be gone */
 	case ATTEMPT_NOT_RUN:
-		if (!attempt->arrived_maybe && task->sent > 0)
-			task->sent--; /* it reached no server */
+		if (!attempt->arrived_maybe)
+			take_back(task, attempt);
 		try_again(task, attempt->arrived_maybe, "not_run", now);
 		break;
 	case ATTEMPT_UNKNOWN:
--- a/source/gateway/front.c
+++ b/source/gateway/front.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../base/loop_clock.h"
 #include "../http/http_socket.h"
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
@@ -59,7 +60,7 @@
 static usec_t
 front_now(const front_t *front)
 {
-	return (usec_t)(ev_now(front->loop) * USEC_PER_SEC);
+	return loop_clock_now(front->loop);
 }
 
 static void
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "../base/loop_clock.h"
 #include "admin.h"
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
@@ -22,6 +23,7 @@
 struct gateway {
 	gateway_settings_t settings;
 	struct ev_loop *loop;
+	loop_clock_t clock;
 	exchange_engine_t *engine;
 	front_t *front;
 	admin_t *health;
@@ -42,7 +44,7 @@
 static usec_t
 gateway_now(const gateway_t *gateway)
 {
-	return (usec_t)(ev_now(gateway->loop) * USEC_PER_SEC);
+	return loop_clock_now(gateway->loop);
 }
 
 static bool
@@ -224,6 +226,7 @@
 
 	gateway->settings = *settings;
 	gateway->loop = ev_loop_new(EVFLAG_AUTO);
+	loop_clock_start(&gateway->clock, gateway->loop);
 	gateway->engine = engine_create(gateway->loop, &engine_settings);
 	if (!open_addresses(gateway, why, why_size)) {
 		gateway_destroy(gateway);
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "../base/loop_clock.h"
 #include "bulrushwell/event.h"
 #include "pool_private.h"
 
@@ -18,7 +19,7 @@
 usec_t
 pool_now(const pool_t *pool)
 {
-	return (usec_t)(ev_now(pool->loop) * USEC_PER_SEC);
+	return loop_clock_now(pool->loop);
 }
 
 bool
@@ -389,7 +390,7 @@
 	    replica->connections->len > 0)
 		return false;
 	if (replica->health.unproven)
-		return replica->assigned;
+		return true; /* nothing else shows that it is back */
 	if (pool_connection_limit(pool, upstream) > 1)
 		return true;
 	return replica->assigned && replica->entry.same_data_centre;
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../source/base/loop_clock.h"
 #include "../source/gateway/gather.h"
 #include "../source/gateway/latency_model.h"
 #include "../source/gateway/placement.h"
@@ -309,6 +310,38 @@
 	latency_model_destroy(model);
 }
 
+typedef struct {
+	loop_clock_t clock;
+	usec_t seen;
+} clock_probe_t;
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	clock_probe_t *probe = timer->data;
+
+	probe->seen = loop_clock_now(loop);
+}
+
+/* Deadlines once followed ev_now(), which jumps with the time of day. */
+static void
+the_loop_keeps_steady_time(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	clock_probe_t probe = {.seen = 0};
+	usec_t before = clock_monotonic();
+	ev_timer timer;
+
+	loop_clock_start(&probe.clock, loop);
+	ev_timer_init(&timer, on_timer, 0.01, 0.0);
+	timer.data = &probe;
+	ev_timer_start(loop, &timer);
+	ev_run(loop, 0);
+	assert_true(probe.seen > before);
+	assert_true(probe.seen <= clock_monotonic());
+	ev_loop_destroy(loop);
+}
+
 static route_t
 plain_route(const char *host, const char *prefix)
 {
@@ -372,6 +405,7 @@
 	    cmocka_unit_test(nodes_are_spread_over_the_servers),
 	    cmocka_unit_test(
 		late_follows_the_typical_time_not_the_slow_servers),
+	    cmocka_unit_test(the_loop_keeps_steady_time),
 	    cmocka_unit_test(the_longest_prefix_of_the_host_wins),
 	};
 
