Free the contexts of requests that run when their client is destroyed

The node's log shows LeakSanitizer: contexts of health questions that ran when the node stopped were freed by their callbacks only, and no callback comes when the HTTP client is destroyed. Calls to the platform leaked in the same way.

Second finding in the same logs: when all nodes stop, the last two wait for each other for 17 s, until the limit of a stop, since each counts the other as a peer that may take its shares. Peers that stop themselves no longer count, once requests have moved.

--- a/include/bulrushwell/http_client.h
+++ b/include/bulrushwell/http_client.h
@@ -56,6 +56,9 @@
 	usec_t max_connection_age; /* older ones are not reused; 0: any */
 	http_done_t done;
 	void *context;
+	/* Frees @context after @done, or without it when the request is
+	 * cancelled or its client destroyed; NULL: @context is not owned. */
+	void (*free_context)(void *context);
 } http_request_t;
 
 typedef struct http_client http_client_t;
@@ -75,7 +78,8 @@
 /**
  * http_client_send() - Starts a request; @done is called later, once.
  *
- * Return: a handle, or HANDLE_NONE when too many requests run.
+ * Return: a handle, or HANDLE_NONE when too many requests run; the context is
+ * not taken over then.
  */
 handle_t http_client_send(http_client_t *client, const http_request_t *request);
 
--- a/include/bulrushwell/platform_client.h
+++ b/include/bulrushwell/platform_client.h
@@ -55,6 +55,17 @@
 typedef void (*platform_done_t)(
     void *context, platform_result_t result, uint64_t version, slice_t text);
 
+/**
+ * typedef platform_reply_t - Who is told of the end of a call.
+ * @free_context: frees @context after @done, or without it when the client's
+ * connections are destroyed; NULL: @context is not owned
+ */
+typedef struct {
+	platform_done_t done;
+	void *context;
+	void (*free_context)(void *context);
+} platform_reply_t;
+
 typedef struct platform_client platform_client_t;
 
 /**
@@ -68,15 +79,15 @@
 
 /** platform_read() - Reads one object. */
 void platform_read(platform_client_t *client, const char *kind,
-    const char *name, platform_done_t done, void *context);
+    const char *name, const platform_reply_t *reply);
 
 /**
  * platform_write() - Conditional update.
  * @version: the version expected; 0 creates
  */
 void platform_write(platform_client_t *client, const char *kind,
-    const char *name, uint64_t version, slice_t text, platform_done_t done,
-    void *context);
+    const char *name, uint64_t version, slice_t text,
+    const platform_reply_t *reply);
 
 /** platform_calls() - Calls made since creation, a watch as one. */
 uint64_t platform_calls(const platform_client_t *client);
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -36,6 +36,7 @@
 	bool too_large;
 	http_done_t done;
 	void *context;
+	void (*free_context)(void *context);
 	http_response_t response;
 } transfer_t;
 
@@ -160,6 +161,8 @@
 	curl_slist_free_all(transfer->headers);
 	body_drop(transfer->body);
 	g_string_free(transfer->response.body, TRUE);
+	if (transfer->free_context != NULL)
+		transfer->free_context(transfer->context);
 	table_remove(client->transfers, transfer->handle);
 }
 
@@ -426,6 +429,7 @@
 	transfer->max_response = request->max_response;
 	transfer->done = request->done;
 	transfer->context = request->context;
+	transfer->free_context = request->free_context;
 	transfer->response.body = g_string_new(NULL);
 	transfer->headers = curl_slist_append(NULL, "Expect:");
 	for (size_t i = 0; i < request->header_count; i++)
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -27,6 +27,7 @@
 {
 	node_t *node = context;
 	const settings_t *settings = &node->board.settings;
+	const platform_reply_t reply = {on_registered, node, NULL};
 	char object[512];
 
 	if (result != PLATFORM_OK && result != PLATFORM_ABSENT) {
@@ -40,20 +41,21 @@
 	    settings->peer_address,
 	    (unsigned long long)node->board.incarnation);
 	platform_write(node->platform, "node", settings->node,
-	    result == PLATFORM_OK ? version : 0, slice_from(object),
-	    on_registered, node);
+	    result == PLATFORM_OK ? version : 0, slice_from(object), &reply);
 }
 
 /* A write whose answer is lost is made again; the object is the same. */
 static void
 register_node(node_t *node)
 {
+	const platform_reply_t reply = {on_node_object, node, NULL};
+
 	if (node->registered || node->registering ||
 	    !node->board.platform_reachable)
 		return;
 	node->registering = true;
-	platform_read(node->platform, "node", node->board.settings.node,
-	    on_node_object, node);
+	platform_read(
+	    node->platform, "node", node->board.settings.node, &reply);
 }
 
 /* Logs when the answer to the balancer's readiness check changes. */
--- a/source/node/node_assign.c
+++ b/source/node/node_assign.c
@@ -326,6 +326,7 @@
 {
 	pending_write_t *write = context;
 	node_t *node = write->node;
+	const platform_reply_t reply = {on_read_back, node, NULL};
 
 	switch (result) {
 	case PLATFORM_OK:
@@ -341,7 +342,7 @@
 		    result == PLATFORM_LOST ? "the answer was lost"
 					    : "another version is stored");
 		platform_read(node->platform, "assignment",
-		    node->board.settings.cell, on_read_back, node);
+		    node->board.settings.cell, &reply);
 		break;
 	case PLATFORM_REFUSED:
 	case PLATFORM_ABSENT:
@@ -349,6 +350,13 @@
 		break;
 	}
 	node->wanted_since = 0;
+}
+
+static void
+free_pending_write(void *context)
+{
+	pending_write_t *write = context;
+
 	free(write->text);
 	g_free(write);
 }
@@ -365,6 +373,7 @@
 write_plan(node_t *node, assignment_t *plan, const planner_input_t *input)
 {
 	pending_write_t *write = g_new0(pending_write_t, 1);
+	const platform_reply_t reply = {on_written, write, free_pending_write};
 	uint64_t expected = node->board.assignment != NULL
 	    ? node->board.assignment->version
 	    : 0;
@@ -378,7 +387,7 @@
 	event_log(EVENT_ASSIGNMENT_PROPOSED, "after version %llu, token %s",
 	    (unsigned long long)expected, plan->token);
 	platform_write(node->platform, "assignment", node->board.settings.cell,
-	    expected, slice_from(write->text), on_written, write);
+	    expected, slice_from(write->text), &reply);
 }
 
 static usec_t
--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -259,7 +259,6 @@
 
 	scheduler_cancel_ended(cancellation->served->scheduler,
 	    cancellation->attempt, confirmed, clock_monotonic());
-	g_free(cancellation);
 }
 
 void
@@ -278,6 +277,7 @@
 	    .max_response = MAX_UPSTREAM_BODY,
 	    .done = on_cancel_done,
 	    .context = cancellation,
+	    .free_context = g_free,
 	};
 
 	id128_format(action->attempt_id, id);
--- a/source/node/node_health.c
+++ b/source/node/node_health.c
@@ -55,7 +55,6 @@
 	    is_current(call))
 		scheduler_server_leaving(
 		    call->served->scheduler, call->server, clock_monotonic());
-	g_free(call);
 }
 
 static void
@@ -70,6 +69,7 @@
 	    .max_response = HEALTH_MAX_REPLY,
 	    .done = on_health_done,
 	    .context = call,
+	    .free_context = g_free,
 	};
 
 	call->served = served;
--- a/source/node/node_reserve.c
+++ b/source/node/node_reserve.c
@@ -318,7 +318,6 @@
 
 	claim_read_done(call->node->claims, call->object, io_result(result),
 	    version, text, clock_monotonic(), clock_wall());
-	g_free(call);
 }
 
 static void
@@ -333,17 +332,16 @@
 		event_log(EVENT_CLAIM_CONFLICT, "%s", call->object);
 	claim_write_done(call->node->claims, call->object, io_result(result),
 	    version, clock_monotonic(), clock_wall());
-	g_free(call);
 }
 
-static claim_call_t *
-open_call(node_t *node, const claim_action_t *action)
+static platform_reply_t
+open_call(node_t *node, const claim_action_t *action, platform_done_t done)
 {
 	claim_call_t *call = g_new0(claim_call_t, 1);
 
 	call->node = node;
 	strcpy(call->object, action->object);
-	return call;
+	return (platform_reply_t){done, call, g_free};
 }
 
 static void
@@ -362,18 +360,20 @@
 reserve_drain(node_t *node, usec_t now)
 {
 	claim_action_t action;
+	platform_reply_t reply;
 
 	claim_tick(node->claims, now, clock_wall());
 	while (claim_next_action(node->claims, &action)) {
 		switch (action.kind) {
 		case CLAIM_READ:
-			platform_read(node->platform, "claim", action.object,
-			    on_claim_read, open_call(node, &action));
+			reply = open_call(node, &action, on_claim_read);
+			platform_read(
+			    node->platform, "claim", action.object, &reply);
 			break;
 		case CLAIM_WRITE:
+			reply = open_call(node, &action, on_claim_written);
 			platform_write(node->platform, "claim", action.object,
-			    action.version, slice_from(action.text),
-			    on_claim_written, open_call(node, &action));
+			    action.version, slice_from(action.text), &reply);
 			break;
 		case CLAIM_DISPATCH:
 			claim_dispatch(node, action.tag, clock_monotonic());
--- a/source/node/node_stop.c
+++ b/source/node/node_stop.c
@@ -57,19 +57,31 @@
 	    (claim_is_idle(node->claims) || !node->board.platform_reachable);
 }
 
-static bool
-has_live_peer(const node_t *node)
+/* Peers that answer, and those of them that stay. */
+typedef struct {
+	uint32_t live;
+	uint32_t staying;
+} peer_counts_t;
+
+static peer_counts_t
+count_peers(const node_t *node)
 {
 	const membership_t *membership = node->board.membership;
+	peer_counts_t counts = {0, 0};
+
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const peer_t *peer = membership_at(membership, i);
 
-	for (size_t i = 0; i < membership_count(membership); i++)
-		if (membership_at(membership, i)->live)
-			return true;
-	return false;
+		counts.live += peer->live;
+		counts.staying +=
+		    peer->live && peer->state != NODE_STATE_STOPPING;
+	}
+	return counts;
 }
 
-/* Without the platform the shares cannot be given up, and without a peer nobody
- * takes them; they stay reserved until the VM list proves this node gone. */
+/* Without the platform the shares cannot be given up, and without a peer that
+ * stays nobody takes them; they stay reserved until the VM list proves this
+ * node gone. */
 static bool
 is_handed_over(node_t *node, usec_t now)
 {
@@ -77,8 +89,12 @@
 	usec_t moved = node->stop_at + blackboard_handover(&node->board, now) +
 	    MS(QUIET_MS);
 
-	return assign_is_released(node) || !has_live_peer(node) ||
-	    (!node->board.platform_reachable && now >= moved);
+	peer_counts_t peers = count_peers(node);
+
+	if (assign_is_released(node) || peers.live == 0)
+		return true;
+	return now >= moved &&
+	    (!node->board.platform_reachable || peers.staying == 0);
 }
 
 void
@@ -94,7 +110,7 @@
 	if (is_finished(node) && is_handed_over(node, now)) {
 		event_log(EVENT_HANDOVER, "%s",
 		    assign_is_released(node) ? "all shares are given up"
-					     : "the platform is down");
+					     : "nobody takes the shares over");
 		ev_break(node->loop, EVBREAK_ALL);
 	} else if (now - node->stop_at >= limit) {
 		node->stop_cut = !is_answered(node);
--- a/source/platform/platform_client.c
+++ b/source/platform/platform_client.c
@@ -28,8 +28,7 @@
 /* One read or write that runs. */
 typedef struct {
 	platform_client_t *client;
-	platform_done_t done;
-	void *context;
+	platform_reply_t reply;
 	bool write;
 } call_t;
 
@@ -311,8 +310,7 @@
 		call->client->events.heard(call->client->events.context);
 	else
 		call->client->events.failed(call->client->events.context);
-	call->done(call->context, result, version, text);
-	g_free(call);
+	call->reply.done(call->reply.context, result, version, text);
 }
 
 static void
@@ -347,41 +345,53 @@
 	json_decref(root);
 }
 
+static void
+free_call(void *context)
+{
+	call_t *call = context;
+
+	if (call->reply.free_context != NULL)
+		call->reply.free_context(call->reply.context);
+	g_free(call);
+}
+
 static void
 start_call(platform_client_t *client, http_request_t *request, bool write,
-    platform_done_t done, void *context)
+    const platform_reply_t *reply)
 {
 	call_t *call = g_new0(call_t, 1);
 
 	call->client = client;
-	call->done = done;
-	call->context = context;
+	call->reply = *reply;
 	call->write = write;
 	request->address = client->address;
 	request->timeout = MS(PLATFORM_CALL_MS);
 	request->max_response = PLATFORM_MAX_REPLY;
 	request->done = on_call_done;
 	request->context = call;
+	request->free_context = free_call;
 	client->calls++;
-	if (http_client_send(client->http, request) == HANDLE_NONE)
-		finish_call(call, PLATFORM_REFUSED, 0, (slice_t){NULL, 0});
+	if (http_client_send(client->http, request) != HANDLE_NONE)
+		return;
+	finish_call(call, PLATFORM_REFUSED, 0, (slice_t){NULL, 0});
+	free_call(call);
 }
 
 void
 platform_read(platform_client_t *client, const char *kind, const char *name,
-    platform_done_t done, void *context)
+    const platform_reply_t *reply)
 {
 	char path[PATH_SIZE];
 	http_request_t request = {.method = "GET", .path = path};
 
 	snprintf(path, sizeof(path), "/v1/objects/%s/%s", kind, name);
 	request.fresh = client->fresh_connection;
-	start_call(client, &request, false, done, context);
+	start_call(client, &request, false, reply);
 }
 
 void
 platform_write(platform_client_t *client, const char *kind, const char *name,
-    uint64_t version, slice_t text, platform_done_t done, void *context)
+    uint64_t version, slice_t text, const platform_reply_t *reply)
 {
 	char path[PATH_SIZE], condition[64];
 	http_request_t request = {
@@ -402,7 +412,7 @@
 		snprintf(condition, sizeof(condition), "If-Match: \"%llu\"",
 		    (unsigned long long)version);
 	request.body = body_create(text.data, text.size);
-	start_call(client, &request, true, done, context);
+	start_call(client, &request, true, reply);
 	body_drop(request.body);
 }
 
