Keep slots in use while nodes hand services over in a planned stop

Cause, traced with the limits and queues of each holder in the log: 1. two_nodes_stop_at_once_without_a_cut: a stopping node that knows only of its own stop makes the other one serving node, whose share is lent to it for up to 1.4 s. The new serving node stops as well and then asked nobody for loans, so its services had no slot until the loan had run out: each of the four callers got a partial answer. 2. a_stopping_node_interrupts_no_query: the stopping node lends its slots to its successor while nothing waits; jobs that come late wait for their return, and jobs that wait end the loan. Neither node had a slot for the 2 s of the deadline.

Change: a stopping node asks stopping peers for loans. A stopping node whose slots are lent gives waiting jobs back as not served, and the receiving node sends them to the successor.

--- a/include/bulrushwell/scheduler.h
+++ b/include/bulrushwell/scheduler.h
@@ -164,6 +164,12 @@
 void scheduler_run(
     scheduler_t *scheduler, uint32_t limit, usec_t longest, usec_t now);
 
+/**
+ * scheduler_give_back() - Ends the jobs that wait for their first attempt with
+ * BW_E_NOT_SERVED: another node serves them.
+ */
+void scheduler_give_back(scheduler_t *scheduler, usec_t now);
+
 bool scheduler_next_action(scheduler_t *scheduler, scheduler_action_t *action);
 
 /** scheduler_next_wakeup() - When scheduler_run() is due by time; 0: never. */
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -39,6 +39,18 @@
 			    node, membership_at(membership, i)->node, message);
 }
 
+/* While this node stops, peers that stay need their shares to take over. Those
+ * that stop as well lend theirs on: this node may have become serving node when
+ * only the other one was known to stop, with its own share lent to it. */
+static bool
+is_taking_over(const node_t *node, const char *name)
+{
+	const peer_t *peer = membership_find(node->board.membership, name);
+
+	return node->board.state == NODE_STATE_STOPPING && peer != NULL &&
+	    peer->state != NODE_STATE_STOPPING;
+}
+
 /* Services whose serving node is this one and that @peer holds a share of. */
 static uint32_t
 list_wanted_loans(node_t *node, const char *peer, slot_loan_t **loans)
@@ -47,8 +59,7 @@
 	const assignment_t *assignment = node->board.assignment;
 	uint32_t count = assignment != NULL ? assignment->service_count : 0;
 
-	/* The standbys need their shares to take over. */
-	if (node->board.state == NODE_STATE_STOPPING)
+	if (is_taking_over(node, peer))
 		count = 0;
 	for (uint32_t i = 0; i < count; i++) {
 		const assigned_service_t *entry = &assignment->services[i];
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -279,6 +279,24 @@
 	}
 }
 
+/*
+ * Whether a stopping node has lent its slots to the node that follows it. Jobs
+ * that wait here would wait for their return, and waiting jobs end the loan:
+ * neither node would serve until it has run out.
+ */
+static bool
+has_handed_slots_over(node_t *node, const char *service, usec_t now)
+{
+	const char *serving;
+
+	if (node->board.state != NODE_STATE_STOPPING ||
+	    ledger_limit(node->board.ledger, service, now) > 0)
+		return false;
+	serving = blackboard_route(&node->board, service, NULL);
+	return serving != NULL &&
+	    strcmp(serving, node->board.settings.node) != 0;
+}
+
 static int
 submit(node_t *node, const char *service, job_t *job, const origin_t *origin,
     usec_t now)
@@ -288,7 +306,8 @@
 	handle_t handle;
 	int error;
 
-	if (ledger_share(node->board.ledger, service) == 0)
+	if (ledger_share(node->board.ledger, service) == 0 ||
+	    has_handed_slots_over(node, service, now))
 		return BW_E_NOT_SERVED;
 	served = serve_find(node, service);
 	if (served == NULL)
@@ -481,6 +500,8 @@
 		uint32_t limit =
 		    ledger_limit(node->board.ledger, served->service, now);
 
+		if (has_handed_slots_over(node, served->service, now))
+			scheduler_give_back(served->scheduler, now);
 		scheduler_run(served->scheduler, limit, longest, now);
 		drain_scheduler(served, now);
 	}
--- a/source/routing/scheduler_jobs.c
+++ b/source/routing/scheduler_jobs.c
@@ -222,6 +222,19 @@
 	}
 }
 
+void
+scheduler_give_back(scheduler_t *scheduler, usec_t now)
+{
+	heap_node_t *node;
+
+	while ((node = fair_queue_pop(scheduler->queue)) != NULL) {
+		job_entry_t *entry = HEAP_ENTRY(node, job_entry_t, wait);
+
+		entry->place = PLACE_NONE;
+		scheduler_end_job(scheduler, entry, BW_E_NOT_SERVED, now);
+	}
+}
+
 void
 scheduler_refuse_all(scheduler_t *scheduler, usec_t now)
 {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -24,6 +24,7 @@
 	RESERVE,   /* as SUBMIT, a reservation */
 	REFUSED,   /* as SUBMIT, expects the error in place of actions */
 	DROP,	   /* a: tag; its query is cancelled */
+	GIVE_BACK, /* another node serves what waits */
 	CONFIRM,   /* a: attempt; its cancellation is confirmed */
 	LOSE,	   /* a: attempt; its cancellation failed */
 	LIMIT,	   /* a: limit, b: longest (ms) */
@@ -257,6 +258,9 @@
 		suspect_crashed(bed->suspects, (uint64_t)step->a,
 		    (uint64_t)step->b, bed->now);
 		break;
+	case GIVE_BACK:
+		scheduler_give_back(bed->scheduler, bed->now);
+		break;
 	case DROP:
 		scheduler_cancel_query(
 		    bed->scheduler, (id128_t){1, (uint64_t)step->a}, bed->now);
@@ -339,6 +343,11 @@
 	    {2, CONFIRM, 1, 0, "S1@a"},
 	    {3, END, 2, ATTEMPT_FAILED, "R1=upstream_failed"},
 	    {3, CHARGED, 0, 0, ""}}},
+    {"what waits is given back, what runs goes on", 1, 1, 1,
+	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, ""},
+	    {0, RESERVE, 3, 200, ""}, {1, LIMIT, 0, 250, ""},
+	    {1, GIVE_BACK, 0, 0, "R2=not_served R3=not_served"},
+	    {5, END, 1, ATTEMPT_OK, "R1=ok"}}},
     {"a lower limit holds back new attempts", 1, 2, 1,
 	{{0, SUBMIT, 1, 200, "S1@a"}, {0, SUBMIT, 2, 200, "S2@a"},
 	    {1, LIMIT, 1, 250, ""}, {1, SUBMIT, 3, 200, ""},
