--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -17,8 +17,8 @@
  * parts are spent until this node hears of it, and then as a last resort. The
  * rest covers a slow store and requests on their way.
  */
-#define DISCOVERY_PART 0.15
-#define LAST_RESORT_PART 0.4
+#define DISCOVERY_PART 0.4
+#define LAST_RESORT_PART 0.3
 #define STOP_MARGIN MS(600)
 
 typedef enum {
