--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -8,6 +8,7 @@
 #include "../../fakes/lib/fake_http.h"
 #include "harness.h"
 
+#define EVENTS_MAX 500 /* of one answer to a watch */
 #define MAX_BODY_BYTES 1048576
 #define LOST_CALL_TIME SECONDS(60)
 #define WAIT_STEP MS(10)
@@ -124,20 +125,43 @@
 	g_mutex_unlock(&store->lock);
 }
 
+static gint
+compare_revisions(gconstpointer a, gconstpointer b)
+{
+	const stored_t *left = *(stored_t *const *)a;
+	const stored_t *right = *(stored_t *const *)b;
+
+	return (left->revision > right->revision) -
+	    (left->revision < right->revision);
+}
+
+/* At most EVENTS_MAX, the oldest first; @at_rev is that of the last one. */
 static json_t *
-changes_since(object_store_t *store, const char *kind, json_int_t revision)
+changes_since(object_store_t *store, const char *kind, json_int_t revision,
+    json_int_t *at_rev)
 {
+	GPtrArray *changed = g_ptr_array_new();
 	json_t *events = json_array();
 
 	for (guint i = 0; i < store->objects->len; i++) {
-		const stored_t *stored = store->objects->pdata[i];
+		stored_t *stored = store->objects->pdata[i];
 
 		if (strcmp(stored->kind, kind) == 0 &&
 		    stored->revision > revision)
-			json_array_append_new(events,
-			    json_pack("{s:b,s:o}", "tombstone", stored->removed,
-				"object", print_object(stored)));
+			g_ptr_array_add(changed, stored);
+	}
+	g_ptr_array_sort(changed, compare_revisions);
+	*at_rev = store->revision;
+	for (guint i = 0; i < changed->len && i < EVENTS_MAX; i++) {
+		const stored_t *stored = changed->pdata[i];
+
+		if (changed->len > EVENTS_MAX)
+			*at_rev = stored->revision;
+		json_array_append_new(events,
+		    json_pack("{s:b,s:o}", "tombstone", stored->removed,
+			"object", print_object(stored)));
 	}
+	g_ptr_array_free(changed, TRUE);
 	return events;
 }
 
@@ -157,12 +181,13 @@
 	json_int_t revision = atoll(fake_request_argument(request, "watch"));
 	const char *wait = fake_request_argument(request, "wait_ms");
 	usec_t until = clock_monotonic() + MS(wait != NULL ? atoll(wait) : 0);
+	json_int_t at_rev;
 	json_t *events;
 
 	g_mutex_lock(&store->lock);
 	count_watch(store, kind, 1);
 	for (;;) {
-		events = changes_since(store, kind, revision);
+		events = changes_since(store, kind, revision, &at_rev);
 		if (revision < store->compacted ||
 		    json_array_size(events) > 0 || clock_monotonic() >= until ||
 		    fake_server_is_stopping(store->http))
@@ -179,8 +204,7 @@
 		fake_reply_text(reply, 410, "{}");
 	} else {
 		fake_reply_json(reply, 200,
-		    json_pack("{s:o,s:I}", "events", events, "at_rev",
-			store->revision));
+		    json_pack("{s:o,s:I}", "events", events, "at_rev", at_rev));
 	}
 	g_mutex_unlock(&store->lock);
 }
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -11,6 +11,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* Several answers of the stand-in, which holds at most 500 changes. */
+#define BACKLOG_ENTRIES 2200
 #define DEADLINE_MS 1500
 #define SOON_MS 4000
 
@@ -463,6 +465,39 @@
 	}
 }
 
+/*
+ * A watch answers with a part of many changes only. The node paused after each
+ * part, and learned of a stop that came behind others only after its bound.
+ */
+static void
+reads_a_backlog_of_changes_at_once(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int server = WORLD_ONE * WORLD_REPLICAS;
+	plain_record_t before, after;
+
+	for (int i = 0; i < BACKLOG_ENTRIES; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "stray-%d", i);
+		object_store_put(world->store, "servers", name,
+		    json_pack("{s:s}", "service", "elsewhere"));
+	}
+	world_register(world, server, "draining");
+	g_usleep(1500 * 1000);
+	plain_server_read(world->servers[server], &before);
+	for (int i = 0; i < 20; i++) {
+		http_result_t result =
+		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
+
+		assert_int_equal(result.status, 200);
+		http_result_clear(&result);
+	}
+	plain_server_read(world->servers[server], &after);
+	assert_int_equal(after.arrivals, before.arrivals);
+	world_destroy(world);
+}
+
 /*
  * A report that a server wrote before it announced its stop reached the
  * registry after its entry was removed, and the server got requests again.
@@ -667,6 +702,7 @@
 	    HARNESS_TEST(notices_a_watch_that_was_lost_in_an_outage),
 	    HARNESS_TEST(serves_while_the_store_is_away),
 	    HARNESS_TEST(sends_nothing_to_a_server_that_leaves),
+	    HARNESS_TEST(reads_a_backlog_of_changes_at_once),
 	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
 	    HARNESS_TEST(splits_by_weight),
