Keep one connection to each shard where nodes outnumber a server's connections

Each node kept connections to two of the three servers of a shard, 61 a server of 78, and the dead ones count until the servers time them out.

Change: where a node has less than one connection to each server, it keeps one to the server of lowest rank; others are closed after a second without use. Near servers are ranked in an order of each node's own, too.

--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -217,14 +217,12 @@
 	return best;
 }
 
-bool
-placement_is_assigned(const placement_share_t *share, uint32_t position)
+uint32_t
+placement_rank(const placement_servers_t *servers, uint32_t position)
 {
-	uint32_t far = share->count - share->near;
-	uint32_t rank = position;
+	uint32_t far = servers->count - servers->near;
 
-	if (position >= share->near)
-		rank =
-		    share->near + (position - share->near + share->turn) % far;
-	return rank < share->used;
+	if (position < servers->near)
+		return (position + servers->turn) % servers->near;
+	return servers->near + (position - servers->near + servers->turn) % far;
 }
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -73,21 +73,21 @@
 int placement_choose(const replica_view_t *views, uint32_t count,
     usec_t typical, usec_t now, bool *busy);
 
-/** Which servers of an upstream a node uses while all are fine. */
+/** The servers of an upstream as a node sees them. */
 typedef struct {
 	uint32_t count; /* servers, those of this data centre first */
 	uint32_t near;	/* of these, in this data centre */
-	uint32_t used;	/* that a node shall use */
 	uint32_t turn;	/* differs from node to node and between upstreams */
-} placement_share_t;
+} placement_servers_t;
 
 /**
- * placement_is_assigned() - Whether this node uses the server at @position.
+ * placement_rank() - Place of the server at @position in this node's order.
  *
- * Load pattern: more nodes than connections that a server accepts. Near servers
- * come first; the others follow in an order that starts elsewhere for each
- * node, so that all servers are used by about equally many nodes.
+ * Load pattern: more nodes than connections that a server accepts. A node keeps
+ * to the servers of low rank. Near servers come first; both the near and the
+ * far ones follow in an order that starts elsewhere for each node, so that all
+ * servers are used by about equally many nodes.
  */
-bool placement_is_assigned(const placement_share_t *share, uint32_t position);
+uint32_t placement_rank(const placement_servers_t *servers, uint32_t position);
 
 #endif
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -172,6 +172,12 @@
 	return upstream->max_connections * CONNECTION_PART / pool->nodes;
 }
 
+bool
+pool_connections_scarce(const pool_t *pool, const upstream_t *upstream)
+{
+	return connection_share(pool, upstream) < 1.0;
+}
+
 uint32_t
 pool_connection_limit(const pool_t *pool, const upstream_t *upstream)
 {
@@ -191,29 +197,39 @@
 	return strcmp(left->entry.id, right->entry.id);
 }
 
+/* Servers of each upstream that this node uses while all are fine. */
+static uint32_t
+assigned_count(const pool_t *pool, const upstream_t *upstream)
+{
+	uint32_t count = upstream->replicas->len;
+
+	if (!pool_connections_scarce(pool, upstream))
+		return count;
+	return MAX((uint32_t)(connection_share(pool, upstream) * count), 1);
+}
+
 void
 pool_assign(pool_t *pool, upstream_t *upstream)
 {
 	GPtrArray *replicas = upstream->replicas;
-	double part = connection_share(pool, upstream);
-	placement_share_t share = {
+	uint32_t used = assigned_count(pool, upstream);
+	placement_servers_t servers = {
 	    .count = replicas->len,
-	    .used = replicas->len,
 	    .turn = pool->node_index + g_str_hash(upstream->name),
 	};
 
-	if (part < 1.0)
-		share.used = MAX((uint32_t)(part * replicas->len), 1);
 	g_ptr_array_sort(replicas, compare_for_node);
 	for (guint i = 0; i < replicas->len; i++) {
 		const replica_t *replica = replicas->pdata[i];
 
-		share.near += replica->entry.same_data_centre;
+		servers.near += replica->entry.same_data_centre;
 	}
 	for (guint i = 0; i < replicas->len; i++) {
 		replica_t *replica = replicas->pdata[i];
+		uint32_t rank = placement_rank(&servers, i);
 
-		replica->assigned = placement_is_assigned(&share, i);
+		replica->assigned = rank < used;
+		replica->preferred = rank == 0;
 	}
 }
 
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -8,6 +8,8 @@
 /* Idle connections are dropped before servers are likely to close them. */
 #define DEFAULT_IDLE_LIMIT SECONDS(8)
 #define IDLE_MARGIN MS(700)
+/* Where nodes share connections, those beyond the first go soon after use. */
+#define SCARCE_IDLE_LIMIT SECONDS(1)
 #define SILENCE_LIMIT SECONDS(3)
 #define EXPIRY_GRACE MS(150) /* the server's own answer at the deadline */
 #define SWEEP_INTERVAL MS(100)
@@ -357,6 +359,17 @@
 	    HTTP_CONNECTION_CONNECTING;
 }
 
+static usec_t
+idle_limit(const pool_connection_t *connection)
+{
+	const replica_t *replica = connection->replica;
+
+	if (pool_connections_scarce(connection->pool, replica->upstream) &&
+	    !replica->preferred)
+		return MIN(SCARCE_IDLE_LIMIT, connection->idle_limit);
+	return connection->idle_limit;
+}
+
 /* Returns whether the connection is still there. */
 static bool
 sweep_connection(pool_connection_t *connection, usec_t now)
@@ -373,7 +386,7 @@
 		return false;
 	}
 	if (pool_connection_idle(connection) &&
-	    now - connection->idle_since > connection->idle_limit) {
+	    now - connection->idle_since > idle_limit(connection)) {
 		pool_connection_drop(connection);
 		return false;
 	}
@@ -393,7 +406,7 @@
 		return true; /* nothing else shows that it is back */
 	if (pool_connection_limit(pool, upstream) > 1)
 		return true;
-	return replica->assigned && replica->entry.same_data_centre;
+	return replica->preferred;
 }
 
 /* A server that is in use always has a connection ready. */
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -38,6 +38,10 @@
 /** pool_connection_limit() - Connections to a server that are this node's. */
 uint32_t pool_connection_limit(const pool_t *pool, const upstream_t *upstream);
 
+/** pool_connections_scarce() - Whether a node has less than one connection to
+ * each server of the upstream. */
+bool pool_connections_scarce(const pool_t *pool, const upstream_t *upstream);
+
 /** pool_assign() - Marks the servers of an upstream that this node uses. */
 void pool_assign(pool_t *pool, upstream_t *upstream);
 
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -43,7 +43,8 @@
 	uint32_t broken_in_row;
 	bool removed; /* freed with its last connection */
 	GPtrArray *connections;
-	bool assigned; /* this node uses it while others are fine too */
+	bool assigned;	/* this node uses it while others are fine too */
+	bool preferred; /* of these, the one that always has a connection */
 	usec_t connect_again_at; /* earliest time of a spare connection */
 };
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -24,10 +24,10 @@
 run_lane() {
 	printf '%s\n' "$build"/tests/test_process_* | grep -v '\.[od]$' |
 	    grep -v '\*' | grep $1 '/test_process_\(gateway\|soak\)$' |
-	    xargs -r -P 1 -I{} bash -c 'run_one "$0" "$1"' {} "$logs"
+	    xargs -r -P "$2" -I{} bash -c 'run_one "$0" "$1"' {} "$logs"
 }
-run_lane -v &
-run_lane -e &
+run_lane -v 2 &
+run_lane -e 1 &
 wait
 passed=0
 failed=0
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -264,19 +264,41 @@
 	    placement_choose(&view, 1, MS(10), START + SECONDS(30), &busy), 0);
 }
 
+/* The server that a node keeps a connection to; nodes are numbered by data
+ * centre, as their names are. */
+static uint32_t
+preferred_server(const uint32_t *server_centres, uint32_t count,
+    uint32_t centres, uint32_t nodes, uint32_t node, uint32_t turn)
+{
+	uint32_t centre = node * centres / nodes;
+	uint32_t order[8], position = 0;
+	placement_servers_t servers = {.count = count, .turn = node + turn};
+
+	for (uint32_t i = 0; i < count; i++)
+		if (server_centres[i] == centre)
+			order[position++] = i;
+	servers.near = position;
+	for (uint32_t i = 0; i < count; i++)
+		if (server_centres[i] != centre)
+			order[position++] = i;
+	for (uint32_t i = 0; i < count; i++)
+		if (placement_rank(&servers, i) == 0)
+			return order[i];
+	return order[0];
+}
+
 /* Servers that accept fewer connections than there are nodes share them. */
 static void
 nodes_are_spread_over_the_servers(void **state)
 {
-	enum { NODES = 90, SERVERS_EACH = 3, CENTRES = 4 };
+	enum { NODES = 90, SERVERS_EACH = 3, CENTRES = 4, USED = 2 };
 	uint32_t users[SERVERS_EACH] = {0};
 
 	for (uint32_t node = 0; node < NODES; node++) {
 		uint32_t centre = node % CENTRES;
 		bool near = centre < SERVERS_EACH;
-		placement_share_t share = {.count = SERVERS_EACH,
+		placement_servers_t servers = {.count = SERVERS_EACH,
 		    .near = near,
-		    .used = 2,
 		    .turn = node / CENTRES};
 		uint32_t used = 0;
 
@@ -284,19 +306,58 @@
 			/* Position 0 is the near server, if there is one. */
 			uint32_t server =
 			    near ? (centre + i) % SERVERS_EACH : i;
-			bool assigned = placement_is_assigned(&share, i);
+			bool assigned = placement_rank(&servers, i) < USED;
 
 			users[server] += assigned;
 			used += assigned;
 			if (near && i == 0)
 				assert_true(assigned);
 		}
-		assert_int_equal(used, 2);
+		assert_int_equal(used, USED);
 	}
 	for (int i = 0; i < SERVERS_EACH; i++)
 		assert_true(users[i] >= 55 && users[i] <= 65);
 }
 
+/*
+ * After all nodes have lost power, servers still count the old connections when
+ * the new ones come. Nodes kept one to two of the three servers of a shard, so
+ * for seconds most new connections were beyond the cap and were reset.
+ */
+static void
+old_connections_leave_room_for_new_ones(void **state)
+{
+	enum { SERVERS_EACH = 3, MAX_TURNS = 54 };
+	static const struct {
+		uint32_t nodes;
+		uint32_t centres;
+		uint32_t cap;
+		uint32_t server_centres[SERVERS_EACH];
+	} cases[] = {
+	    {91, 4, 78, {0, 1, 2}},
+	    {91, 4, 78, {0, 0, 1}},
+	    {91, 4, 78, {0, 0, 0}},
+	    {77, 3, 70, {0, 1, 2}},
+	    {77, 3, 70, {0, 0, 1}},
+	    {77, 3, 70, {2, 2, 2}},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (uint32_t turn = 0; turn < MAX_TURNS; turn++) {
+			uint32_t kept[SERVERS_EACH] = {0};
+
+			for (uint32_t node = 0; node < cases[i].nodes; node++)
+				kept[preferred_server(cases[i].server_centres,
+				    SERVERS_EACH, cases[i].centres,
+				    cases[i].nodes, node, turn)]++;
+			for (int j = 0; j < SERVERS_EACH; j++)
+				if (2 * kept[j] > cases[i].cap)
+					fail_msg("case %zu: %u nodes keep a "
+						 "connection to a server",
+					    i, kept[j]);
+		}
+}
+
 static void
 late_follows_the_typical_time_not_the_slow_servers(void **state)
 {
@@ -403,6 +464,7 @@
 	    cmocka_unit_test(the_best_server_is_chosen),
 	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
 	    cmocka_unit_test(nodes_are_spread_over_the_servers),
+	    cmocka_unit_test(old_connections_leave_room_for_new_ones),
 	    cmocka_unit_test(
 		late_follows_the_typical_time_not_the_slow_servers),
 	    cmocka_unit_test(the_loop_keeps_steady_time),
