Tell refused clients when a place is expected to be free

Cause: Retry-After was a random 30 to 150 ms whatever the backlog. Clients of a burst came back while it lasted and were refused again, and each returns only once.

Change: return_schedule gives each refused client the time at which a place is expected to be free after those that were told to return before it, from the running fan-outs and how long they take, within a third of the client's time; beyond that, returns are spread.

Measured: in the replay of a burst of three times the capacity 10 % of the clients are refused twice, 62 % with the earlier decision.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -534,6 +534,7 @@
 	exchange_engine_t *engine = exchange->engine;
 
 	exchange->state = find_route_state(engine, exchange->route);
+	set_times(exchange, fresh);
 	if (is_beyond_limit(exchange, now)) {
 		reply_error(exchange, BW_E_OVERLOADED, "limit", now);
 		return;
@@ -541,7 +542,6 @@
 	if (exchange->route->kind == ROUTE_FANOUT)
 		exchange->records =
 		    gather_records_create(exchange->route->top_records);
-	set_times(exchange, fresh);
 	head_prepare(exchange);
 	start_tasks(exchange, now);
 }
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushwell/limiter.h"
 #include "exchange.h"
+#include "return_schedule.h"
 
 /** DOC: Shared by the files of the exchange */
 
@@ -38,6 +39,7 @@
 	histogram_t *failed;   /* time until a failure or refusal */
 	double *credits;       /* ROUTE_WEIGHTED: balance of each target */
 	uint32_t credit_count;
+	return_schedule_t returns; /* of refused clients */
 };
 
 struct exchange {
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -5,8 +5,11 @@
 #include "exchange_private.h"
 
 #define ERROR_BODY_MAX 512
-#define RETRY_AFTER_MIN_S 0.03
-#define RETRY_AFTER_SPREAD_S 0.12 /* clients shall not return together */
+/* Clients wait at most this part of the time that they have left. */
+#define RETURN_PART (1.0 / 3.0)
+/* Until this node has a configuration; other nodes may serve before. */
+#define UNROUTED_RETURN MS(100)
+#define NO_SERVER_INTERVAL MS(20) /* a service returns after some 100 ms */
 
 /*
  * 408, 421, 429 and 503 promise that a request has not run, so a server's own
@@ -72,12 +75,36 @@
 	    now - exchange->received_at);
 }
 
+/* Expected time between two places for requests of this route. */
+static usec_t
+place_interval(const exchange_t *exchange)
+{
+	const limiter_t *limiter = exchange->engine->limiter;
+	const char *index = exchange->route->targets[0].service;
+	limiter_stats_t stats;
+
+	limiter_get_stats(limiter, index, &stats);
+	if (exchange->route->kind != ROUTE_FANOUT || stats.running == 0)
+		return NO_SERVER_INTERVAL;
+	return limiter_retry_after(limiter, index) / stats.running;
+}
+
+/* In seconds; negative for none. */
 static double
-retry_after(int status)
+retry_after(const exchange_t *exchange, int status, usec_t now)
 {
+	usec_t wait = UNROUTED_RETURN;
+
 	if (status != 503 && status != 429)
 		return -1.0;
-	return RETRY_AFTER_MIN_S + g_random_double() * RETRY_AFTER_SPREAD_S;
+	if (exchange->state != NULL) {
+		usec_t longest =
+		    (usec_t)(RETURN_PART * (double)(exchange->final_at - now));
+
+		wait = return_schedule_next(&exchange->state->returns,
+		    place_interval(exchange), longest, now);
+	}
+	return (double)wait / USEC_PER_SEC;
 }
 
 void
@@ -101,7 +128,8 @@
 	log_end(exchange, status, cause, now);
 	record_end(exchange, false, now);
 	size = MIN(size, (int)sizeof(body) - 1);
-	head_own(status, retry_after(status), (size_t)size, &head);
+	head_own(
+	    status, retry_after(exchange, status, now), (size_t)size, &head);
 	exchange_finish(exchange, &head, (slice_t){body, (size_t)size});
 	buffer_free(&head);
 }
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -15,6 +15,7 @@
 #include "../source/gateway/latency_model.h"
 #include "../source/gateway/placement.h"
 #include "../source/gateway/retry_budget.h"
+#include "../source/gateway/return_schedule.h"
 #include "../source/gateway/route_table.h"
 #include "lib/random.h"
 
@@ -358,6 +359,88 @@
 		}
 }
 
+typedef usec_t (*return_policy_t)(return_schedule_t *schedule, usec_t now);
+
+static usec_t
+return_by_schedule(return_schedule_t *schedule, usec_t now)
+{
+	return return_schedule_next(schedule, MS(10), SECONDS(3), now);
+}
+
+/* The earlier decision: a short random time. */
+static usec_t
+return_soon(return_schedule_t *schedule, usec_t now)
+{
+	return MS(30) + (usec_t)(g_random_double() * MS(120));
+}
+
+/*
+ * A burst of 300 requests in one second meets 10 places for 100 ms each. Each
+ * refused client returns once.
+ *
+ * Return: the share of clients that were refused twice.
+ */
+static double
+replay_burst(return_policy_t policy)
+{
+	enum { CLIENTS = 300, PLACES = 10, STEP_MS = 1, RUN_MS = 5000 };
+	usec_t due[CLIENTS], busy_until[PLACES] = {0};
+	bool refused[CLIENTS] = {false};
+	return_schedule_t schedule = {0};
+	uint32_t lost = 0;
+
+	for (int i = 0; i < CLIENTS; i++)
+		due[i] = START + SECONDS(1) * i / CLIENTS;
+	for (usec_t now = START; now < START + MS(RUN_MS); now += MS(STEP_MS))
+		for (int i = 0; i < CLIENTS; i++) {
+			int place = 0;
+
+			if (due[i] < now || due[i] >= now + MS(STEP_MS))
+				continue;
+			while (place < PLACES && busy_until[place] > now)
+				place++;
+			if (place < PLACES) {
+				busy_until[place] = now + MS(100);
+			} else if (refused[i]) {
+				lost++;
+			} else {
+				refused[i] = true;
+				due[i] = now + policy(&schedule, now);
+			}
+		}
+	return (double)lost / CLIENTS;
+}
+
+/* Clients that were told to come back soon were refused again in the burst. */
+static void
+refused_clients_return_to_free_places(void **state)
+{
+	double scheduled = replay_burst(return_by_schedule);
+	double soon = replay_burst(return_soon);
+
+	print_message("refused twice: %.2f, earlier %.2f\n", scheduled, soon);
+	assert_true(scheduled < soon / 2);
+}
+
+static void
+returns_are_spread_within_their_bounds(void **state)
+{
+	return_schedule_t schedule = {0};
+	usec_t earlier = 0;
+
+	for (int i = 0; i < 200; i++) {
+		usec_t wait =
+		    return_schedule_next(&schedule, MS(10), SECONDS(1), START);
+
+		if (i > 0 && i < 45)
+			assert_int_equal(wait, earlier + MS(20));
+		if (i > 50)
+			assert_true(wait >= MS(500));
+		assert_true(wait >= MS(30) && wait <= SECONDS(1));
+		earlier = wait;
+	}
+}
+
 static void
 late_follows_the_typical_time_not_the_slow_servers(void **state)
 {
@@ -465,6 +548,8 @@
 	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
 	    cmocka_unit_test(nodes_are_spread_over_the_servers),
 	    cmocka_unit_test(old_connections_leave_room_for_new_ones),
+	    cmocka_unit_test(refused_clients_return_to_free_places),
+	    cmocka_unit_test(returns_are_spread_within_their_bounds),
 	    cmocka_unit_test(
 		late_follows_the_typical_time_not_the_slow_servers),
 	    cmocka_unit_test(the_loop_keeps_steady_time),
