Move what exchanges share into exchange_engine.c

The file held two jobs, the engine with the states of routes and the exchange itself. No change of behaviour.

--- /dev/null
+++ b/source/gateway/exchange_engine.c
@@ -0,0 +1,159 @@
+/* What all exchanges share: the pool, the limiter, the state of routes. */
+#include "../base/loop_clock.h"
+#include "exchange_private.h"
+
+#define MAX_RESPONSE_BYTES ((size_t)8 * 1024 * 1024)
+
+usec_t
+engine_now(const exchange_engine_t *engine)
+{
+	return loop_clock_now(engine->loop);
+}
+
+static void
+free_route_state(void *data)
+{
+	route_state_t *state = data;
+
+	latency_model_destroy(state->latency);
+	histogram_destroy(state->answered);
+	histogram_destroy(state->failed);
+	g_free(state->credits);
+	g_free(state->name);
+	g_free(state);
+}
+
+exchange_engine_t *
+engine_create(struct ev_loop *loop, const engine_settings_t *settings)
+{
+	exchange_engine_t *engine = g_new0(exchange_engine_t, 1);
+	const pool_settings_t pool_settings = {
+	    .headers =
+		{
+		    .request_id = settings->headers.request_id,
+		    .not_run = settings->headers.not_run,
+		},
+	    .drain_limit = settings->drain_limit,
+	    .max_response_bytes = MAX_RESPONSE_BYTES,
+	};
+	const pool_handlers_t handlers = {
+	    .ended = task_ended,
+	    .room = task_room,
+	    .context = engine,
+	};
+
+	engine->loop = loop;
+	engine->settings = *settings;
+	engine->pool = pool_create(loop, &pool_settings, &handlers);
+	engine->limiter = limiter_create();
+	engine->route_states = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, free_route_state);
+	return engine;
+}
+
+void
+engine_destroy(exchange_engine_t *engine)
+{
+	if (engine == NULL)
+		return;
+	pool_destroy(engine->pool);
+	limiter_destroy(engine->limiter);
+	route_table_drop(engine->table);
+	g_hash_table_destroy(engine->route_states);
+	buffer_free(&engine->scratch);
+	g_free(engine);
+}
+
+pool_t *
+engine_pool(exchange_engine_t *engine)
+{
+	return engine->pool;
+}
+
+void
+engine_adopt(exchange_engine_t *engine, route_table_t *table)
+{
+	route_table_drop(engine->table);
+	engine->table = route_table_keep(table);
+	pool_apply(engine->pool, table);
+}
+
+route_table_t *
+engine_table(const exchange_engine_t *engine)
+{
+	return engine->table;
+}
+
+const exchange_counters_t *
+engine_counters(const exchange_engine_t *engine)
+{
+	return &engine->counters;
+}
+
+void
+engine_refuse(exchange_engine_t *engine)
+{
+	engine->refusing = true;
+}
+
+uint32_t
+engine_running(const exchange_engine_t *engine)
+{
+	return engine->running;
+}
+
+void
+engine_visit_routes(exchange_engine_t *engine,
+    void (*visit)(void *context, const char *route, const histogram_t *answered,
+	const histogram_t *failed),
+    void *context)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, engine->route_states);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const route_state_t *state = value;
+
+		visit(context, state->name, state->answered, state->failed);
+	}
+}
+
+route_state_t *
+route_state_find(exchange_engine_t *engine, const route_t *route)
+{
+	route_state_t *state =
+	    g_hash_table_lookup(engine->route_states, route->name);
+
+	if (state != NULL)
+		return state;
+	state = g_new0(route_state_t, 1);
+	state->name = g_strdup(route->name);
+	state->latency = latency_model_create(route->goal);
+	state->answered = histogram_create();
+	state->failed = histogram_create();
+	g_hash_table_insert(engine->route_states, state->name, state);
+	return state;
+}
+
+/* Smooth weighted round robin: each target's share is exact in short runs. */
+const char *
+route_state_next_target(route_state_t *state, const route_t *route)
+{
+	double total = 0.0;
+	uint32_t best = 0;
+
+	if (state->credit_count != route->target_count) {
+		g_free(state->credits);
+		state->credits = g_new0(double, route->target_count);
+		state->credit_count = route->target_count;
+	}
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		state->credits[i] += route->targets[i].weight;
+		total += route->targets[i].weight;
+		if (state->credits[i] > state->credits[best])
+			best = i;
+	}
+	state->credits[best] -= total;
+	return route->targets[best].service;
+}
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -116,6 +116,13 @@
 /** exchange_check() - Answers if it is time; may free the exchange. */
 void exchange_check(exchange_t *exchange, usec_t now);
 
+/** route_state_find() - The state of a route; made at its first request. */
+route_state_t *route_state_find(
+    exchange_engine_t *engine, const route_t *route);
+
+/** route_state_next_target() - The service that is due by the weights. */
+const char *route_state_next_target(route_state_t *state, const route_t *route);
+
 /** engine_now() - Time of the loop's iteration. */
 usec_t engine_now(const exchange_engine_t *engine);
 
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -272,7 +272,7 @@
     uint32_t centres, uint32_t nodes, uint32_t node, uint32_t turn)
 {
 	uint32_t centre = node * centres / nodes;
-	uint32_t order[8], position = 0;
+	uint32_t order[8] = {0}, position = 0;
 	placement_servers_t servers = {.count = count, .turn = node + turn};
 
 	for (uint32_t i = 0; i < count; i++)
