Show what a gateway believes: /state on the metrics address

An operator who compares nodes saw sums only. /state lists the configuration's version, the routes with the times that decide hedges, and each server with the age of its report, its estimates and whether it is used.

--- a/Makefile
+++ b/Makefile
@@ -124,9 +124,9 @@
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
 	    $(DESTDIR)$(PREFIX)/share/man/man8
 	install -m 755 $(BUILD)/bin/bulrushwelld $(BUILD)/bin/bulrushwell \
-	    $(DESTDIR)$(PREFIX)/bin
+	    $(BUILD)/bin/bulrushwell-gateway $(DESTDIR)$(PREFIX)/bin
 	install -m 644 docs/man/bulrushwell.1 $(DESTDIR)$(PREFIX)/share/man/man1
-	install -m 644 docs/man/bulrushwelld.8 \
+	install -m 644 docs/man/bulrushwelld.8 docs/man/bulrushwell-gateway.8 \
 	    $(DESTDIR)$(PREFIX)/share/man/man8
 
 clean:
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -69,11 +69,17 @@
 
 const exchange_counters_t *engine_counters(const exchange_engine_t *engine);
 
-/** engine_visit_routes() - Calls @visit for the state of each route. */
+/** typedef route_view_t - What is known of a route that had requests. */
+typedef struct {
+	const char *name;
+	const latency_model_t *latency; /* of attempts */
+	const histogram_t *answered;	/* times until an answer */
+	const histogram_t *failed;	/* times until a failure or refusal */
+} route_view_t;
+
+/** engine_visit_routes() - Calls @visit for each route that had requests. */
 void engine_visit_routes(exchange_engine_t *engine,
-    void (*visit)(void *context, const char *route, const histogram_t *answered,
-	const histogram_t *failed),
-    void *context);
+    void (*visit)(void *context, const route_view_t *route), void *context);
 
 /** engine_refuse() - From now on, new requests are refused as not run. */
 void engine_refuse(exchange_engine_t *engine);
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -104,9 +104,7 @@
 
 void
 engine_visit_routes(exchange_engine_t *engine,
-    void (*visit)(void *context, const char *route, const histogram_t *answered,
-	const histogram_t *failed),
-    void *context)
+    void (*visit)(void *context, const route_view_t *route), void *context)
 {
 	GHashTableIter iter;
 	void *value;
@@ -114,8 +112,10 @@
 	g_hash_table_iter_init(&iter, engine->route_states);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const route_state_t *state = value;
+		const route_view_t view = {state->name, state->latency,
+		    state->answered, state->failed};
 
-		visit(context, state->name, state->answered, state->failed);
+		visit(context, &view);
 	}
 }
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include "bulrushwell/event.h"
 #include "front.h"
 #include "gateway_metrics.h"
+#include "gateway_state.h"
 
 #define CHECK_INTERVAL_S 0.2
 /*
@@ -92,7 +93,11 @@
 	    .store_failures = gateway->store_failures,
 	};
 
-	gateway_metrics_write(gateway->engine, &gauges, body);
+	if (slice_is(path, "/state"))
+		gateway_state_write(
+		    gateway->engine, loop_clock_now(gateway->loop), body);
+	else
+		gateway_metrics_write(gateway->engine, &gauges, body);
 	return 200;
 }
 
--- a/source/gateway/gateway_metrics.c
+++ b/source/gateway/gateway_metrics.c
@@ -47,13 +47,12 @@
 }
 
 static void
-write_route(void *context, const char *route, const histogram_t *answered,
-    const histogram_t *failed)
+write_route(void *context, const route_view_t *route)
 {
 	writer_t *writer = context;
 
-	write_histogram(writer->out, route, "answered", answered);
-	write_histogram(writer->out, route, "failed", failed);
+	write_histogram(writer->out, route->name, "answered", route->answered);
+	write_histogram(writer->out, route->name, "failed", route->failed);
 }
 
 static void
--- /dev/null
+++ b/source/gateway/gateway_state.c
@@ -0,0 +1,83 @@
+#include "gateway_state.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+
+#define PRECISION_DIGITS 3 /* more is noise in the estimates */
+
+typedef struct {
+	json_t *list;
+	usec_t now;
+} writer_t;
+
+static json_int_t
+milliseconds(usec_t time)
+{
+	return (json_int_t)(time / USEC_PER_MS);
+}
+
+static const char *
+server_state(const replica_t *replica)
+{
+	if (!replica->listed)
+		return "gone";
+	return replica->leaving_since != 0 ? "leaving" : "ready";
+}
+
+static void
+write_server(void *context, const replica_t *replica)
+{
+	const writer_t *writer = context;
+	const replica_health_t *health = &replica->health;
+	usec_t ejected = MAX(health->ejected_until - writer->now, 0);
+
+	json_array_append_new(writer->list,
+	    json_pack("{s:s,s:s,s:s,s:I,s:i,s:b,s:f,s:f,s:f,s:I,s:b}", "server",
+		replica->entry.id, "upstream", replica->upstream->name, "state",
+		server_state(replica), "report_age_ms",
+		milliseconds(writer->now - replica->reported_at), "connections",
+		(int)replica->connections->len, "assigned", replica->assigned,
+		"slowness", health->slowness, "failure", health->failure,
+		"limit", health->limit, "ejected_ms", milliseconds(ejected),
+		"unproven", health->unproven));
+}
+
+static void
+write_route(void *context, const route_view_t *route)
+{
+	const writer_t *writer = context;
+
+	json_array_append_new(writer->list,
+	    json_pack("{s:s,s:I,s:I,s:I,s:I}", "route", route->name,
+		"attempt_typical_ms",
+		milliseconds(latency_model_typical(route->latency)),
+		"attempt_late_ms",
+		milliseconds(latency_model_late(route->latency)), "answered",
+		(json_int_t)histogram_count(route->answered), "failed",
+		(json_int_t)histogram_count(route->failed)));
+}
+
+void
+gateway_state_write(exchange_engine_t *engine, usec_t now, buffer_t *out)
+{
+	const route_table_t *table = engine_table(engine);
+	const pool_t *pool = engine_pool(engine);
+	writer_t servers = {json_array(), now};
+	writer_t routes = {json_array(), now};
+	json_t *state;
+	char *text;
+
+	pool_visit_servers(pool, write_server, &servers);
+	engine_visit_routes(engine, write_route, &routes);
+	state = json_pack("{s:I,s:i,s:i,s:i,s:o,s:o}", "config_version",
+	    table != NULL ? (json_int_t)route_table_version(table) : 0, "nodes",
+	    (int)pool_nodes(pool), "running", (int)engine_running(engine),
+	    "server_count", (int)pool_server_count(pool), "routes", routes.list,
+	    "servers", servers.list);
+	text = json_dumps(
+	    state, JSON_COMPACT | JSON_REAL_PRECISION(PRECISION_DIGITS));
+	buffer_append_text(out, text);
+	buffer_append(out, "\n", 1);
+	free(text);
+	json_decref(state);
+}
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -347,6 +347,7 @@
 		replica = g_hash_table_lookup(pool->replicas, entry->id);
 	}
 	replica->entry = *entry;
+	replica->reported_at = now;
 	replica->listed = true;
 	replica->warm_until = now + entry->warm_up_left;
 	set_leaving(replica, entry->draining, now);
@@ -506,6 +507,18 @@
 	*broken = pool->broken[0] + pool->broken[1];
 }
 
+void
+pool_visit_servers(const pool_t *pool,
+    void (*visit)(void *context, const replica_t *replica), void *context)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pool->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(context, value);
+}
+
 uint32_t
 pool_server_count(const pool_t *pool)
 {
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -121,6 +121,10 @@
 /** pool_attempt_cancel() - Closes the connection, so that the server stops. */
 void pool_attempt_cancel(pool_t *pool, attempt_t *attempt);
 
+/** pool_visit_servers() - Calls @visit for each server. */
+void pool_visit_servers(const pool_t *pool,
+    void (*visit)(void *context, const replica_t *replica), void *context);
+
 /** pool_server_count() - Servers that may be used. */
 uint32_t pool_server_count(const pool_t *pool);
 
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -38,6 +38,7 @@
 	server_entry_t entry;
 	replica_health_t health;
 	usec_t warm_until;
+	usec_t reported_at;   /* when its entry was last read */
 	usec_t leaving_since; /* 0: it stays */
 	bool listed;	      /* the registry has its entry */
 	uint32_t broken_in_row;
