--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -4,6 +4,7 @@
 #include "lib/gateway_world.h"
 
 #include <stdio.h>
+#include <string.h>
 
 /* Several answers of the stand-in, which holds at most 500 changes. */
 #define BACKLOG_ENTRIES 2200
@@ -236,6 +237,45 @@
 	world_destroy(world);
 }
 
+/* The number of servers in a state, as the node says itself. */
+static int
+count_servers(gateway_world_t *world, const char *state)
+{
+	http_result_t result =
+	    harness_http("GET", world->metrics, "/state", NULL, NULL, SOON_MS);
+	const json_t *servers = json_object_get(result.json, "servers");
+	int count = 0;
+
+	assert_int_equal(result.status, 200);
+	assert_int_equal(json_array_size(servers),
+	    json_integer_value(json_object_get(result.json, "server_count")));
+	for (size_t i = 0; i < json_array_size(servers); i++)
+		count += strcmp(json_string_value(json_object_get(
+				    json_array_get(servers, i), "state")),
+			     state) == 0;
+	http_result_clear(&result);
+	return count;
+}
+
+static bool
+believes_that_one_leaves(gateway_world_t *world)
+{
+	return count_servers(world, "leaving") == 1;
+}
+
+/* Guards against a page of beliefs that differs from what the node uses. */
+static void
+shows_what_it_believes(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	assert_int_equal(count_servers(world, "ready"), WORLD_SERVERS);
+	world_register(world, WORLD_ONE * WORLD_REPLICAS, "draining");
+	assert_true(world_wait(believes_that_one_leaves, world, SOON_MS));
+	assert_int_equal(count_servers(world, "ready"), WORLD_SERVERS - 1);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -248,6 +288,7 @@
 	    HARNESS_TEST(reads_a_backlog_of_changes_at_once),
 	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
+	    HARNESS_TEST(shows_what_it_believes),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
