Give the tests' HTTP reply a name of its own

http_result_t named the outcome of a call of the HTTP client and the reply of a test's call, so a test could not use both. The tests' type is http_reply_t now.

--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -227,7 +227,7 @@
 	return arrivals;
 }
 
-http_result_t
+http_reply_t
 world_ask(gateway_world_t *world, const char *method, const char *path,
     int deadline_ms, const char *body)
 {
@@ -246,7 +246,7 @@
 int64_t
 world_metric(gateway_world_t *world, const char *name)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", world->metrics, "/metrics", NULL, NULL, 2000);
 	char *line = g_strdup_printf("bulrushwell_gateway_%s ", name);
 	int64_t value = -1;
@@ -258,7 +258,7 @@
 			value = atoll(at + strlen(line));
 	}
 	g_free(line);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return value;
 }
 
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -61,7 +61,7 @@
 uint32_t world_arrivals(gateway_world_t *world, int service);
 
 /** world_ask() - One request with a fresh id. */
-http_result_t world_ask(gateway_world_t *world, const char *method,
+http_reply_t world_ask(gateway_world_t *world, const char *method,
     const char *path, int deadline_ms, const char *body);
 
 /** world_metric() - A counter of the gateway, or -1. */
--- a/tests/lib/harness.c
+++ b/tests/lib/harness.c
@@ -197,11 +197,11 @@
 	int seen = 0;
 
 	while (clock_monotonic() < until) {
-		http_result_t result =
+		http_reply_t result =
 		    harness_http("GET", address, path, NULL, NULL, 1000);
 
 		seen = result.status;
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		if (seen == status)
 			return;
 		g_usleep(POLL_MS * 1000);
--- a/tests/lib/harness.h
+++ b/tests/lib/harness.h
@@ -99,7 +99,7 @@
  */
 int harness_wait_exit(harness_t *harness, process_t process, int timeout_ms);
 
-/** typedef http_result_t - An answer; status 0 when there was none. */
+/** typedef http_reply_t - An answer; status 0 when there was none. */
 typedef struct {
 	int status;
 	bool refused; /* no connection was made */
@@ -107,18 +107,18 @@
 	GHashTable *headers; /* lower-case name -> value */
 	json_t *json;	     /* NULL when the body is not JSON */
 	usec_t elapsed;
-} http_result_t;
+} http_reply_t;
 
 /**
  * harness_http() - One request on a connection of its own.
  * @headers: lines ended by NULL; may be NULL
  * @body: may be NULL
  */
-http_result_t harness_http(const char *method, const char *address,
+http_reply_t harness_http(const char *method, const char *address,
     const char *path, const char *const *headers, const char *body,
     int timeout_ms);
-void http_result_clear(http_result_t *result);
-const char *http_result_header(const http_result_t *result, const char *name);
+void http_reply_clear(http_reply_t *result);
+const char *http_reply_header(const http_reply_t *result, const char *name);
 
 /** harness_order() - POSTs @body and fails the test unless it answers 200. */
 void harness_order(const char *address, const char *path, const char *body);
--- a/tests/lib/harness_http.c
+++ b/tests/lib/harness_http.c
@@ -110,11 +110,11 @@
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
 }
 
-http_result_t
+http_reply_t
 harness_http(const char *method, const char *address, const char *path,
     const char *const *headers, const char *body, int timeout_ms)
 {
-	http_result_t result = {0};
+	http_reply_t result = {0};
 	char *url = g_strdup_printf("http://%s%s", address, path);
 	struct curl_slist *list = make_headers(headers);
 	CURL *curl = curl_easy_init();
@@ -151,16 +151,16 @@
 }
 
 void
-http_result_clear(http_result_t *result)
+http_reply_clear(http_reply_t *result)
 {
 	json_decref(result->json);
 	g_string_free(result->body, TRUE);
 	g_hash_table_destroy(result->headers);
-	*result = (http_result_t){0};
+	*result = (http_reply_t){0};
 }
 
 const char *
-http_result_header(const http_result_t *result, const char *name)
+http_reply_header(const http_reply_t *result, const char *name)
 {
 	char *lower = g_ascii_strdown(name, -1);
 	const char *value = g_hash_table_lookup(result->headers, lower);
@@ -172,11 +172,11 @@
 void
 harness_order(const char *address, const char *path, const char *body)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("POST", address, path, NULL, body, HARNESS_START_MS);
 	int status = result.status;
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	if (status != 200)
 		fail_msg("%s%s answers %d to %s", address, path, status, body);
 }
@@ -184,12 +184,12 @@
 json_t *
 harness_fetch(const char *address, const char *path)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", address, path, NULL, NULL, HARNESS_START_MS);
 	json_t *json = json_incref(result.json);
 	int status = result.status;
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	if (status != 200 || json == NULL)
 		fail_msg("%s%s answers %d", address, path, status);
 	return json;
--- a/tests/lib/harness_load.c
+++ b/tests/lib/harness_load.c
@@ -78,7 +78,7 @@
 }
 
 static void
-check_time(const http_result_t *result, int deadline_ms)
+check_time(const http_reply_t *result, int deadline_ms)
 {
 	int64_t said =
 	    json_integer_value(json_object_get(result->json, "elapsed_ms"));
@@ -93,7 +93,7 @@
 
 coverage_t
 query_check_answer(
-    const http_result_t *result, const char *body, int deadline_ms)
+    const http_reply_t *result, const char *body, int deadline_ms)
 {
 	const json_t *stated = json_object_get(result->json, "coverage");
 	const json_t *results = json_object_get(result->json, "results");
@@ -129,7 +129,7 @@
 
 void
 query_check_refusal(
-    const http_result_t *result, int status, const char *kind, bool not_run)
+    const http_reply_t *result, int status, const char *kind, bool not_run)
 {
 	const json_t *error = json_object_get(result->json, "error");
 	const char *said = json_string_value(json_object_get(error, "kind"));
@@ -148,7 +148,7 @@
 
 typedef struct {
 	char *body;
-	http_result_t result;
+	http_reply_t result;
 } answer_t;
 
 struct load {
@@ -280,7 +280,7 @@
 		answer_t *answer = load->collected->pdata[i];
 
 		judge(answer, &result);
-		http_result_clear(&answer->result);
+		http_reply_clear(&answer->result);
 		g_free(answer->body);
 		g_free(answer);
 	}
--- a/tests/lib/harness_query.c
+++ b/tests/lib/harness_query.c
@@ -186,7 +186,7 @@
 		maps[count - 1].version, "versions", versions));
 }
 
-http_result_t
+http_reply_t
 query_post_as(
     const char *address, const char *key, const char *body, int deadline_ms)
 {
@@ -194,7 +194,7 @@
 	char *deadline = g_strdup_printf("X-Deadline-Ms: %d", deadline_ms);
 	const char *headers[] = {
 	    authorization, deadline_ms > 0 ? deadline : NULL, NULL};
-	http_result_t result = harness_http("POST", address,
+	http_reply_t result = harness_http("POST", address,
 	    "/v1/query/" QUERY_INDEX, headers, body, QUERY_ENOUGH_MS);
 
 	g_free(authorization);
@@ -202,7 +202,7 @@
 	return result;
 }
 
-http_result_t
+http_reply_t
 query_post(harness_t *harness, int node, const char *body)
 {
 	return query_post_as(harness->nodes[node].caller, QUERY_KEY, body, 0);
@@ -221,14 +221,14 @@
 query_check_complete(harness_t *harness, int node)
 {
 	char *body = query_new_body();
-	http_result_t result = query_post(harness, node, body);
+	http_reply_t result = query_post(harness, node, body);
 	coverage_t coverage =
 	    query_check_answer(&result, body, QUERY_DEADLINE_MS);
 
 	if (coverage.answered != coverage.total)
 		fail_msg("%d of %d shards answered: %s", coverage.answered,
 		    coverage.total, result.body->str);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	g_free(body);
 	return coverage;
 }
@@ -238,7 +238,7 @@
 is_complete(harness_t *harness, int node, char *why, size_t why_size)
 {
 	char *body = query_new_body();
-	http_result_t result = query_post(harness, node, body);
+	http_reply_t result = query_post(harness, node, body);
 	bool complete = false;
 	coverage_t coverage;
 
@@ -247,7 +247,7 @@
 		complete = coverage.answered == coverage.total;
 	}
 	snprintf(why, why_size, "%d %.300s", result.status, result.body->str);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	g_free(body);
 	return complete;
 }
@@ -274,7 +274,7 @@
 double
 query_metric(harness_t *harness, int node, const char *line)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", harness->nodes[node].operator_address,
 		"/metrics", NULL, NULL, QUERY_ENOUGH_MS);
 	char **lines = g_strsplit(result.body->str, "\n", -1);
@@ -286,7 +286,7 @@
 		    strrchr(lines[i], ' ') != NULL)
 			sum += atof(strrchr(lines[i], ' '));
 	g_strfreev(lines);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return sum;
 }
 
--- a/tests/lib/harness_query.h
+++ b/tests/lib/harness_query.h
@@ -74,10 +74,10 @@
 const char *query_server(int service, int server);
 
 /** query_post() - One query by the contract's caller. */
-http_result_t query_post(harness_t *harness, int node, const char *body);
+http_reply_t query_post(harness_t *harness, int node, const char *body);
 
 /** query_post_as() - @deadline_ms: 0 for the contract's. */
-http_result_t query_post_as(
+http_reply_t query_post_as(
     const char *address, const char *key, const char *body, int deadline_ms);
 
 /** typedef coverage_t - What an answer says of itself. */
@@ -95,11 +95,11 @@
  * with the version and the hash of @body, or named as missing.
  */
 coverage_t query_check_answer(
-    const http_result_t *result, const char *body, int deadline_ms);
+    const http_reply_t *result, const char *body, int deadline_ms);
 
 /** query_check_refusal() - Kind, remedy and @not_run of a typed error. */
 void query_check_refusal(
-    const http_result_t *result, int status, const char *kind, bool not_run);
+    const http_reply_t *result, int status, const char *kind, bool not_run);
 
 /** query_check_complete() - One query whose answer must be complete. */
 coverage_t query_check_complete(harness_t *harness, int node);
--- a/tests/lib/harness_tier.c
+++ b/tests/lib/harness_tier.c
@@ -25,14 +25,14 @@
 static int64_t
 current_version(harness_t *harness, const char *path)
 {
-	http_result_t result = harness_http(
+	http_reply_t result = harness_http(
 	    "GET", harness->platform, path, NULL, NULL, HARNESS_START_MS);
 	int64_t version =
 	    json_integer_value(json_object_get(result.json, "version"));
 
 	if (result.status != 200 && result.status != 404)
 		fail_msg("the platform answers %d", result.status);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return version;
 }
 
@@ -45,7 +45,7 @@
 	int64_t version = current_version(harness, path);
 	char condition[64];
 	const char *headers[] = {condition, NULL};
-	http_result_t result;
+	http_reply_t result;
 	uint64_t written;
 
 	if (version == 0)
@@ -59,7 +59,7 @@
 		fail_msg("%s cannot be written: %d", path, result.status);
 	written = (uint64_t)json_integer_value(
 	    json_object_get(result.json, "version"));
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	json_decref(value);
 	free(text);
 	g_free(path);
--- a/tests/lib/traffic.c
+++ b/tests/lib/traffic.c
@@ -95,7 +95,7 @@
 {
 	const char *headers[] = {
 	    "Authorization: Bearer " LOAD_SECRET, key, NULL};
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("POST", address, path, headers, body, LOAD_CALL_MS);
 	reply_t reply = {.status = result.status, .refused = result.refused};
 
@@ -113,7 +113,7 @@
 	} else if (result.status != 0) {
 		read_error(result.json, &reply);
 	}
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return reply;
 }
 
@@ -493,7 +493,7 @@
 static bool
 is_settled(harness_t *harness, int members)
 {
-	http_result_t result = harness_http("GET", harness->platform,
+	http_reply_t result = harness_http("GET", harness->platform,
 	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
 	const json_t *value = json_object_get(result.json, "value");
 	const json_t *list = json_object_get(value, "members");
@@ -512,7 +512,7 @@
 		if (json_array_size(json_object_get(
 			json_array_get(services, i), "holders")) < 2)
 			settled = false;
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return settled && count >= members;
 }
 
@@ -542,7 +542,7 @@
 static int
 stored_holder(harness_t *harness, const char *service)
 {
-	http_result_t result = harness_http("GET", harness->platform,
+	http_reply_t result = harness_http("GET", harness->platform,
 	    "/v1/objects/assignment/cell-1", NULL, NULL, LOAD_CALL_MS);
 	const json_t *list =
 	    json_object_get(json_object_get(result.json, "value"), "services");
@@ -561,7 +561,7 @@
 		    strcmp(name, service) == 0)
 			node = find_node(harness, serving);
 	}
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return node;
 }
 
--- a/tests/test_process_cancel.c
+++ b/tests/test_process_cancel.c
@@ -48,11 +48,11 @@
 {
 	static const char *const headers[] = {
 	    "Authorization: Bearer acme-key", NULL};
-	http_result_t result = harness_http("POST", harness->nodes[node].caller,
+	http_reply_t result = harness_http("POST", harness->nodes[node].caller,
 	    "/v1/query/parts", headers, "board", ENOUGH_MS);
 	int status = result.status;
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return status;
 }
 
@@ -72,7 +72,7 @@
 jobs_open(harness_t *harness, int node)
 {
 	static const char name[] = "bulrushwell_jobs_open ";
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", harness->nodes[node].operator_address,
 		"/metrics", NULL, NULL, ENOUGH_MS);
 	const char *found;
@@ -82,7 +82,7 @@
 	found = strstr(result.body->str, name);
 	assert_non_null(found);
 	count = strtol(found + strlen(name), NULL, 10);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return count;
 }
 
--- a/tests/test_process_coverage.c
+++ b/tests/test_process_coverage.c
@@ -56,7 +56,7 @@
 		query_service_fault(harness, 2, fault->order);
 		for (int j = 0; j < 4; j++) {
 			char *body = query_new_body();
-			http_result_t result =
+			http_reply_t result =
 			    query_post_as(harness->nodes[j % 2].caller,
 				QUERY_KEY, body, SHORT_MS);
 			coverage_t coverage =
@@ -69,7 +69,7 @@
 				    0))
 				fail_msg(
 				    "%s: %s", fault->order, result.body->str);
-			http_result_clear(&result);
+			http_reply_clear(&result);
 			g_free(body);
 		}
 		for (int j = 1; j <= QUERY_SERVERS; j++)
@@ -109,7 +109,7 @@
 count_shards(harness_t *harness, int deadline_ms, int *answered, int *missing)
 {
 	char *body = query_new_body();
-	http_result_t result = query_post_as(
+	http_reply_t result = query_post_as(
 	    harness->nodes[0].caller, QUERY_KEY, body, deadline_ms);
 	coverage_t coverage = query_check_answer(&result, body, deadline_ms);
 
@@ -118,7 +118,7 @@
 			assert_string_equal(coverage.reasons[i], "timeout");
 	*answered += coverage.answered;
 	*missing += coverage.total - coverage.answered;
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	g_free(body);
 }
 
--- a/tests/test_process_fakes.c
+++ b/tests/test_process_fakes.c
@@ -18,11 +18,11 @@
 put(harness_t *harness, const char *condition, const char *body)
 {
 	const char *headers[] = {condition, NULL};
-	http_result_t result = harness_http(
+	http_reply_t result = harness_http(
 	    "PUT", harness->platform, OBJECT, headers, body, ENOUGH_MS);
 	int status = result.status;
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return status;
 }
 
@@ -79,7 +79,7 @@
 	const char *path;
 	const char *headers[6];
 	const char *body;
-	http_result_t result;
+	http_reply_t result;
 	GThread *thread;
 } call_t;
 
@@ -106,7 +106,7 @@
 
 	g_thread_join(call->thread);
 	status = call->result.status;
-	http_result_clear(&call->result);
+	http_reply_clear(&call->result);
 	return status;
 }
 
@@ -152,7 +152,7 @@
 	assert_int_equal(
 	    json_integer_value(json_object_get(watch.result.json, "revision")),
 	    3);
-	http_result_clear(&watch.result);
+	http_reply_clear(&watch.result);
 }
 
 static void
@@ -313,8 +313,8 @@
 {
 	run_call(call);
 	g_strlcpy(error,
-	    http_result_header(&call->result, "X-Error") != NULL
-		? http_result_header(&call->result, "X-Error")
+	    http_reply_header(&call->result, "X-Error") != NULL
+		? http_reply_header(&call->result, "X-Error")
 		: "",
 	    32);
 	call->thread = NULL;
@@ -342,21 +342,21 @@
 	    harness->control, "/fake/slotplan-s1/record", "max_running", 2);
 	assert_int_equal(call_now(&third, error), 503);
 	assert_string_equal(error, "shed");
-	http_result_clear(&third.result);
+	http_reply_clear(&third.result);
 	assert_int_equal(
 	    harness_record_int(harness, "slotplan-s1", "overruns"), 1);
 	harness_fault(harness, "slotplan-s1", "{\"ignore_cancel\":true}");
 	assert_int_equal(call_now(&cancel, error), 202);
-	http_result_clear(&cancel.result);
+	http_reply_clear(&cancel.result);
 	harness_fault(harness, "slotplan-s1", "{\"ignore_cancel\":false}");
 	assert_int_equal(call_now(&cancel, error), 200);
-	http_result_clear(&cancel.result);
+	http_reply_clear(&cancel.result);
 	assert_int_equal(end_call(&first), 503);
 	/* A request that arrives after its cancellation must not run. */
 	first = shard_call(address, "X-Request-Id: one");
 	assert_int_equal(call_now(&first, error), 503);
 	assert_string_equal(error, "cancelled");
-	http_result_clear(&first.result);
+	http_reply_clear(&first.result);
 	harness_kill(harness, harness->upstream_process);
 	assert_int_equal(end_call(&second), 0);
 }
@@ -374,14 +374,14 @@
 	    (long long)(clock_wall() / USEC_PER_MS - 5));
 	assert_int_equal(call_now(&call, error), 504);
 	assert_string_equal(error, "deadline");
-	http_result_clear(&call.result);
+	http_reply_clear(&call.result);
 	assert_int_equal(harness_record_int(harness, "slotplan-s1", "late"), 1);
 	assert_int_equal(
 	    harness_record_int(harness, "slotplan-s1", "max_running"), 0);
 	snprintf(header, sizeof(header), "X-Deadline: %lld",
 	    (long long)(clock_wall() / USEC_PER_MS + 100));
 	assert_int_equal(call_now(&call, error), 504);
-	http_result_clear(&call.result);
+	http_reply_clear(&call.result);
 	assert_int_equal(
 	    harness_record_int(harness, "slotplan-s1", "expired"), 1);
 }
@@ -420,16 +420,16 @@
 		assert_int_equal(call_now(&call, error), cases[i].status);
 		if (cases[i].id != NULL) {
 			assert_string_equal(
-			    http_result_header(&call.result, "X-Request-Id"),
+			    http_reply_header(&call.result, "X-Request-Id"),
 			    cases[i].id);
 			assert_string_equal(
-			    http_result_header(&call.result, "X-Index-Version"),
+			    http_reply_header(&call.result, "X-Index-Version"),
 			    cases[i].version);
 			assert_string_equal(
-			    http_result_header(&call.result, "X-Shard"),
+			    http_reply_header(&call.result, "X-Shard"),
 			    cases[i].shard);
 		}
-		http_result_clear(&call.result);
+		http_reply_clear(&call.result);
 	}
 }
 
@@ -447,12 +447,12 @@
 	json_t *health;
 
 	assert_int_equal(call_now(&reserve, error), 201);
-	http_result_clear(&reserve.result);
+	http_reply_clear(&reserve.result);
 	harness_fault(harness, "slotplan-s1", "{\"crash_on\":\"oiso\"}");
 	assert_int_equal(call_now(&reserve, error), 0);
-	http_result_clear(&reserve.result);
+	http_reply_clear(&reserve.result);
 	assert_int_equal(call_now(&reserve, error), 0);
-	http_result_clear(&reserve.result);
+	http_reply_clear(&reserve.result);
 	harness_fault(harness, "slotplan-s1", "{\"restart\":\"i-2\"}");
 	health = harness_fetch(address, "/health");
 	assert_string_equal(
@@ -502,15 +502,14 @@
 	    -1);
 	harness_fault(harness, "slotplan-s1", "{\"draining\":true}");
 	assert_int_equal(call_now(&call, error), 200);
-	assert_string_equal(
-	    http_result_header(&call.result, "X-Draining"), "1");
-	http_result_clear(&call.result);
+	assert_string_equal(http_reply_header(&call.result, "X-Draining"), "1");
+	http_reply_clear(&call.result);
 	assert_true(harness_record_int(
 			harness, "slotplan-s1", "work_after_drain_ms") >= 0);
 	harness_fault(harness, "slotplan-s1", "{\"drain_grace_ms\":0}");
 	assert_int_equal(call_now(&call, error), 503);
 	assert_string_equal(error, "draining");
-	http_result_clear(&call.result);
+	http_reply_clear(&call.result);
 }
 
 static void
@@ -533,7 +532,7 @@
 	    harness, "slotplan-s1", "{\"freeze\":false,\"health\":\"bad\"}");
 	assert_int_equal(end_call(&call), 200);
 	assert_int_equal(call_now(&health, error), 503);
-	http_result_clear(&health.result);
+	http_reply_clear(&health.result);
 }
 
 /* The node refuses a contract with a missing or an unknown field. */
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -15,13 +15,13 @@
 asks_all_shards(void **state)
 {
 	gateway_world_t *world = world_create(*state);
-	http_result_t result =
+	http_reply_t result =
 	    world_ask(world, "GET", "/all/x?y=1", DEADLINE_MS, NULL);
 	const char *stamps;
 
 	assert_int_equal(result.status, 200);
 	assert_string_equal(
-	    http_result_header(&result, "bulrushwell-missing-parts"), "0");
+	    http_reply_header(&result, "bulrushwell-missing-parts"), "0");
 	assert_int_equal(result.body->len, 5 * 16);
 	/* Four shards have a record that begins with 9, the fifth with 6. */
 	for (int i = 0; i < 5; i++)
@@ -29,11 +29,11 @@
 	for (int i = 1; i < 5; i++)
 		assert_true(memcmp(result.body->str + (i - 1) * 16,
 				result.body->str + i * 16, 16) >= 0);
-	stamps = http_result_header(&result, "bulrushwell-part-stamps");
+	stamps = http_reply_header(&result, "bulrushwell-part-stamps");
 	for (int i = 0; i < WORLD_SHARDS; i++)
 		assert_int_equal(world_runs(world, i), 1);
 	assert_non_null(stamps);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -41,16 +41,16 @@
 leaves_out_a_shard_that_is_down(void **state)
 {
 	gateway_world_t *world = world_create(*state);
-	http_result_t result;
+	http_reply_t result;
 
 	world_fault_service(world, 2, PLAIN_HANG, 100);
 	result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 200);
 	assert_string_equal(
-	    http_result_header(&result, "bulrushwell-missing-parts"), "1");
+	    http_reply_header(&result, "bulrushwell-missing-parts"), "1");
 	assert_null(strstr(
-	    http_result_header(&result, "bulrushwell-part-stamps"), "i-04."));
-	http_result_clear(&result);
+	    http_reply_header(&result, "bulrushwell-part-stamps"), "i-04."));
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -77,7 +77,7 @@
 	gateway_world_t *world = world_create(*state);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		http_result_t result;
+		http_reply_t result;
 
 		for (int j = 0; j < WORLD_REPLICAS; j++)
 			plain_server_fault(world_replica(world, WORLD_ONE, j),
@@ -86,8 +86,8 @@
 		if (result.status != 200 || result.body->len != 48)
 			fail_msg("%s: %d with %zu bytes", cases[i].failure,
 			    result.status, result.body->len);
-		assert_null(http_result_header(&result, "content-encoding"));
-		http_result_clear(&result);
+		assert_null(http_reply_header(&result, "content-encoding"));
+		http_reply_clear(&result);
 	}
 	world_destroy(world);
 }
@@ -100,17 +100,17 @@
 
 	world_fault_service(world, WORLD_ONE, PLAIN_EXTRA, 100);
 	for (int i = 0; i < 20; i++) {
-		http_result_t result =
+		http_reply_t result =
 		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 		char expected[32];
 		const char *id;
 
 		snprintf(expected, sizeof(expected), "q");
-		id = http_result_header(&result, "bulrushwell-request-id");
+		id = http_reply_header(&result, "bulrushwell-request-id");
 		assert_int_equal(result.status, 200);
 		assert_non_null(id);
 		assert_true(id[0] == expected[0]);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		if (i % 3 == 0)
 			g_usleep(40 * 1000);
 	}
@@ -137,7 +137,7 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(once_cases); i++) {
 		gateway_world_t *world = world_create(*state);
-		http_result_t result;
+		http_reply_t result;
 
 		world_fault_service(world, WORLD_ONE, once_cases[i].fault, 100);
 		result =
@@ -149,9 +149,9 @@
 			fail_msg("%s: ran %u times", once_cases[i].failure,
 			    world_runs(world, WORLD_ONE));
 		if (result.status == 502)
-			assert_null(http_result_header(
+			assert_null(http_reply_header(
 			    &result, "bulrushwell-response-stamp"));
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		world_destroy(world);
 	}
 }
@@ -160,7 +160,7 @@
 hands_on_body_and_time(void **state)
 {
 	gateway_world_t *world = world_create(*state);
-	http_result_t result =
+	http_reply_t result =
 	    world_ask(world, "POST", "/once/x/y?z=1", 700, "one reel");
 	plain_record_t record;
 
@@ -175,7 +175,7 @@
 	    strstr(record.last_head, "Bulrushwell-Expected-Instance: i-"));
 	assert_true(record.last_deadline_ms > 0);
 	assert_true(record.last_deadline_ms <= 700);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -183,7 +183,7 @@
 sends_no_more_attempts_than_allowed(void **state)
 {
 	gateway_world_t *world = world_create(*state);
-	http_result_t result;
+	http_reply_t result;
 
 	world_fault_service(world, WORLD_ONE, PLAIN_FAIL, 100);
 	for (int shard = 0; shard < WORLD_SHARDS; shard++)
@@ -191,12 +191,12 @@
 	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 500);
 	assert_int_equal(world_arrivals(world, WORLD_ONE), 2);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 502);
 	for (int shard = 0; shard < WORLD_SHARDS; shard++)
 		assert_true(world_arrivals(world, shard) <= 2);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -320,17 +320,17 @@
 	int first = WORLD_ONE * WORLD_REPLICAS, answered_by_one = 0;
 
 	for (int i = 0; i < 40; i++) {
-		http_result_t result =
+		http_reply_t result =
 		    world_ask(world, "GET", "/split/x", DEADLINE_MS, NULL);
 		const char *stamp =
-		    http_result_header(&result, "bulrushwell-response-stamp");
+		    http_reply_header(&result, "bulrushwell-response-stamp");
 
 		assert_int_equal(result.status, 200);
 		assert_non_null(stamp);
 		for (int j = 0; j < WORLD_REPLICAS; j++)
 			answered_by_one += g_str_has_prefix(
 			    stamp, plain_server_id(world->servers[first + j]));
-		http_result_clear(&result);
+		http_reply_clear(&result);
 	}
 	assert_int_equal(answered_by_one, 30);
 	world_destroy(world);
@@ -341,7 +341,7 @@
 refuses_at_once_without_servers(void **state)
 {
 	gateway_world_t *world = world_create(*state);
-	http_result_t result;
+	http_reply_t result;
 
 	for (int i = 0; i < WORLD_REPLICAS; i++)
 		object_store_remove(world->store, "servers",
@@ -350,7 +350,7 @@
 	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 503);
 	assert_true(result.elapsed < MS(DEADLINE_MS) / 2);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
--- a/tests/test_process_gateway_stop.c
+++ b/tests/test_process_gateway_stop.c
@@ -49,7 +49,7 @@
 		plain_server_delay(world_replica(world, WORLD_ONE, i), 400);
 	harness_signal(world->harness, world->gateway, SIGTERM);
 	for (;;) {
-		http_result_t result =
+		http_reply_t result =
 		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 		bool none = result.refused;
 
@@ -62,7 +62,7 @@
 			fail_msg("status %d", result.status);
 		answered += result.status == 200;
 		refused += result.status == 503;
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		if (none)
 			break;
 	}
@@ -89,7 +89,7 @@
 	bool listens = true;
 
 	while (listens) {
-		http_result_t result = world_ask(
+		http_reply_t result = world_ask(
 		    clients->world, "POST", "/once/x", DEADLINE_MS, "reel");
 
 		listens = !result.refused;
@@ -97,7 +97,7 @@
 		clients->answered += result.status == 200;
 		clients->refused += result.status == 503;
 		g_mutex_unlock(&clients->lock);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		g_usleep(5 * 1000);
 	}
 	return NULL;
@@ -143,12 +143,12 @@
 	gateway_world_t *world = world_create(*state);
 
 	for (int i = 0; i < 5; i++) {
-		http_result_t result;
+		http_reply_t result;
 
 		harness_signal(world->harness, world->gateway, SIGHUP);
 		result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
 		assert_int_equal(result.status, 200);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 	}
 	world_destroy(world);
 }
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -19,13 +19,13 @@
 says_not_run_before_its_first_configuration(void **state)
 {
 	gateway_world_t *world = world_create_empty(*state);
-	http_result_t result;
+	http_reply_t result;
 
 	harness_wait_status(world->health, "/ready", 503, WORLD_START_MS);
 	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 503);
-	assert_non_null(http_result_header(&result, "retry-after"));
-	http_result_clear(&result);
+	assert_non_null(http_reply_header(&result, "retry-after"));
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -91,14 +91,14 @@
 	gateway_world_t *world = world_create(*state);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
-		http_result_t result;
+		http_reply_t result;
 
 		object_store_fault(world->store, faults[i]);
 		object_store_compact(world->store);
 		g_usleep(300 * 1000);
 		result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
 		assert_int_equal(result.status, 200);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 	}
 	object_store_fault(world->store, STORE_SERVING);
 	world_configure(world);
@@ -115,12 +115,12 @@
 
 	plain_server_read(world->servers[server], &before);
 	for (int i = 0; i < requests; i++) {
-		http_result_t result =
+		http_reply_t result =
 		    world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 
 		if (result.status != status)
 			fail_msg("%s: status %d", failure, result.status);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 	}
 	plain_server_read(world->servers[server], &after);
 	if (after.arrivals != before.arrivals)
@@ -220,7 +220,7 @@
 	    "\"zone\":\"dc1\",\"slots\":2,\"state\":\"sleeping\","
 	    "\"warmup_left_ms\":0,\"sequence\":1}"};
 	gateway_world_t *world = world_create(*state);
-	http_result_t result;
+	http_reply_t result;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
 		char name[32];
@@ -233,7 +233,7 @@
 	assert_int_equal(world_metric(world, "servers"), WORLD_SERVERS);
 	result = world_ask(world, "GET", "/one/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 200);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	world_destroy(world);
 }
 
@@ -241,7 +241,7 @@
 static int
 count_servers(gateway_world_t *world, const char *state)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", world->metrics, "/state", NULL, NULL, SOON_MS);
 	const json_t *servers = json_object_get(result.json, "servers");
 	int count = 0;
@@ -253,7 +253,7 @@
 		count += strcmp(json_string_value(json_object_get(
 				    json_array_get(servers, i), "state")),
 			     state) == 0;
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return count;
 }
 
--- a/tests/test_process_health.c
+++ b/tests/test_process_health.c
@@ -39,11 +39,11 @@
 ask(harness_t *harness, int node)
 {
 	const char *headers[] = {"Authorization: Bearer " KEY, NULL};
-	http_result_t result = harness_http("POST", harness->nodes[node].caller,
+	http_reply_t result = harness_http("POST", harness->nodes[node].caller,
 	    "/v1/query/slotplan", headers, "reel", 2000);
 	int status = result.status;
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return status;
 }
 
--- a/tests/test_process_hostile.c
+++ b/tests/test_process_hostile.c
@@ -199,12 +199,12 @@
 	query_start_world(harness, &(world_t){.nodes = 1});
 	address = harness->nodes[0].operator_address;
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		http_result_t result = harness_http(cases[i].method, address,
+		http_reply_t result = harness_http(cases[i].method, address,
 		    cases[i].path, NULL, NULL, QUERY_ENOUGH_MS);
 
 		query_check_refusal(
 		    &result, cases[i].status, cases[i].kind, true);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 	}
 	check_raw_cases(address);
 	json_decref(harness_fetch(address, "/v1/status"));
@@ -385,11 +385,11 @@
 		int status = 0;
 
 		while (status != 200) {
-			http_result_t result = query_post_as(
+			http_reply_t result = query_post_as(
 			    harness->nodes[i].caller, "later-key", "later", 0);
 
 			status = result.status;
-			http_result_clear(&result);
+			http_reply_clear(&result);
 			assert_true(clock_monotonic() < until);
 		}
 	}
--- a/tests/test_process_query.c
+++ b/tests/test_process_query.c
@@ -128,7 +128,7 @@
 typedef struct {
 	harness_t *harness;
 	char *body;
-	http_result_t result;
+	http_reply_t result;
 	GThread *thread;
 } call_t;
 
@@ -157,7 +157,7 @@
 	g_thread_join(call->thread);
 	coverage =
 	    query_check_answer(&call->result, call->body, QUERY_DEADLINE_MS);
-	http_result_clear(&call->result);
+	http_reply_clear(&call->result);
 	g_free(call->body);
 	return coverage;
 }
@@ -251,7 +251,7 @@
 
 /* Reads one response and cuts it off the front of @input. */
 static void
-read_response(int fd, GString *input, http_result_t *result)
+read_response(int fd, GString *input, http_reply_t *result)
 {
 	size_t head = 0, size = 0;
 
@@ -265,7 +265,7 @@
 		assert_true(got > 0);
 		g_string_append_len(input, data, got);
 	}
-	*result = (http_result_t){.status = atoi(input->str + 9)};
+	*result = (http_reply_t){.status = atoi(input->str + 9)};
 	result->body = g_string_new_len(input->str + head, (gssize)size);
 	result->headers = g_hash_table_new(g_str_hash, g_str_equal);
 	result->json = json_loadb(result->body->str, size, 0, NULL);
@@ -294,14 +294,14 @@
 		}
 		send_text(fd, out->str);
 		for (int i = 0; i < DEPTH; i++) {
-			http_result_t result;
+			http_reply_t result;
 
 			read_response(fd, input, &result);
 			assert_int_equal(query_check_answer(&result, bodies[i],
 					     DEPTH * QUERY_DEADLINE_MS)
 					     .answered,
 			    QUERY_SERVICES);
-			http_result_clear(&result);
+			http_reply_clear(&result);
 			g_free(bodies[i]);
 		}
 		g_string_free(out, TRUE);
@@ -389,7 +389,7 @@
 	query_start_world(harness, &(world_t){.nodes = 2});
 	query_fault_all(harness, "{\"pad_bytes\":300000}");
 	for (int i = 0; i < 8; i++) {
-		http_result_t result;
+		http_reply_t result;
 
 		body = g_strnfill(1024 * 1024 - 64 - (gsize)i, 'a' + (char)i);
 		result = query_post(harness, i % 2, body);
@@ -398,7 +398,7 @@
 			.answered,
 		    QUERY_SERVICES);
 		assert_true(result.body->len > 300000 * QUERY_SERVICES);
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		g_free(body);
 	}
 	query_fault_all(harness, "{\"pad_bytes\":0}");
--- a/tests/test_process_random.c
+++ b/tests/test_process_random.c
@@ -139,14 +139,14 @@
 static int64_t
 adopted_version(const world_t *world, int node)
 {
-	http_result_t result =
+	http_reply_t result =
 	    harness_http("GET", world->harness->nodes[node].operator_address,
 		"/v1/status", NULL, NULL, LOAD_CALL_MS);
 	const json_t *entry =
 	    json_array_get(json_object_get(result.json, "contracts"), 0);
 	int64_t version = json_integer_value(json_object_get(entry, "version"));
 
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	return version;
 }
 
--- a/tests/test_process_refusals.c
+++ b/tests/test_process_refusals.c
@@ -47,14 +47,14 @@
 {
 	char *body = g_strnfill(refusal->body_size, 'b');
 	int64_t before = query_settled_requests(harness);
-	http_result_t result = harness_http(refusal->method,
+	http_reply_t result = harness_http(refusal->method,
 	    harness->nodes[0].caller, refusal->path, refusal->headers,
 	    refusal->body_size > 0 ? body : NULL, QUERY_ENOUGH_MS);
 
 	print_message("%s\n", refusal->name);
 	query_check_refusal(&result, refusal->status, refusal->kind, true);
 	assert_int_equal(query_settled_requests(harness), before);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	g_free(body);
 }
 
@@ -82,7 +82,7 @@
 	for (;;) {
 		int64_t before = query_settled_requests(harness);
 		char *body = query_new_body();
-		http_result_t result =
+		http_reply_t result =
 		    query_post_as(harness->nodes[0].caller, key, body, 0);
 		int seen = result.status;
 
@@ -91,7 +91,7 @@
 			assert_int_equal(
 			    query_settled_requests(harness), before);
 		}
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		g_free(body);
 		if (seen != 200)
 			return;
@@ -113,11 +113,11 @@
 		int status;
 
 		do {
-			http_result_t result = query_post_as(
+			http_reply_t result = query_post_as(
 			    harness->nodes[i].caller, "small-key", "x", 0);
 
 			status = result.status;
-			http_result_clear(&result);
+			http_reply_clear(&result);
 			assert_true(clock_monotonic() < until);
 		} while (status == 401);
 	}
@@ -128,7 +128,7 @@
 	harness_t *harness;
 	const char *body;
 	int deadline_ms;
-	http_result_t result;
+	http_reply_t result;
 } held_call_t;
 
 static gpointer
@@ -158,12 +158,12 @@
 	until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
 	do {
 		if (first.result.body != NULL)
-			http_result_clear(&first.result);
+			http_reply_clear(&first.result);
 		first.result = query_post_as(
 		    harness->nodes[0].caller, "single-key", "first", 0);
 		assert_true(clock_monotonic() < until);
 	} while (first.result.status != 200);
-	http_result_clear(&first.result);
+	http_reply_clear(&first.result);
 	query_fault_all(
 	    harness, "{\"latency_factor\":2000,\"watch\":\"further\"}");
 	before = query_settled_requests(harness);
@@ -182,10 +182,10 @@
 	for (int i = 0; i < FURTHER; i++) {
 		query_check_refusal(
 		    &further[i].result, 429, "concurrency_exceeded", true);
-		http_result_clear(&further[i].result);
+		http_reply_clear(&further[i].result);
 	}
 	query_check_answer(&first.result, "held", 1500);
-	http_result_clear(&first.result);
+	http_reply_clear(&first.result);
 	query_settled_requests(harness);
 	assert_int_equal(harness_record_sum(harness, "watched"), 0);
 }
@@ -200,7 +200,7 @@
 	    "ghosts", "ghost-key", "ghosts", "", 1000, 100, 1000, 24, false};
 	const char *headers[] = {"Authorization: Bearer ghost-key", NULL};
 	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
-	http_result_t result = {0};
+	http_reply_t result = {0};
 	int64_t before;
 
 	query_start_world(harness, &(world_t){.nodes = 2});
@@ -211,13 +211,13 @@
 	before = query_settled_requests(harness);
 	do {
 		if (result.body != NULL)
-			http_result_clear(&result);
+			http_reply_clear(&result);
 		result = harness_http("POST", harness->nodes[0].caller,
 		    "/v1/query/ghosts", headers, "x", QUERY_ENOUGH_MS);
 		assert_true(clock_monotonic() < until);
 	} while (result.status == 401 || result.status == 429);
 	query_check_refusal(&result, 503, "not_served", true);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	assert_int_equal(query_settled_requests(harness), before);
 }
 
@@ -229,7 +229,7 @@
 	harness_t *harness = *state;
 	usec_t until;
 	int64_t before;
-	http_result_t result = {0};
+	http_reply_t result = {0};
 
 	query_start_world(harness, &(world_t){.nodes = 2});
 	harness_kill_node(harness, 1);
@@ -239,13 +239,13 @@
 	until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
 	do {
 		if (result.body != NULL)
-			http_result_clear(&result);
+			http_reply_clear(&result);
 		before = query_settled_requests(harness);
 		result = query_post(harness, 0, "isolated");
 		assert_true(clock_monotonic() < until);
 	} while (result.status == 200);
 	query_check_refusal(&result, 503, "isolated", true);
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	assert_int_equal(query_settled_requests(harness), before);
 }
 
@@ -254,7 +254,7 @@
 a_node_without_configuration_runs_nothing(void **state)
 {
 	harness_t *harness = *state;
-	http_result_t result = {0};
+	http_reply_t result = {0};
 	usec_t until = clock_monotonic() + MS(QUERY_ENOUGH_MS);
 	int64_t before;
 
@@ -265,14 +265,14 @@
 	harness_start_node(harness, 0);
 	do {
 		if (result.body != NULL)
-			http_result_clear(&result);
+			http_reply_clear(&result);
 		result = query_post(harness, 0, "early");
 		assert_true(clock_monotonic() < until);
 	} while (result.status == 0);
 	assert_int_equal(result.status, 503);
 	assert_true(json_is_true(
 	    json_object_get(json_object_get(result.json, "error"), "not_run")));
-	http_result_clear(&result);
+	http_reply_clear(&result);
 	assert_int_equal(query_settled_requests(harness), before);
 }
 
--- a/tests/test_process_reserve.c
+++ b/tests/test_process_reserve.c
@@ -101,12 +101,12 @@
 	bool found = false;
 
 	while (!found) {
-		http_result_t result =
+		http_reply_t result =
 		    harness_http("GET", stage->harness->platform,
 			"/v1/objects/claim", NULL, NULL, LOAD_CALL_MS);
 
 		found = strstr(result.body->str, stage->key) != NULL;
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		assert_true(clock_monotonic() < until);
 		g_usleep(2000);
 	}
--- a/tests/test_process_servers.c
+++ b/tests/test_process_servers.c
@@ -230,7 +230,7 @@
 	load = load_start(harness, 4, 7);
 	load_wait(load, 20);
 	for (int i = 0; i < 12; i++) {
-		http_result_t answer = query_post(harness, i % 3, poison);
+		http_reply_t answer = query_post(harness, i % 3, poison);
 
 		if (answer.status == 200) {
 			assert_true(query_check_answer(
@@ -246,7 +246,7 @@
 			    1, 60000);
 			refused = true;
 		}
-		http_result_clear(&answer);
+		http_reply_clear(&answer);
 	}
 	assert_true(refused);
 	crashes = restart_crashed(harness);
--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -210,7 +210,7 @@
 {
 	for (int i = 0; i < GATEWAYS; i++) {
 		gateway_world_t view = *soak->world;
-		http_result_t result;
+		http_reply_t result;
 		bool whole;
 
 		memcpy(view.metrics, soak->metrics[i], sizeof(view.metrics));
@@ -219,10 +219,10 @@
 			return false;
 		result = world_ask(&view, "GET", "/all/x", 1500, NULL);
 		whole = result.status == 200 &&
-		    strcmp(http_result_header(
-			       &result, "bulrushwell-missing-parts"),
+		    strcmp(
+			http_reply_header(&result, "bulrushwell-missing-parts"),
 			"0") == 0;
-		http_result_clear(&result);
+		http_reply_clear(&result);
 		if (!whole)
 			return false;
 	}
