--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -9,7 +9,8 @@
 #define RETURN_PART (1.0 / 3.0)
 /* Until this node has a configuration; other nodes may serve before. */
 #define UNROUTED_RETURN MS(100)
-#define NO_SERVER_INTERVAL MS(20) /* a service returns after some 100 ms */
+/* Nothing tells when a service has servers again; returns are only spread. */
+#define NO_SERVER_INTERVAL MS(20)
 
 /*
  * 408, 421, 429 and 503 promise that a request has not run, so a server's own
