Refuse a query at once when too few shards have a server

Change: a query of which too few shards have a usable server is refused as not run, with Retry-After, before anything is sent.

The test sees 502 without the change.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -290,7 +290,7 @@
 }
 
 static void
-start_tasks(exchange_t *exchange, usec_t now)
+assign_tasks(exchange_t *exchange)
 {
 	const route_t *route = exchange->route;
 	pool_t *pool = exchange->engine->pool;
@@ -304,8 +304,28 @@
 		exchange->tasks[i].exchange = exchange;
 		exchange->tasks[i].upstream = pool_upstream(pool, service);
 	}
+}
+
+/*
+ * Whether too few shards have a server for any answer. Requests to the others
+ * would be run for nothing, and the client could not be told "not run".
+ */
+static bool
+lacks_servers(const exchange_t *exchange, usec_t now)
+{
+	const pool_t *pool = exchange->engine->pool;
+	gather_state_t view = {
+	    .total = exchange->task_count,
+	    .least = exchange->route->least_share,
+	};
+	uint32_t without = 0;
+
+	if (exchange->route->kind != ROUTE_FANOUT)
+		return false;
 	for (uint32_t i = 0; i < exchange->task_count; i++)
-		task_start(&exchange->tasks[i], now);
+		without +=
+		    !pool_has_server(pool, exchange->tasks[i].upstream, now);
+	return gather_needs(&view, without);
 }
 
 /* The error that refuses a request before anything is sent, or 0. */
@@ -388,8 +408,14 @@
 	if (exchange->route->kind == ROUTE_FANOUT)
 		exchange->records =
 		    gather_records_create(exchange->route->top_records);
+	assign_tasks(exchange);
+	if (lacks_servers(exchange, now)) {
+		reply_error(exchange, BW_E_OVERLOADED, "no_servers", now);
+		return;
+	}
 	head_prepare(exchange);
-	start_tasks(exchange, now);
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		task_start(&exchange->tasks[i], now);
 }
 
 exchange_t *
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -116,6 +116,12 @@
 	health->unproven = false;
 }
 
+bool
+replica_health_usable(const replica_health_t *health, usec_t now)
+{
+	return !health->unproven && now >= health->ejected_until;
+}
+
 /* A server that is late with one attempt is probably paused or silent. */
 static double
 stuck_cost(const replica_view_t *view, double expected, usec_t now)
@@ -169,7 +175,7 @@
 is_usable(const replica_view_t *view, bool leaving, usec_t now)
 {
 	return !view->excluded && view->leaving == leaving &&
-	    !view->health->unproven && now >= view->health->ejected_until;
+	    replica_health_usable(view->health, now);
 }
 
 static bool
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -46,6 +46,9 @@
 /** replica_health_connected() - A connection was established. */
 void replica_health_connected(replica_health_t *health);
 
+/** replica_health_usable() - Whether it gets attempts now. */
+bool replica_health_usable(const replica_health_t *health, usec_t now);
+
 typedef struct {
 	replica_health_t *health;
 	uint32_t slots;	    /* requests that it runs at once, of all nodes */
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -471,6 +471,19 @@
 	view_connections(pool, replica, view);
 }
 
+bool
+pool_has_server(const pool_t *pool, const upstream_t *upstream, usec_t now)
+{
+	for (guint i = 0; i < upstream->replicas->len; i++) {
+		const replica_t *replica = upstream->replicas->pdata[i];
+
+		if (!has_left(pool, replica, now) &&
+		    replica_health_usable(&replica->health, now))
+			return true;
+	}
+	return false;
+}
+
 replica_t *
 pool_choose(pool_t *pool, upstream_t *upstream, const replica_t *const *tried,
     uint32_t tried_count, usec_t typical, usec_t now, bool *busy)
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -98,6 +98,10 @@
     const replica_t *const *tried, uint32_t tried_count, usec_t typical,
     usec_t now, bool *busy);
 
+/** pool_has_server() - Whether an attempt can be sent now or a little later. */
+bool pool_has_server(
+    const pool_t *pool, const upstream_t *upstream, usec_t now);
+
 /** typedef pool_request_t - What is sent. */
 typedef struct {
 	const buffer_t *head;
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -354,6 +354,32 @@
 	world_destroy(world);
 }
 
+/*
+ * While too few shards had servers, the others ran each query for nothing, and
+ * the client was told that it may have run.
+ */
+static void
+sends_nothing_when_too_few_shards_have_servers(void **state)
+{
+	enum { WITHOUT = 2 }; /* of 4; an answer needs 3 */
+	gateway_world_t *world = world_create(*state);
+	uint32_t arrivals;
+	http_reply_t result;
+
+	for (int shard = 0; shard < WITHOUT; shard++)
+		for (int i = 0; i < WORLD_REPLICAS; i++)
+			object_store_remove(world->store, "servers",
+			    plain_server_id(world_replica(world, shard, i)));
+	g_usleep(1500 * 1000);
+	arrivals = world_arrivals(world, WITHOUT);
+	result = world_ask(world, "GET", "/all/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 503);
+	assert_non_null(http_reply_header(&result, "retry-after"));
+	http_reply_clear(&result);
+	assert_int_equal(world_arrivals(world, WITHOUT), arrivals);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -370,6 +396,7 @@
 	    HARNESS_TEST(refuses_headers_beyond_the_limit),
 	    HARNESS_TEST(splits_by_weight),
 	    HARNESS_TEST(refuses_at_once_without_servers),
+	    HARNESS_TEST(sends_nothing_when_too_few_shards_have_servers),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
