State deadlines to servers and peers that a pause of the node cannot stretch

A node that is stopped between the two readings sends, after it wakes, a deadline that is later by the pause. The server then runs the request while the lender of the loan uses its slots again. Ruled out: loans and shares in the ledger (they wait for the longest deadline), and the stand-in's count of slots (it frees a slot before it answers).

Change: clock_to_wall() reads the wall clock before the monotonic one, so that a pause makes the result earlier, never later. Attempts, shard requests and reservations use it.

--- a/include/bulrushwell/clock.h
+++ b/include/bulrushwell/clock.h
@@ -20,4 +20,12 @@
 /** clock_wall() - Microseconds since the Unix epoch. */
 usec_t clock_wall(void);
 
+/**
+ * clock_to_wall() - The wall time at which the monotonic clock shows @at.
+ *
+ * A process that is paused in between gets an earlier time, never a later one:
+ * what it sends after the pause is not taken for newer than it is.
+ */
+usec_t clock_to_wall(usec_t at);
+
 #endif
--- a/source/base/clock.c
+++ b/source/base/clock.c
@@ -22,3 +22,12 @@
 {
 	return read_clock(CLOCK_REALTIME);
 }
+
+usec_t
+clock_to_wall(usec_t at)
+{
+	/* In this order, a pause between the two readings shortens the time. */
+	usec_t wall = clock_wall();
+
+	return wall + at - clock_monotonic();
+}
--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -165,9 +165,9 @@
 
 static void
 write_headers(header_texts_t *texts, const attempt_t *attempt, const job_t *job,
-    usec_t now, http_request_t *request)
+    http_request_t *request)
 {
-	usec_t wall = clock_wall() + attempt->deadline - now;
+	usec_t wall = clock_to_wall(attempt->deadline);
 
 	snprintf(texts->id, sizeof(texts->id), "X-Request-Id: %s", attempt->id);
 	snprintf(texts->deadline, sizeof(texts->deadline), "X-Deadline: %lld",
@@ -238,7 +238,7 @@
 	fill_attempt(attempt, served, action);
 	if (action->job->kind == JOB_SHARD)
 		snprintf(path, sizeof(path), "/shard/%u", action->job->shard);
-	write_headers(&texts, attempt, action->job, now, &request);
+	write_headers(&texts, attempt, action->job, &request);
 	request.timeout = MAX(attempt->deadline - now, 0) + MS(DRIFT_MARGIN_MS);
 	if (action->retire_before != 0)
 		request.max_connection_age = now - action->retire_before;
--- a/source/node/node_query.c
+++ b/source/node/node_query.c
@@ -138,7 +138,7 @@
 	strcpy(shards->customer, contract_customer(request->contract));
 	shards->weight = query_weight(request->contract);
 	shards->remaining = action->deadline - now;
-	shards->wall_deadline = clock_wall() + shards->remaining;
+	shards->wall_deadline = clock_to_wall(action->deadline);
 	shards->fingerprint = request->fingerprint;
 	shards->body = body_slice(request->body);
 	shards->groups = make_groups(action, &shards->group_count);
--- a/source/node/node_reserve.c
+++ b/source/node/node_reserve.c
@@ -90,7 +90,7 @@
 	reserve->repeat_window_s = contract_repeat_window_h(contract) * 3600;
 	reserve->weight = MAX(1, (uint32_t)contract_rate_per_s(contract));
 	reserve->remaining = request->deadline - now;
-	reserve->wall_deadline = clock_wall() + reserve->remaining;
+	reserve->wall_deadline = clock_to_wall(request->deadline);
 	reserve->fingerprint = request->fingerprint;
 	reserve->body = body_slice(request->body);
 }
