Look for servers before the limit of running fan-outs

Cause: a query that is refused for lack of servers had already been admitted by the limiter, which took the refusal for a sign of overload and lowered its limit. When the servers came back, queries were refused that could have been answered.

Change: the check for servers comes first.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -401,6 +401,12 @@
 
 	exchange->state = route_state_find(engine, exchange->route);
 	set_times(exchange, fresh);
+	assign_tasks(exchange);
+	/* Before the limit, which would take the refusal for overload. */
+	if (lacks_servers(exchange, now)) {
+		reply_error(exchange, BW_E_OVERLOADED, "no_servers", now);
+		return;
+	}
 	if (is_beyond_limit(exchange, now)) {
 		reply_error(exchange, BW_E_OVERLOADED, "limit", now);
 		return;
@@ -408,11 +414,6 @@
 	if (exchange->route->kind == ROUTE_FANOUT)
 		exchange->records =
 		    gather_records_create(exchange->route->top_records);
-	assign_tasks(exchange);
-	if (lacks_servers(exchange, now)) {
-		reply_error(exchange, BW_E_OVERLOADED, "no_servers", now);
-		return;
-	}
 	head_prepare(exchange);
 	for (uint32_t i = 0; i < exchange->task_count; i++)
 		task_start(&exchange->tasks[i], now);
--- /dev/null
+++ b/tests/test_gateway_engine.c
@@ -0,0 +1,98 @@
+/* Guards what exchanges share, without servers or processes: refusals that say
+ * nothing about load must not lower the limit of running fan-outs. */
+#include "lib/runner.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../platform/header_names.h"
+#include "../source/base/loop_clock.h"
+#include "../source/gateway/exchange_private.h"
+
+#define SHARDS 4
+#define REQUESTS 500
+
+static void
+note_reply(void *client, const buffer_t *head, slice_t body)
+{
+	uint32_t *refused = client;
+
+	*refused += memmem(head->data, head->size, " 503 ", 5) != NULL;
+}
+
+static route_table_t *
+make_table(void)
+{
+	route_table_t *table = route_table_create(1);
+	route_t route = {
+	    .name = g_strdup("all"),
+	    .host = g_strdup("example.test"),
+	    .prefix = g_strdup("/all/"),
+	    .kind = ROUTE_FANOUT,
+	    .idempotent = true,
+	    .timeout = SECONDS(1),
+	    .goal = MS(100),
+	    .max_attempts = 2,
+	    .top_records = 4,
+	    .least_share = 0.75,
+	    .targets = g_new0(route_target_t, SHARDS),
+	    .target_count = SHARDS,
+	};
+
+	for (int i = 0; i < SHARDS; i++)
+		route.targets[i].service = g_strdup_printf("shard-%d", i);
+	route_table_add(table, &route);
+	return table;
+}
+
+static void
+refusals_for_lack_of_servers_keep_the_limit(void **state)
+{
+	static const char text[] =
+	    "GET /all/1 HTTP/1.1\r\nHost: example.test\r\n"
+	    "Bulrushwell-Request-Id: r1\r\n\r\n";
+	const engine_settings_t settings = {
+	    .headers = platform_header_names,
+	    .retries = {.ratio = 0.2, .window = SECONDS(10), .slack = 10},
+	    .drain_limit = SECONDS(1),
+	};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	loop_clock_t clock;
+	exchange_engine_t *engine;
+	route_table_t *table = make_table();
+	http_message_t request;
+	size_t used;
+	limiter_stats_t before, after;
+	uint32_t refused = 0;
+
+	loop_clock_start(&clock, loop);
+	engine = engine_create(loop, &settings);
+	engine_adopt(engine, table);
+	http_message_init(&request, HTTP_REQUEST, 4096, 4096);
+	assert_int_equal(http_message_feed(&request, text, strlen(text), &used),
+	    HTTP_FEED_DONE);
+	limiter_get_stats(engine->limiter, "shard-0", &before);
+	for (int i = 0; i < REQUESTS; i++)
+		assert_null(exchange_start(
+		    engine, &request, false, note_reply, &refused));
+	limiter_get_stats(engine->limiter, "shard-0", &after);
+	assert_int_equal(refused, REQUESTS);
+	assert_int_equal(after.lowered, before.lowered);
+	assert_int_equal(after.running, 0);
+	http_message_free(&request);
+	route_table_drop(table);
+	engine_destroy(engine);
+	ev_loop_destroy(loop);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(refusals_for_lack_of_servers_keep_the_limit),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
