--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -64,6 +64,8 @@
 	X(ROUTES_STALE, 1012, INFO, "an older configuration was ignored")      \
 	X(SERVER_ENTRY_BAD, 1013, WARN, "a server entry can't be used")        \
 	X(NODES_COUNTED, 1014, INFO, "the number of nodes has changed")        \
+	X(PEER_ROLE, 1015, INFO, "the node asks the store for others or not")  \
+	X(PEERS_TOLD, 1016, INFO, "a relay told its peers what it has read")   \
 	X(STORE_LOST, 1020, WARN, "the store does not answer a watch or call") \
 	X(STORE_FOUND, 1021, INFO, "the store answers again")                  \
 	X(STORE_LISTED, 1022, INFO, "a kind was read as a whole")              \
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -29,6 +29,7 @@
 	front_t *front;
 	admin_t *health;
 	admin_t *metrics;
+	peer_link_t *peers; /* NULL: it asks the store for itself */
 	ev_signal on_term;
 	ev_signal on_int;
 	ev_signal on_hangup;
@@ -91,6 +92,7 @@
 	    .clients = front_connections(gateway->front),
 	    .store_calls = gateway->store_calls,
 	    .store_failures = gateway->store_failures,
+	    .peers = gateway->peers,
 	};
 
 	if (slice_is(path, "/state"))
@@ -211,6 +213,12 @@
 		    admin_create(gateway->loop, &settings->metrics_address,
 			answer_metrics, gateway, &error);
 	}
+	if (error == 0 && settings->has_peer_address) {
+		flag = "peers";
+		gateway->peers = peer_link_create(
+		    gateway->loop, settings->node, &settings->peer_address);
+		error = gateway->peers != NULL ? 0 : BW_E_IO;
+	}
 	if (error == 0)
 		return true;
 	g_snprintf(why, why_size, "the address of --%s can't be used: %s", flag,
@@ -251,6 +259,7 @@
 	front_destroy(gateway->front);
 	admin_destroy(gateway->health);
 	admin_destroy(gateway->metrics);
+	peer_link_destroy(gateway->peers);
 	engine_destroy(gateway->engine);
 	ev_loop_destroy(gateway->loop);
 	g_free(gateway);
@@ -269,6 +278,12 @@
 	return gateway->loop;
 }
 
+peer_link_t *
+gateway_peers(gateway_t *gateway)
+{
+	return gateway->peers;
+}
+
 bool
 gateway_stopping(const gateway_t *gateway)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <ev.h>
 
+#include "../peers/peer_link.h"
 #include "exchange.h"
 #include "gateway_settings.h"
 #include "upstream.h"
@@ -27,6 +28,9 @@
 
 struct ev_loop *gateway_loop(gateway_t *gateway);
 
+/** gateway_peers() - Its link to other gateways, or NULL without one. */
+peer_link_t *gateway_peers(gateway_t *gateway);
+
 /** gateway_stopping() - Whether a planned stop has begun. */
 bool gateway_stopping(const gateway_t *gateway);
 
--- a/source/gateway/gateway_metrics.c
+++ b/source/gateway/gateway_metrics.c
@@ -9,7 +9,7 @@
 
 typedef struct {
 	buffer_t *out;
-} writer_t;
+} metrics_writer_t;
 
 static void
 write_value(buffer_t *out, const char *name, const char *labels,
@@ -49,7 +49,7 @@
 static void
 write_route(void *context, const route_view_t *route)
 {
-	writer_t *writer = context;
+	metrics_writer_t *writer = context;
 
 	write_histogram(writer->out, route->name, "answered", route->answered);
 	write_histogram(writer->out, route->name, "failed", route->failed);
@@ -95,11 +95,28 @@
 	}
 }
 
+static void
+write_peers(buffer_t *out, const peer_link_t *peers)
+{
+	const peer_link_counters_t *counters = peer_link_counters(peers);
+	peer_role_t role = peer_link_role(peers);
+
+	write_value(out, "peer_role", "{role=\"alone\"}", role == PEER_ALONE);
+	write_value(out, "peer_role", "{role=\"relay\"}", role == PEER_RELAY);
+	write_value(
+	    out, "peer_role", "{role=\"follower\"}", role == PEER_FOLLOWER);
+	write_value(out, "peer_datagrams_sent_total", "", counters->sent);
+	write_value(
+	    out, "peer_datagrams_received_total", "", counters->received);
+	write_value(
+	    out, "peer_datagrams_rejected_total", "", counters->rejected);
+}
+
 void
 gateway_metrics_write(
     exchange_engine_t *engine, const gateway_gauges_t *gauges, buffer_t *out)
 {
-	writer_t writer = {out};
+	metrics_writer_t writer = {out};
 	const route_table_t *table = engine_table(engine);
 
 	write_value(out, "ready", "", gauges->ready);
@@ -111,6 +128,8 @@
 	write_value(out, "servers", "", pool_server_count(engine_pool(engine)));
 	write_value(out, "config_version", "",
 	    table != NULL ? (unsigned long long)route_table_version(table) : 0);
+	if (gauges->peers != NULL)
+		write_peers(out, gauges->peers);
 	write_counters(out, engine_counters(engine));
 	engine_visit_routes(engine, write_route, &writer);
 	write_events(out);
--- a/source/gateway/gateway_metrics.h
+++ b/source/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_METRICS_H
 #define GATEWAY_METRICS_H
 
+#include "../peers/peer_link.h"
 #include "exchange.h"
 
 /** DOC: Counters and latency histograms of the gateway, as Prometheus text */
@@ -10,6 +11,7 @@
 	uint32_t clients;
 	uint64_t store_calls;
 	uint64_t store_failures;
+	const peer_link_t *peers; /* NULL: it has none */
 } gateway_gauges_t;
 
 void gateway_metrics_write(
--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -4,9 +4,11 @@
 #include <string.h>
 
 #include "../http/http_socket.h"
+#include "../peers/peer_group.h"
 #include "bulrushwell/error.h"
 
 #define VARIABLE_PREFIX "BULRUSHWELL_GATEWAY_"
+#define DEFAULT_STORE_HISTORY_S "20"
 #define DEFAULT_RETRY_RATIO "0.2"
 #define DEFAULT_RETRY_WINDOW_S "10"
 #define DEFAULT_RETRY_SLACK "20"
@@ -19,6 +21,8 @@
  */
 #define DISCOVERY_PART 0.4
 #define LAST_RESORT_PART 0.3
+/* Of that time, a node that is told by others may have spent this part. */
+#define TOLD_PART 0.6
 #define STOP_MARGIN MS(600)
 
 typedef enum {
@@ -27,7 +31,9 @@
 	SET_CLIENTS,
 	SET_HEALTH,
 	SET_METRICS,
+	SET_PEERS,
 	SET_STORE,
+	SET_STORE_HISTORY_S,
 	SET_RETRY_RATIO,
 	SET_RETRY_WINDOW_S,
 	SET_RETRY_SLACK,
@@ -50,7 +56,11 @@
     [SET_CLIENTS] = {"clients", "IP:PORT", "where clients connect", NULL},
     [SET_HEALTH] = {"health", "IP:PORT", "where the balancer asks", NULL},
     [SET_METRICS] = {"metrics", "IP:PORT", "where metrics are read", ""},
+    [SET_PEERS] = {"peers", "IP:PORT",
+	"where other gateways of the data centre send datagrams", ""},
     [SET_STORE] = {"store", "IP:PORT", "the platform's store", NULL},
+    [SET_STORE_HISTORY_S] = {"store-history-s", "SECONDS",
+	"how long the store keeps changes", DEFAULT_STORE_HISTORY_S},
     [SET_RETRY_RATIO] = {"retry-ratio", "SHARE",
 	"extra requests that a service accepts for each request",
 	DEFAULT_RETRY_RATIO},
@@ -107,14 +117,24 @@
 	return 0;
 }
 
+/* An empty text leaves the address out. */
+static int
+set_optional_address(char **texts, setting_t setting, bool *given,
+    struct sockaddr_in *address, char *why, size_t why_size)
+{
+	*given = texts[setting][0] != '\0';
+	return *given ? set_address(texts, setting, address, why, why_size) : 0;
+}
+
 static int
 set_addresses(
     char **texts, gateway_settings_t *settings, char *why, size_t why_size)
 {
-	settings->has_metrics_address = texts[SET_METRICS][0] != '\0';
-	if (settings->has_metrics_address &&
-	    set_address(texts, SET_METRICS, &settings->metrics_address, why,
-		why_size) != 0)
+	if (set_optional_address(texts, SET_METRICS,
+		&settings->has_metrics_address, &settings->metrics_address, why,
+		why_size) != 0 ||
+	    set_optional_address(texts, SET_PEERS, &settings->has_peer_address,
+		&settings->peer_address, why, why_size) != 0)
 		return BW_E_SETTINGS;
 	if (set_address(texts, SET_CLIENTS, &settings->client_address, why,
 		why_size) != 0 ||
@@ -130,9 +150,11 @@
 set_bounds(
     char **texts, gateway_settings_t *settings, char *why, size_t why_size)
 {
-	double window_s, drain_ms, stop_s;
+	double window_s, drain_ms, stop_s, history_s;
 
-	if (set_number(texts, SET_RETRY_RATIO, 0.0, 10.0,
+	if (set_number(texts, SET_STORE_HISTORY_S, 1.0, 86400.0, &history_s,
+		why, why_size) != 0 ||
+	    set_number(texts, SET_RETRY_RATIO, 0.0, 10.0,
 		&settings->retries.ratio, why, why_size) != 0 ||
 	    set_number(texts, SET_RETRY_WINDOW_S, 1.0, 3600.0, &window_s, why,
 		why_size) != 0 ||
@@ -143,11 +165,15 @@
 	    set_number(
 		texts, SET_STOP_S, 1.0, 3600.0, &stop_s, why, why_size) != 0)
 		return BW_E_SETTINGS;
+	settings->store_history = (usec_t)(history_s * USEC_PER_SEC);
 	settings->retries.window = (usec_t)(window_s * USEC_PER_SEC);
 	settings->discovery_interval =
 	    (usec_t)(DISCOVERY_PART * drain_ms * USEC_PER_MS);
 	settings->drain_limit =
 	    (usec_t)(LAST_RESORT_PART * drain_ms * USEC_PER_MS);
+	/* A leaving server must not be learned of too late from others. */
+	if (TOLD_PART * drain_ms * USEC_PER_MS < PEER_LEARN_MAX)
+		settings->has_peer_address = false;
 	settings->stop_limit = (usec_t)(stop_s * USEC_PER_SEC) - STOP_MARGIN;
 	return 0;
 }
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -22,7 +22,10 @@
 	struct sockaddr_in health_address;
 	struct sockaddr_in metrics_address;
 	bool has_metrics_address;
+	struct sockaddr_in peer_address;
+	bool has_peer_address; /* given, and the bounds allow to use it */
 	struct sockaddr_in store_address;
+	usec_t store_history; /* the store keeps changes for this long */
 	retry_limits_t retries;
 	usec_t drain_limit; /* a leaving server gets no request after this */
 	usec_t discovery_interval; /* pause between two looks at the registry */
--- a/source/gateway/gateway_state.c
+++ b/source/gateway/gateway_state.c
@@ -8,7 +8,7 @@
 typedef struct {
 	json_t *list;
 	usec_t now;
-} writer_t;
+} state_writer_t;
 
 static json_int_t
 milliseconds(usec_t time)
@@ -27,7 +27,7 @@
 static void
 write_server(void *context, const replica_t *replica)
 {
-	const writer_t *writer = context;
+	const state_writer_t *writer = context;
 	const replica_health_t *health = &replica->health;
 	usec_t ejected = MAX(health->ejected_until - writer->now, 0);
 
@@ -45,7 +45,7 @@
 static void
 write_route(void *context, const route_view_t *route)
 {
-	const writer_t *writer = context;
+	const state_writer_t *writer = context;
 
 	json_array_append_new(writer->list,
 	    json_pack("{s:s,s:I,s:I,s:I,s:I}", "route", route->name,
@@ -62,8 +62,8 @@
 {
 	const route_table_t *table = engine_table(engine);
 	const pool_t *pool = engine_pool(engine);
-	writer_t servers = {json_array(), now};
-	writer_t routes = {json_array(), now};
+	state_writer_t servers = {json_array(), now};
+	state_writer_t routes = {json_array(), now};
 	json_t *state;
 	char *text;
 
--- /dev/null
+++ b/source/peers/peer_link.c
@@ -0,0 +1,393 @@
+#include "peer_link.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../base/loop_clock.h"
+#include "bulrushwell/event.h"
+#include "peer_batch.h"
+
+#define TICK_S 0.25
+#define TICK_JITTER_S 0.05 /* nodes that start together don't stay in step */
+#define RECEIVE_MAX 64	   /* datagrams a wakeup, so that requests go on */
+#define DOUBT_TIME SECONDS(2)
+#define CATCH_UP_INTERVAL SECONDS(1) /* between two tries */
+/* A burst of all parts to all nodes would overrun the link of a small VM. */
+#define PART_INTERVAL_S 0.03
+
+struct peer_link {
+	struct ev_loop *loop;
+	peer_link_handlers_t handlers;
+	peer_group_t *group;
+	ev_io io;
+	ev_timer tick;
+	ev_timer pace;
+	GQueue unsent; /* peer_changes_t: parts of changes */
+	int fd;
+	peer_role_t role;
+	peer_position_t positions[PEER_TOPICS];
+	peer_position_t told[PEER_TOPICS]; /* as far as parts were sent */
+	peer_batch_t *batches[PEER_TOPICS];
+	usec_t checked_at; /* when the store last answered; 0: never */
+	usec_t doubt_until;
+	usec_t caught_up_at; /* when missing changes were last asked for */
+	peer_link_counters_t counters;
+};
+
+static void
+send_to_all(peer_link_t *link, const peer_message_t *message)
+{
+	writer_t writer;
+
+	writer_init(&writer);
+	peer_message_encode(message, &writer);
+	for (uint32_t i = 0; i < peer_group_count(link->group); i++) {
+		const peer_t *peer = peer_group_at(link->group, i);
+		const struct sockaddr_in *address = &peer->node.address;
+		ssize_t sent =
+		    sendto(link->fd, writer.buffer.data, writer.buffer.size, 0,
+			(const struct sockaddr *)address, sizeof(*address));
+
+		/* What is lost shows at its receiver: it lacks changes. */
+		if (sent == (ssize_t)writer.buffer.size)
+			link->counters.sent++;
+	}
+	writer_clear(&writer);
+}
+
+static void
+send_status(peer_link_t *link, usec_t now)
+{
+	peer_message_t message = {.kind = PEER_STATUS};
+
+	if (link->checked_at == 0)
+		return;
+	if (g_queue_is_empty(&link->unsent))
+		memcpy(link->told, link->positions, sizeof(link->told));
+	memcpy(message.status.positions, link->told, sizeof(link->told));
+	message.status.age = now - link->checked_at;
+	send_to_all(link, &message);
+}
+
+static peer_role_t
+next_role(peer_link_t *link, usec_t now)
+{
+	peer_role_t role = peer_group_role(link->group, link->positions, now);
+
+	return role == PEER_FOLLOWER && now < link->doubt_until ? PEER_ALONE
+								: role;
+}
+
+static void
+update_role(peer_link_t *link, usec_t now)
+{
+	static const char *const names[] = {"alone", "relay", "follower"};
+	peer_role_t role = next_role(link, now);
+
+	if (role == link->role)
+		return;
+	event_log(EVENT_PEER_ROLE,
+	    "role=%s before=%s peers=%u config=%lld servers=%lld", names[role],
+	    names[link->role], peer_group_count(link->group),
+	    (long long)link->positions[PEER_CONFIG].revision,
+	    (long long)link->positions[PEER_SERVERS].revision);
+	link->role = role;
+	link->caught_up_at = now;
+	link->handlers.role(link->handlers.context, role);
+}
+
+/* A poll that waits for changes does not tell that there were none. */
+static void
+catch_up(peer_link_t *link, usec_t now)
+{
+	if (now - link->caught_up_at < CATCH_UP_INTERVAL)
+		return;
+	link->caught_up_at = now;
+	for (int i = 0; i < PEER_TOPICS; i++)
+		if (peer_group_lacks(
+			link->group, (peer_topic_t)i, &link->positions[i], now))
+			link->handlers.behind(
+			    link->handlers.context, (peer_topic_t)i);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	peer_link_t *link = timer->data;
+	usec_t now = loop_clock_now(loop);
+
+	update_role(link, now);
+	if (link->role == PEER_RELAY)
+		send_status(link, now);
+	if (link->role == PEER_ALONE)
+		catch_up(link, now);
+	ev_timer_set(
+	    timer, TICK_S + TICK_JITTER_S * (g_random_double() - 0.5), 0.0);
+	ev_timer_start(loop, timer);
+}
+
+static void
+set_known(peer_link_t *link, peer_topic_t topic, int64_t revision)
+{
+	link->positions[topic].revision = revision;
+	link->handlers.known(link->handlers.context, topic, revision);
+}
+
+static void
+send_next_part(peer_link_t *link)
+{
+	peer_changes_t *part = g_queue_pop_head(&link->unsent);
+	peer_message_t message = {.kind = PEER_CHANGES};
+
+	if (part == NULL)
+		return;
+	message.changes = *part;
+	g_free(part);
+	send_to_all(link, &message);
+	ev_timer_set(&link->pace, PART_INTERVAL_S, 0.0);
+	ev_timer_start(link->loop, &link->pace);
+}
+
+static void
+on_pace(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	send_next_part(timer->data);
+}
+
+/* What a relay has seen no change of is known here, too. */
+static void
+take_status(peer_link_t *link, peer_t *peer, const peer_status_t *status)
+{
+	peer_group_note_status(peer, status, loop_clock_now(link->loop));
+	for (int i = 0; i < PEER_TOPICS; i++) {
+		const peer_position_t *theirs = &status->positions[i];
+		int64_t own = link->positions[i].revision;
+
+		if (own != 0 && own >= theirs->quiet_since &&
+		    own < theirs->revision)
+			set_known(link, (peer_topic_t)i, theirs->revision);
+	}
+}
+
+static void
+take_changes(peer_link_t *link, const peer_changes_t *changes)
+{
+	peer_topic_t topic = changes->topic;
+	peer_position_t *own = &link->positions[topic];
+	peer_batch_t *batch = link->batches[topic];
+	slice_t content;
+
+	if (own->revision == 0 ||
+	    !peer_batch_take(batch, changes, own->revision))
+		return;
+	content = peer_batch_content(batch);
+	if (!link->handlers.changes(link->handlers.context, topic,
+		changes->from, changes->to, content))
+		return;
+	own->quiet_since = changes->to;
+	set_known(link, topic, changes->to);
+}
+
+static void
+take_datagram(
+    peer_link_t *link, const struct sockaddr_in *sender, slice_t bytes)
+{
+	peer_t *peer = peer_group_find(link->group, sender);
+	peer_message_t message;
+
+	if (peer == NULL) {
+		link->counters.rejected++;
+		event_log_sampled(EVENT_PEER_REJECTED, "address=%08x:%u",
+		    ntohl(sender->sin_addr.s_addr), ntohs(sender->sin_port));
+		return;
+	}
+	if (peer_message_decode(bytes, &message) != 0) {
+		link->counters.rejected++;
+		event_log_sampled(EVENT_PEER_BAD_MESSAGE, "node=%s bytes=%zu",
+		    peer->node.name, bytes.size);
+		return;
+	}
+	link->counters.received++;
+	switch (message.kind) {
+	case PEER_STATUS:
+		take_status(link, peer, &message.status);
+		break;
+	case PEER_CHANGES:
+		take_changes(link, &message.changes);
+		break;
+	}
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *io, int events)
+{
+	peer_link_t *link = io->data;
+	char data[PEER_DATAGRAM_MAX];
+
+	for (int i = 0; i < RECEIVE_MAX; i++) {
+		struct sockaddr_in sender;
+		socklen_t size = sizeof(sender);
+		ssize_t n = recvfrom(link->fd, data, sizeof(data), 0,
+		    (struct sockaddr *)&sender, &size);
+
+		if (n < 0)
+			return;
+		take_datagram(link, &sender, (slice_t){data, (size_t)n});
+	}
+}
+
+static int
+open_socket(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0) {
+		int error = errno;
+
+		close(fd);
+		errno = error;
+		return -1;
+	}
+	return fd;
+}
+
+peer_link_t *
+peer_link_create(struct ev_loop *loop, const char *own_name,
+    const struct sockaddr_in *address)
+{
+	int fd = open_socket(address);
+	peer_link_t *link;
+
+	if (fd < 0)
+		return NULL;
+	link = g_new0(peer_link_t, 1);
+	link->loop = loop;
+	link->group = peer_group_create(own_name);
+	for (int i = 0; i < PEER_TOPICS; i++)
+		link->batches[i] = peer_batch_create();
+	link->fd = fd;
+	ev_io_init(&link->io, on_readable, fd, EV_READ);
+	link->io.data = link;
+	ev_io_start(loop, &link->io);
+	ev_timer_init(&link->tick, on_tick, TICK_S * g_random_double(), 0.0);
+	link->tick.data = link;
+	ev_timer_start(loop, &link->tick);
+	ev_timer_init(&link->pace, on_pace, 0.0, 0.0);
+	link->pace.data = link;
+	g_queue_init(&link->unsent);
+	return link;
+}
+
+void
+peer_link_destroy(peer_link_t *link)
+{
+	if (link == NULL)
+		return;
+	ev_io_stop(link->loop, &link->io);
+	ev_timer_stop(link->loop, &link->tick);
+	ev_timer_stop(link->loop, &link->pace);
+	g_queue_clear_full(&link->unsent, g_free);
+	close(link->fd);
+	for (int i = 0; i < PEER_TOPICS; i++)
+		peer_batch_destroy(link->batches[i]);
+	peer_group_destroy(link->group);
+	g_free(link);
+}
+
+void
+peer_link_set_handlers(peer_link_t *link, const peer_link_handlers_t *handlers)
+{
+	link->handlers = *handlers;
+}
+
+void
+peer_link_set_nodes(
+    peer_link_t *link, const peer_address_t *nodes, uint32_t count)
+{
+	peer_group_set(link->group, nodes, count);
+}
+
+void
+peer_link_checked(peer_link_t *link)
+{
+	link->checked_at = loop_clock_now(link->loop);
+}
+
+void
+peer_link_doubt(peer_link_t *link)
+{
+	usec_t now = loop_clock_now(link->loop);
+
+	link->doubt_until = now + DOUBT_TIME;
+	update_role(link, now);
+}
+
+void
+peer_link_quiet(peer_link_t *link, peer_topic_t topic, int64_t revision)
+{
+	peer_position_t *own = &link->positions[topic];
+
+	own->revision = MAX(own->revision, revision);
+}
+
+static void
+add_part(void *context, const peer_changes_t *part)
+{
+	peer_link_t *link = context;
+
+	g_queue_push_tail(
+	    &link->unsent, g_memdup2(part, sizeof(peer_changes_t)));
+}
+
+static void
+tell(peer_link_t *link, const peer_changes_t *changes, slice_t content)
+{
+	usec_t now = loop_clock_now(link->loop);
+	bool sent;
+
+	if (peer_group_knows(link->group, changes->topic, changes->to, now))
+		return;
+	sent = peer_batch_cut(changes, content, add_part, link);
+	event_log(EVENT_PEERS_TOLD,
+	    "topic=%d from=%lld to=%lld bytes=%zu sent=%d", changes->topic,
+	    (long long)changes->from, (long long)changes->to, content.size,
+	    sent);
+	if (!ev_is_active(&link->pace))
+		send_next_part(link);
+}
+
+void
+peer_link_read(peer_link_t *link, peer_topic_t topic, bool whole, int64_t to,
+    slice_t content)
+{
+	peer_position_t *own = &link->positions[topic];
+	const peer_changes_t changes = {
+	    .topic = topic,
+	    .from = whole ? 0 : own->quiet_since,
+	    .to = to,
+	};
+
+	if (to <= own->revision)
+		return;
+	if (link->role == PEER_RELAY && content.size > 0)
+		tell(link, &changes, content);
+	own->quiet_since = to;
+	own->revision = to;
+}
+
+peer_role_t
+peer_link_role(const peer_link_t *link)
+{
+	return link->role;
+}
+
+const peer_link_counters_t *
+peer_link_counters(const peer_link_t *link)
+{
+	return &link->counters;
+}
--- /dev/null
+++ b/source/peers/peer_message.c
@@ -0,0 +1,140 @@
+#include "peer_message.h"
+
+#include <string.h>
+
+#include "bulrushwell/error.h"
+
+#define PROTOCOL_VERSION 1
+#define HEAD_FIELDS 2
+#define STATUS_FIELDS (1 + 2 * PEER_TOPICS)
+#define CHANGES_FIELDS 7
+#define AGE_MAX SECONDS(3600)
+#define WHOLE_SIZE_MAX (1024u * 1024u)
+
+static void
+write_status(writer_t *writer, const peer_status_t *status)
+{
+	writer_int(writer, status->age);
+	for (int i = 0; i < PEER_TOPICS; i++) {
+		writer_int(writer, status->positions[i].quiet_since);
+		writer_int(writer, status->positions[i].revision);
+	}
+}
+
+static void
+write_changes(writer_t *writer, const peer_changes_t *changes)
+{
+	writer_uint(writer, changes->topic);
+	writer_int(writer, changes->from);
+	writer_int(writer, changes->to);
+	writer_uint(writer, changes->part);
+	writer_uint(writer, changes->parts);
+	writer_uint(writer, changes->whole_size);
+	writer_bytes(writer, (slice_t){changes->bytes, changes->size});
+}
+
+void
+peer_message_encode(const peer_message_t *message, writer_t *writer)
+{
+	bool status = message->kind == PEER_STATUS;
+
+	writer_array(
+	    writer, HEAD_FIELDS + (status ? STATUS_FIELDS : CHANGES_FIELDS));
+	writer_uint(writer, PROTOCOL_VERSION);
+	writer_uint(writer, message->kind);
+	switch (message->kind) {
+	case PEER_STATUS:
+		write_status(writer, &message->status);
+		break;
+	case PEER_CHANGES:
+		write_changes(writer, &message->changes);
+		break;
+	}
+}
+
+static uint64_t
+read_at_most(reader_t *reader, uint64_t most)
+{
+	uint64_t value = reader_uint(reader);
+
+	if (value > most)
+		reader->error = BW_E_PROTOCOL;
+	return value;
+}
+
+static int64_t
+read_revision(reader_t *reader)
+{
+	return (int64_t)read_at_most(reader, INT64_MAX);
+}
+
+static int
+read_status(reader_t *reader, peer_status_t *status)
+{
+	status->age = (usec_t)read_at_most(reader, AGE_MAX);
+	for (int i = 0; i < PEER_TOPICS; i++) {
+		peer_position_t *position = &status->positions[i];
+
+		position->quiet_since = read_revision(reader);
+		position->revision = read_revision(reader);
+		if (position->quiet_since > position->revision)
+			reader->error = BW_E_PROTOCOL;
+	}
+	return reader_error(reader);
+}
+
+static int
+read_changes(reader_t *reader, peer_changes_t *changes)
+{
+	slice_t bytes;
+
+	changes->topic = (peer_topic_t)read_at_most(reader, PEER_TOPICS - 1);
+	changes->from = read_revision(reader);
+	changes->to = read_revision(reader);
+	changes->part = (uint32_t)read_at_most(reader, PEER_PARTS_MAX - 1);
+	changes->parts = (uint32_t)read_at_most(reader, PEER_PARTS_MAX);
+	changes->whole_size = (uint32_t)read_at_most(reader, WHOLE_SIZE_MAX);
+	bytes = reader_bytes(reader);
+	if (reader_error(reader) != 0 || bytes.size > PEER_PART_BYTES ||
+	    changes->from >= changes->to || changes->part >= changes->parts)
+		return BW_E_PROTOCOL;
+	changes->size = (uint32_t)bytes.size;
+	memcpy(changes->bytes, bytes.data, bytes.size);
+	return 0;
+}
+
+static int
+read_message(reader_t *reader, peer_message_t *message)
+{
+	uint64_t version = reader_uint(reader);
+
+	message->kind = (peer_kind_t)reader_uint(reader);
+	if (reader_error(reader) != 0 || version != PROTOCOL_VERSION)
+		return BW_E_PROTOCOL;
+	switch (message->kind) {
+	case PEER_STATUS:
+		return read_status(reader, &message->status);
+	case PEER_CHANGES:
+		return read_changes(reader, &message->changes);
+	}
+	return BW_E_PROTOCOL;
+}
+
+int
+peer_message_decode(slice_t bytes, peer_message_t *message)
+{
+	msgpack_unpacked unpacked;
+	reader_t reader;
+	int error = BW_E_PROTOCOL;
+
+	if (!codec_check(bytes.data, bytes.size))
+		return BW_E_PROTOCOL;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes.data, bytes.size, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS) {
+		reader_init(&reader, &unpacked.data);
+		error = read_message(&reader, message);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return error;
+}
--- /dev/null
+++ b/tests/lib/gateway_fleet.c
@@ -0,0 +1,59 @@
+#include "gateway_fleet.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void
+fleet_start(gateway_fleet_t *fleet, int gateway)
+{
+	fleet_gateway_t *node = &fleet->gateways[gateway];
+	const char *arguments[] = {"--node", node->name, "--data-centre=dc1",
+	    "--clients", node->clients, "--health", node->health, "--metrics",
+	    node->metrics, "--peers", node->peers, "--store", node->store,
+	    "--drain-ms=5000", "--stop-s=6", NULL};
+
+	node->process = harness_spawn(fleet->world->harness,
+	    "bulrushwell-gateway", node->name, arguments, false);
+}
+
+void
+fleet_create(gateway_fleet_t *fleet, gateway_world_t *world)
+{
+	fleet->world = world;
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		fleet_gateway_t *node = &fleet->gateways[i];
+
+		snprintf(node->name, sizeof(node->name), "g%d", i);
+		node->store_way = proxy_create(
+		    object_store_address(world->store), node->store);
+		harness_free_address(node->clients);
+		harness_free_address(node->health);
+		harness_free_address(node->metrics);
+		harness_free_address(node->peers);
+		fleet_start(fleet, i);
+	}
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		harness_wait_status(
+		    fleet->gateways[i].health, "/ready", 200, WORLD_START_MS);
+}
+
+gateway_world_t
+fleet_view(const gateway_fleet_t *fleet, int gateway)
+{
+	const fleet_gateway_t *node = &fleet->gateways[gateway];
+	gateway_world_t view = *fleet->world;
+
+	memcpy(view.clients, node->clients, sizeof(view.clients));
+	memcpy(view.health, node->health, sizeof(view.health));
+	memcpy(view.metrics, node->metrics, sizeof(view.metrics));
+	return view;
+}
+
+void
+fleet_destroy(gateway_fleet_t *fleet)
+{
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		harness_kill(fleet->world->harness, fleet->gateways[i].process);
+		proxy_destroy(fleet->gateways[i].store_way);
+	}
+}
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -11,6 +11,7 @@
 #define EVENTS_MAX 500 /* of one answer to a watch */
 #define MAX_BODY_BYTES 1048576
 #define LOST_CALL_TIME SECONDS(60)
+#define LONG_WAIT MS(900) /* shorter ones are probes */
 #define WAIT_STEP MS(10)
 
 typedef struct {
@@ -33,6 +34,7 @@
 	store_fault_t fault;
 	uint64_t calls;
 	GHashTable *watches; /* kind to number */
+	GHashTable *polls;   /* kind to number of all so far */
 };
 
 static void
@@ -166,12 +168,12 @@
 }
 
 static void
-count_watch(object_store_t *store, const char *kind, int change)
+count(GHashTable *numbers, const char *kind, int change)
 {
-	int now = GPOINTER_TO_INT(g_hash_table_lookup(store->watches, kind));
+	int now = GPOINTER_TO_INT(g_hash_table_lookup(numbers, kind));
 
 	g_hash_table_insert(
-	    store->watches, g_strdup(kind), GINT_TO_POINTER(now + change));
+	    numbers, g_strdup(kind), GINT_TO_POINTER(now + change));
 }
 
 static void
@@ -185,7 +187,9 @@
 	json_t *events;
 
 	g_mutex_lock(&store->lock);
-	count_watch(store, kind, 1);
+	count(store->watches, kind, 1);
+	if (until - clock_monotonic() >= LONG_WAIT)
+		count(store->polls, kind, 1);
 	for (;;) {
 		events = changes_since(store, kind, revision, &at_rev);
 		if (revision < store->compacted ||
@@ -198,7 +202,7 @@
 		    request->connection, clock_monotonic() + WAIT_STEP);
 		g_mutex_lock(&store->lock);
 	}
-	count_watch(store, kind, -1);
+	count(store->watches, kind, -1);
 	if (revision < store->compacted) {
 		json_decref(events);
 		fake_reply_text(reply, 410, "{}");
@@ -296,6 +300,8 @@
 	store->objects = g_ptr_array_new_with_free_func(free_stored);
 	store->watches =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->polls =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->revision = 1;
 	store->page = page;
 	harness_free_address(store->address);
@@ -315,6 +321,7 @@
 	fake_server_destroy(store->http);
 	g_ptr_array_free(store->objects, TRUE);
 	g_hash_table_destroy(store->watches);
+	g_hash_table_destroy(store->polls);
 	g_mutex_clear(&store->lock);
 	g_free(store);
 }
@@ -379,13 +386,25 @@
 	return calls;
 }
 
-uint32_t
-object_store_watches(object_store_t *store, const char *kind)
+static uint32_t
+read_number(object_store_t *store, GHashTable *numbers, const char *kind)
 {
-	uint32_t watches;
+	uint32_t number;
 
 	g_mutex_lock(&store->lock);
-	watches = GPOINTER_TO_UINT(g_hash_table_lookup(store->watches, kind));
+	number = GPOINTER_TO_UINT(g_hash_table_lookup(numbers, kind));
 	g_mutex_unlock(&store->lock);
-	return watches;
+	return number;
+}
+
+uint32_t
+object_store_watches(object_store_t *store, const char *kind)
+{
+	return read_number(store, store->watches, kind);
+}
+
+uint32_t
+object_store_polls(object_store_t *store, const char *kind)
+{
+	return read_number(store, store->polls, kind);
 }
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -39,6 +39,9 @@
 /** object_store_calls() - Calls so far. */
 uint64_t object_store_calls(object_store_t *store);
 
+/** object_store_polls() - Watches that were to wait for a second or more. */
+uint32_t object_store_polls(object_store_t *store, const char *kind);
+
 /** object_store_watches() - Watches that wait now, of a kind. */
 uint32_t object_store_watches(object_store_t *store, const char *kind);
 
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -17,7 +17,7 @@
 #define GOOD_FLAGS                                                 \
 	"--node=n1", "--data-centre=dc1", "--clients=127.0.0.1:1", \
 	    "--health=127.0.0.1:2", "--store=127.0.0.1:3"
-#define MAX_FLAGS 12
+#define MAX_FLAGS 14
 
 typedef struct {
 	const char *failure;
@@ -28,9 +28,9 @@
 static const settings_case_t settings_cases[] = {
     {"the least settings are refused", {GOOD_FLAGS}, NULL},
     {"all settings are refused",
-	{GOOD_FLAGS, "--metrics=127.0.0.1:4", "--retry-ratio=0.1",
-	    "--retry-window-s=5", "--retry-slack=7", "--drain-ms=2000",
-	    "--stop-s=8"},
+	{GOOD_FLAGS, "--metrics=127.0.0.1:4", "--peers=127.0.0.1:5",
+	    "--store-history-s=60", "--retry-ratio=0.1", "--retry-window-s=5",
+	    "--retry-slack=7", "--drain-ms=2000", "--stop-s=8"},
 	NULL},
     {"a node without a store",
 	{"--node=n1", "--data-centre=dc1", "--clients=127.0.0.1:1",
@@ -42,6 +42,9 @@
 	"--metrics"},
     {"a port out of range", {GOOD_FLAGS, "--metrics=127.0.0.1:70000"},
 	"--metrics"},
+    {"peers at a name", {GOOD_FLAGS, "--peers=host"}, "--peers"},
+    {"a store without history", {GOOD_FLAGS, "--store-history-s=0"},
+	"--store-history-s"},
     {"a negative ratio", {GOOD_FLAGS, "--retry-ratio=-1"}, "--retry-ratio"},
     {"a number with letters", {GOOD_FLAGS, "--drain-ms=3s"}, "--drain-ms"},
     {"no time to stop", {GOOD_FLAGS, "--stop-s=0"}, "--stop-s"},
@@ -61,6 +64,27 @@
 	return gateway_settings_load(argc, argv, settings, why, why_size);
 }
 
+/* A node that follows relays may learn of a leaving server late. */
+static void
+peers_are_used_only_if_the_bound_of_a_leaving_server_allows(void **state)
+{
+	static const struct {
+		const char *drain;
+		bool used;
+	} cases[] = {{"--drain-ms=1500", false}, {"--drain-ms=2800", false},
+	    {"--drain-ms=3000", true}, {"--drain-ms=5000", true}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const settings_case_t row = {"",
+		    {GOOD_FLAGS, "--peers=127.0.0.1:5", cases[i].drain}, NULL};
+		gateway_settings_t settings;
+		char why[256];
+
+		assert_int_equal(load(&row, &settings, why, sizeof(why)), 0);
+		assert_int_equal(settings.has_peer_address, cases[i].used);
+	}
+}
+
 static void
 settings_are_checked(void **state)
 {
@@ -296,6 +320,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(settings_are_checked),
+	    cmocka_unit_test(
+		peers_are_used_only_if_the_bound_of_a_leaving_server_allows),
 	    cmocka_unit_test(a_flag_goes_before_its_variable),
 	    cmocka_unit_test(entries_name_servers_or_nothing),
 	    cmocka_unit_test(configurations_are_adopted_whole_or_not),
--- /dev/null
+++ b/tests/test_process_gateway_peers.c
@@ -0,0 +1,289 @@
+/* Guards nodes that are told of changes by relays: each must learn of a leaving
+ * server and of a configuration in time, whatever happens to the relays, and
+ * only relays may ask the store while all is well. */
+#include "lib/gateway_fleet.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../source/peers/peer_message.h"
+
+#define RELAYS 2
+#define SETTLE_MS 12000
+/* Of the 5 s after which a leaving server must get no more requests, 1.5 s are
+ * used after a node has learned of it. */
+#define LEARN_MS 3500
+#define STEP_MS 20
+#define CHANGES 3
+#define PAUSE_MS 2200 /* longer than a node's pause after a change */
+
+static int64_t
+metric(const gateway_fleet_t *fleet, int gateway, const char *name)
+{
+	gateway_world_t view = fleet_view(fleet, gateway);
+
+	return world_metric(&view, name);
+}
+
+static bool
+is_settled(const gateway_fleet_t *fleet)
+{
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		if (metric(fleet, i,
+			i < RELAYS ? "peer_role{role=\"relay\"}"
+				   : "peer_role{role=\"follower\"}") != 1)
+			return false;
+	return true;
+}
+
+static void
+settle(const gateway_fleet_t *fleet)
+{
+	gint64 until = g_get_monotonic_time() + SETTLE_MS * 1000;
+
+	while (!is_settled(fleet)) {
+		if (g_get_monotonic_time() > until)
+			fail_msg("the nodes find no roles");
+		g_usleep(STEP_MS * 1000);
+	}
+}
+
+static bool
+knows(const gateway_fleet_t *fleet, int gateway, int leaving)
+{
+	gateway_world_t view = fleet_view(fleet, gateway);
+	http_reply_t result =
+	    harness_http("GET", view.metrics, "/state", NULL, NULL, LEARN_MS);
+	const json_t *servers = json_object_get(result.json, "servers");
+	int seen = 0;
+	bool newest = json_integer_value(json_object_get(
+			  result.json, "config_version")) == view.version;
+
+	for (size_t i = 0; i < json_array_size(servers); i++)
+		seen += strcmp(json_string_value(json_object_get(
+				   json_array_get(servers, i), "state")),
+			    "leaving") == 0;
+	http_reply_clear(&result);
+	return newest && seen == leaving;
+}
+
+/* Writes a configuration and lets one more server leave. */
+static void
+change(gateway_fleet_t *fleet, int server)
+{
+	world_configure(fleet->world);
+	world_register(fleet->world, server, "draining");
+}
+
+static void
+wait_until_known(
+    const gateway_fleet_t *fleet, int first, int leaving, const char *failure)
+{
+	gint64 until = g_get_monotonic_time() + LEARN_MS * 1000;
+
+	for (int i = first; i < FLEET_GATEWAYS; i++) {
+		while (!knows(fleet, i, leaving)) {
+			if (g_get_monotonic_time() > until)
+				fail_msg("%s: g%d does not know", failure, i);
+			g_usleep(STEP_MS * 1000);
+		}
+	}
+}
+
+/* Calls grew with the nodes when each of them watched the store. */
+static void
+relays_ask_for_all(void **state)
+{
+	/* The gateway of the world itself has no peers. */
+	static const uint32_t most = (RELAYS + 1) * (CHANGES + 1);
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+	uint32_t config_polls, server_polls;
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	config_polls = object_store_polls(world->store, "config");
+	server_polls = object_store_polls(world->store, "servers");
+	for (int i = 0; i < CHANGES; i++) {
+		change(&fleet, i);
+		wait_until_known(&fleet, 0, i + 1, "all is well");
+		g_usleep(PAUSE_MS * 1000);
+	}
+	config_polls =
+	    object_store_polls(world->store, "config") - config_polls;
+	server_polls =
+	    object_store_polls(world->store, "servers") - server_polls;
+	if (config_polls > most || server_polls > most)
+		fail_msg("%u polls of the configuration, %u of servers",
+		    config_polls, server_polls);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+typedef enum { FAULT_KILL, FAULT_PAUSE, FAULT_CUT, FAULT_CUT_ANSWERS } fault_t;
+
+typedef struct {
+	const char *failure;
+	fault_t fault;
+	int relays; /* so many of them fail */
+} fault_case_t;
+
+static void
+harm(gateway_fleet_t *fleet, const fault_case_t *row)
+{
+	harness_t *harness = fleet->world->harness;
+
+	for (int i = 0; i < row->relays; i++) {
+		fleet_gateway_t *node = &fleet->gateways[i];
+
+		switch (row->fault) {
+		case FAULT_KILL:
+			harness_kill(harness, node->process);
+			break;
+		case FAULT_PAUSE:
+			harness_signal(harness, node->process, SIGSTOP);
+			break;
+		case FAULT_CUT:
+			proxy_set(node->store_way, PROXY_HOLD);
+			break;
+		case FAULT_CUT_ANSWERS:
+			proxy_set(node->store_way, PROXY_HOLD_ANSWERS);
+			break;
+		}
+	}
+}
+
+static void
+heal(gateway_fleet_t *fleet, const fault_case_t *row)
+{
+	for (int i = 0; i < row->relays; i++) {
+		fleet_gateway_t *node = &fleet->gateways[i];
+
+		proxy_set(node->store_way, PROXY_PASS);
+		if (row->fault == FAULT_PAUSE)
+			harness_signal(
+			    fleet->world->harness, node->process, SIGCONT);
+		if (row->fault == FAULT_KILL)
+			fleet_start(fleet, i);
+	}
+}
+
+/* The change comes right after the fault, when no node has noticed it. */
+static void
+followers_learn_in_time_when_relays_fail(void **state)
+{
+	static const fault_case_t cases[] = {
+	    {"a relay is killed", FAULT_KILL, 1},
+	    {"both relays are killed", FAULT_KILL, 2},
+	    {"a relay is paused", FAULT_PAUSE, 1},
+	    {"both relays are paused", FAULT_PAUSE, 2},
+	    {"a relay loses the store", FAULT_CUT, 1},
+	    {"both relays lose the store", FAULT_CUT, 2},
+	    {"both relays get no answers", FAULT_CUT_ANSWERS, 2},
+	};
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+
+	fleet_create(&fleet, world);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		settle(&fleet);
+		harm(&fleet, &cases[i]);
+		change(&fleet, (int)i);
+		wait_until_known(&fleet, RELAYS, 1, cases[i].failure);
+		world_register(world, (int)i, "ready");
+		heal(&fleet, &cases[i]);
+		wait_until_known(&fleet, 0, 0, "healed");
+	}
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+/* After an outage, history that was dropped must not leave gaps. */
+static void
+all_catch_up_after_an_outage(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	object_store_fault(world->store, STORE_SILENT);
+	g_usleep(2500 * 1000);
+	change(&fleet, 0);
+	object_store_compact(world->store);
+	object_store_fault(world->store, STORE_SERVING);
+	wait_until_known(&fleet, 0, 1, "the store is back");
+	settle(&fleet);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+static void
+send_datagram(int fd, const char *address, slice_t bytes)
+{
+	struct sockaddr_in target = {.sin_family = AF_INET};
+
+	target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	target.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1));
+	assert_int_equal(sendto(fd, bytes.data, bytes.size, 0,
+			     (struct sockaddr *)&target, sizeof(target)),
+	    bytes.size);
+}
+
+/* A status of a relay that knows everything would keep a node from asking. */
+static void
+datagrams_of_strangers_are_dropped(void **state)
+{
+	const peer_message_t lie = {
+	    .kind = PEER_STATUS,
+	    .status = {.positions = {{1, INT64_MAX}, {1, INT64_MAX}}},
+	};
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+	int64_t rejected[FLEET_GATEWAYS];
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	writer_t writer;
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	writer_init(&writer);
+	peer_message_encode(&lie, &writer);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		const char *address = fleet.gateways[i].peers;
+
+		rejected[i] =
+		    metric(&fleet, i, "peer_datagrams_rejected_total");
+
+		send_datagram(fd, address,
+		    (slice_t){writer.buffer.data, writer.buffer.size});
+		send_datagram(fd, address, slice_from("noise"));
+	}
+	change(&fleet, 0);
+	wait_until_known(&fleet, 0, 1, "a stranger has spoken");
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		assert_int_equal(
+		    metric(&fleet, i, "peer_datagrams_rejected_total"),
+		    rejected[i] + 2);
+	writer_clear(&writer);
+	close(fd);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(relays_ask_for_all),
+	    HARNESS_TEST(followers_learn_in_time_when_relays_fail),
+	    HARNESS_TEST(all_catch_up_after_an_outage),
+	    HARNESS_TEST(datagrams_of_strangers_are_dropped),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -3,17 +3,15 @@
  * stops in order, and the newest configuration in force at the end.
  *
  * SOAK_SEEDS="first count" plays other seeds, SOAK_SECONDS another length. */
-#include "lib/gateway_world.h"
+#include "lib/gateway_fleet.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/wait.h>
 
-#include "lib/proxy.h"
 #include "lib/soak_client.h"
 
-#define GATEWAYS 3
 #define CLIENTS 8
 #define DEFAULT_SECONDS 6
 #define STEP_MS 120
@@ -26,27 +24,22 @@
 typedef struct {
 	gateway_world_t *world;
 	GRand *random;
-	proxy_t *store_ways[GATEWAYS];
-	address_t store_addresses[GATEWAYS];
-	address_t clients[GATEWAYS], health[GATEWAYS], metrics[GATEWAYS];
-	process_t processes[GATEWAYS];
-	bool paused[GATEWAYS];
-	bool stopping[GATEWAYS];
+	gateway_fleet_t fleet;
+	bool paused[FLEET_GATEWAYS];
+	bool stopping[FLEET_GATEWAYS];
 	soak_client_t *soak_clients[CLIENTS];
 } soak_t;
 
+static process_t
+process_of(const soak_t *soak, int i)
+{
+	return soak->fleet.gateways[i].process;
+}
+
 static void
 start_gateway(soak_t *soak, int i)
 {
-	char name[16];
-	const char *arguments[] = {"--node", name, "--data-centre=dc1",
-	    "--clients", soak->clients[i], "--health", soak->health[i],
-	    "--metrics", soak->metrics[i], "--store", soak->store_addresses[i],
-	    "--drain-ms=1500", "--stop-s=6", NULL};
-
-	snprintf(name, sizeof(name), "n%d", i);
-	soak->processes[i] = harness_spawn(soak->world->harness,
-	    "bulrushwell-gateway", name, arguments, false);
+	fleet_start(&soak->fleet, i);
 	soak->paused[i] = false;
 	soak->stopping[i] = false;
 }
@@ -56,7 +49,7 @@
 {
 	if (soak->paused[i])
 		harness_signal(
-		    soak->world->harness, soak->processes[i], SIGCONT);
+		    soak->world->harness, process_of(soak, i), SIGCONT);
 	soak->paused[i] = false;
 }
 
@@ -65,7 +58,7 @@
 await_stop(soak_t *soak, int i)
 {
 	int status =
-	    harness_wait_exit(soak->world->harness, soak->processes[i], 8000);
+	    harness_wait_exit(soak->world->harness, process_of(soak, i), 8000);
 
 	if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
 		fail_msg("a planned stop ended with status %x", status);
@@ -84,23 +77,23 @@
 	switch (g_rand_int_range(soak->random, 0, 5)) {
 	case 0:
 		resume_if_paused(soak, i);
-		harness_signal(harness, soak->processes[i], SIGTERM);
+		harness_signal(harness, process_of(soak, i), SIGTERM);
 		soak->stopping[i] = true;
 		break;
 	case 1:
 		resume_if_paused(soak, i);
-		harness_kill(harness, soak->processes[i]);
+		harness_kill(harness, process_of(soak, i));
 		start_gateway(soak, i);
 		break;
 	case 2:
-		harness_signal(harness, soak->processes[i], SIGSTOP);
+		harness_signal(harness, process_of(soak, i), SIGSTOP);
 		soak->paused[i] = true;
 		break;
 	case 3:
 		resume_if_paused(soak, i);
 		break;
 	case 4:
-		harness_signal(harness, soak->processes[i], SIGHUP);
+		harness_signal(harness, process_of(soak, i), SIGHUP);
 		break;
 	}
 }
@@ -129,7 +122,7 @@
 	    STORE_BUSY, STORE_CLOSING, STORE_SILENT};
 	static const proxy_mode_t modes[] = {PROXY_PASS, PROXY_PASS,
 	    PROXY_HOLD_ANSWERS, PROXY_HOLD_REQUESTS, PROXY_HOLD, PROXY_DROP};
-	int way = g_rand_int_range(soak->random, 0, GATEWAYS);
+	int way = g_rand_int_range(soak->random, 0, FLEET_GATEWAYS);
 
 	switch (g_rand_int_range(soak->random, 0, 3)) {
 	case 0:
@@ -138,7 +131,7 @@
 			soak->random, 0, G_N_ELEMENTS(faults))]);
 		break;
 	case 1:
-		proxy_set(soak->store_ways[way],
+		proxy_set(soak->fleet.gateways[way].store_way,
 		    modes[g_rand_int_range(
 			soak->random, 0, G_N_ELEMENTS(modes))]);
 		break;
@@ -168,7 +161,7 @@
 	switch (g_rand_int_range(soak->random, 0, 6)) {
 	case 0:
 		disturb_gateway(
-		    soak, g_rand_int_range(soak->random, 0, GATEWAYS));
+		    soak, g_rand_int_range(soak->random, 0, FLEET_GATEWAYS));
 		break;
 	case 1:
 	case 2:
@@ -194,8 +187,8 @@
 		plain_server_fault(soak->world->servers[i], PLAIN_ANSWER, 0);
 		plain_server_delay(soak->world->servers[i], 0);
 	}
-	for (int i = 0; i < GATEWAYS; i++) {
-		proxy_set(soak->store_ways[i], PROXY_PASS);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		proxy_set(soak->fleet.gateways[i].store_way, PROXY_PASS);
 		resume_if_paused(soak, i);
 		if (soak->stopping[i])
 			await_stop(soak, i);
@@ -208,13 +201,11 @@
 static bool
 is_settled(const soak_t *soak)
 {
-	for (int i = 0; i < GATEWAYS; i++) {
-		gateway_world_t view = *soak->world;
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		gateway_world_t view = fleet_view(&soak->fleet, i);
 		http_reply_t result;
 		bool whole;
 
-		memcpy(view.metrics, soak->metrics[i], sizeof(view.metrics));
-		memcpy(view.clients, soak->clients[i], sizeof(view.clients));
 		if (world_metric(&view, "config_version") != view.version)
 			return false;
 		result = world_ask(&view, "GET", "/all/x", 1500, NULL);
@@ -276,29 +267,19 @@
 {
 	soak->world = world_create(harness);
 	soak->random = g_rand_new_with_seed(seed);
-	for (int i = 0; i < GATEWAYS; i++) {
-		soak->store_ways[i] =
-		    proxy_create(object_store_address(soak->world->store),
-			soak->store_addresses[i]);
-		harness_free_address(soak->clients[i]);
-		harness_free_address(soak->health[i]);
-		harness_free_address(soak->metrics[i]);
-		start_gateway(soak, i);
-	}
-	for (int i = 0; i < GATEWAYS; i++)
-		harness_wait_status(
-		    soak->health[i], "/ready", 200, WORLD_START_MS);
+	fleet_create(&soak->fleet, soak->world);
 }
 
 static void
 start_clients(soak_t *soak, uint32_t seed)
 {
-	soak_client_settings_t settings = {
-	    .address_count = GATEWAYS, .seed = seed, .shards = WORLD_SHARDS};
+	soak_client_settings_t settings = {.address_count = FLEET_GATEWAYS,
+	    .seed = seed,
+	    .shards = WORLD_SHARDS};
 
-	for (int i = 0; i < GATEWAYS; i++)
-		memcpy(
-		    settings.addresses[i], soak->clients[i], sizeof(address_t));
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		memcpy(settings.addresses[i], soak->fleet.gateways[i].clients,
+		    sizeof(address_t));
 	for (int i = 0; i < CLIENTS; i++) {
 		settings.client = (uint32_t)i;
 		soak->soak_clients[i] = soak_client_start(&settings);
@@ -310,10 +291,7 @@
 {
 	for (int i = 0; i < CLIENTS; i++)
 		soak_client_destroy(soak->soak_clients[i]);
-	for (int i = 0; i < GATEWAYS; i++) {
-		harness_kill(soak->world->harness, soak->processes[i]);
-		proxy_destroy(soak->store_ways[i]);
-	}
+	fleet_destroy(&soak->fleet);
 	g_rand_free(soak->random);
 	world_destroy(soak->world);
 }
