--- /dev/null
+++ b/tests/lib/scheduler_fixture.h
@@ -0,0 +1,80 @@
+#ifndef TESTS_LIB_SCHEDULER_FIXTURE_H
+#define TESTS_LIB_SCHEDULER_FIXTURE_H
+
+#include <stdbool.h>
+
+#include "bulrushwell/scheduler.h"
+
+/**
+ * DOC: A scheduler with servers and a clock, driven by steps of a test case
+ */
+
+#define MAX_ATTEMPTS 64
+#define MAX_SERVERS 8
+
+typedef enum {
+	END,	   /* a: attempt, b: result */
+	MALFORMED, /* a: attempt; FAILED without an error status */
+	DRAIN,	   /* a: attempt; OK that announces a drain */
+	SUBMIT,	   /* a: tag, b: deadline (ms from the start of the case) */
+	RESERVE,   /* as SUBMIT, a reservation */
+	REFUSED,   /* as SUBMIT, expects the error in place of actions */
+	DROP,	   /* a: tag; its query is cancelled */
+	GIVE_BACK, /* another node serves what waits */
+	CONFIRM,   /* a: attempt; its cancellation is confirmed */
+	LOSE,	   /* a: attempt; its cancellation failed */
+	LIMIT,	   /* a: limit, b: longest (ms) */
+	RUN,
+	SERVERS,    /* a: number listed, b: incarnation of the first one */
+	UNLIST,	    /* only server a (by first use) stays listed */
+	LEAVING,    /* a: server by first use; told by health */
+	PEER_CRASH, /* a: fingerprint, b: crash; a peer reported it */
+	CHARGED,    /* expects a charged attempts on the busiest server */
+	STALE	    /* expects a stale reports so far */
+} op_t;
+
+/* Actions: S<tag>@<server>[f: fresh][r: retires connections], C<attempt>,
+ * R<tag>=<error kind or ok>, X<fingerprint>. Attempts are numbered and servers
+ * are lettered by first use, so that random ties change nothing. */
+typedef struct {
+	int at; /* ms */
+	op_t op;
+	int a;
+	int b;
+	const char *expect;
+} step_t;
+
+typedef struct {
+	scheduler_t *scheduler;
+	suspect_list_t *suspects;
+	service_t service;
+	usec_t now;
+	usec_t start;
+	uint32_t limit;
+	usec_t longest;
+	handle_t attempts[MAX_ATTEMPTS];
+	int attempt_count;
+	address_t used[MAX_SERVERS];
+	int used_count;
+	char actions[512];
+} scheduler_fixture_t;
+
+/** fixture_open() - @warm jobs are answered before the case begins. */
+void fixture_open(
+    scheduler_fixture_t *fixture, int servers, uint32_t limit, int warm);
+void fixture_close(scheduler_fixture_t *fixture);
+
+/** fixture_apply() - Applies a step and compares the actions that it causes. */
+void fixture_apply(
+    scheduler_fixture_t *fixture, const step_t *step, int number);
+
+/** fixture_run() - Lets the scheduler act; fills the text of its actions. */
+void fixture_run(scheduler_fixture_t *fixture);
+
+/** fixture_end_attempt() - Ends the attempt with this number, from 1. */
+void fixture_end_attempt(
+    scheduler_fixture_t *fixture, int number, attempt_outcome_t outcome);
+
+job_t fixture_job(int tag, usec_t deadline);
+
+#endif
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -5,48 +5,12 @@
 
 #include <glib.h>
 #include <stdbool.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
 #include "bulrushwell/error.h"
-#include "bulrushwell/event.h"
-#include "bulrushwell/scheduler.h"
-
-#define MAX_ATTEMPTS 64
-#define MAX_SERVERS 8
-
-typedef enum {
-	END,	   /* a: attempt, b: result */
-	MALFORMED, /* a: attempt; FAILED without an error status */
-	DRAIN,	   /* a: attempt; OK that announces a drain */
-	SUBMIT,	   /* a: tag, b: deadline (ms from the start of the case) */
-	RESERVE,   /* as SUBMIT, a reservation */
-	REFUSED,   /* as SUBMIT, expects the error in place of actions */
-	DROP,	   /* a: tag; its query is cancelled */
-	GIVE_BACK, /* another node serves what waits */
-	CONFIRM,   /* a: attempt; its cancellation is confirmed */
-	LOSE,	   /* a: attempt; its cancellation failed */
-	LIMIT,	   /* a: limit, b: longest (ms) */
-	RUN,
-	SERVERS,    /* a: number listed, b: incarnation of the first one */
-	UNLIST,	    /* only server a (by first use) stays listed */
-	LEAVING,    /* a: server by first use; told by health */
-	PEER_CRASH, /* a: fingerprint, b: crash; a peer reported it */
-	CHARGED,    /* expects a charged attempts on the busiest server */
-	STALE	    /* expects a stale reports so far */
-} op_t;
-
-/* Actions: S<tag>@<server>[f: fresh][r: retires connections], C<attempt>,
- * R<tag>=<error kind or ok>, X<fingerprint>. Attempts are numbered and servers
- * are lettered by first use, so that random ties change nothing. */
-typedef struct {
-	int at; /* ms */
-	op_t op;
-	int a;
-	int b;
-	const char *expect;
-} step_t;
+#include "lib/scheduler_fixture.h"
 
 typedef struct {
 	const char *name;
@@ -56,271 +20,17 @@
 	step_t steps[20];
 } case_t;
 
-typedef struct {
-	scheduler_t *scheduler;
-	suspect_list_t *suspects;
-	service_t service;
-	usec_t now;
-	usec_t start;
-	uint32_t limit;
-	usec_t longest;
-	handle_t attempts[MAX_ATTEMPTS];
-	int attempt_count;
-	address_t used[MAX_SERVERS];
-	int used_count;
-	char actions[512];
-} bed_t;
-
-static void
-list_servers(bed_t *bed, int count, int incarnation)
-{
-	bed->service.server_count = (uint32_t)count;
-	for (int i = 0; i < count; i++) {
-		server_spec_t *spec = &bed->service.servers[i];
-
-		snprintf(spec->server, NAME_SIZE, "server-%d", i);
-		snprintf(spec->incarnation, NAME_SIZE, "i%d",
-		    i == 0 ? incarnation : 0);
-		snprintf(spec->address, ADDRESS_SIZE, "127.0.0.%d:%d", i + 1,
-		    i == 0 ? 80 + incarnation : 80);
-	}
-	scheduler_set_servers(bed->scheduler, &bed->service, bed->now);
-}
-
-static int
-server_letter(bed_t *bed, const char *address)
-{
-	for (int i = 0; i < bed->used_count; i++)
-		if (strcmp(bed->used[i], address) == 0)
-			return i;
-	strcpy(bed->used[bed->used_count], address);
-	return bed->used_count++;
-}
-
-static const server_spec_t *
-find_spec(bed_t *bed, int letter)
-{
-	const server_spec_t *spec = bed->service.servers;
-
-	while (strcmp(spec->address, bed->used[letter]) != 0)
-		spec++;
-	return spec;
-}
-
-static int
-attempt_number(bed_t *bed, handle_t handle)
-{
-	for (int i = 0; i < bed->attempt_count; i++)
-		if (bed->attempts[i] == handle)
-			return i + 1;
-	bed->attempts[bed->attempt_count] = handle;
-	return ++bed->attempt_count;
-}
-
-static void
-note_action(bed_t *bed, const scheduler_action_t *action)
-{
-	size_t used = strlen(bed->actions);
-	char *text = bed->actions + used;
-	size_t size = sizeof(bed->actions) - used;
-	const char *space = used > 0 ? " " : "";
-
-	switch (action->kind) {
-	case SCHEDULER_START:
-		assert_true(action->deadline <= bed->now + bed->longest);
-		assert_true(action->deadline <= action->job->deadline);
-		attempt_number(bed, action->attempt);
-		snprintf(text, size, "%sS%d@%c%s%s", space,
-		    (int)action->job->tag,
-		    'a' + server_letter(bed, action->address),
-		    action->fresh ? "f" : "",
-		    action->retire_before > bed->start ? "r" : "");
-		break;
-	case SCHEDULER_CANCEL:
-		snprintf(text, size, "%sC%d", space,
-		    attempt_number(bed, action->attempt));
-		break;
-	case SCHEDULER_REPLY:
-		assert_true(action->error != 0 || action->body != NULL);
-		snprintf(text, size, "%sR%d=%s", space, (int)action->job->tag,
-		    action->error == 0 ? "ok" : error_kind(action->error));
-		break;
-	case SCHEDULER_CRASH:
-		snprintf(text, size, "%sX%d", space, (int)action->fingerprint);
-		break;
-	}
-}
-
-static void
-run_scheduler(bed_t *bed)
-{
-	scheduler_action_t action;
-
-	scheduler_run(bed->scheduler, bed->limit, bed->longest, bed->now);
-	bed->actions[0] = '\0';
-	while (scheduler_next_action(bed->scheduler, &action))
-		note_action(bed, &action);
-}
-
-static job_t
-make_job(int tag, usec_t deadline)
-{
-	job_t job = {.tag = (uint64_t)tag,
-	    .query = {1, (uint64_t)tag},
-	    .customer = "c",
-	    .weight = 1,
-	    .deadline = deadline,
-	    .fingerprint = (uint64_t)tag % 100};
-
-	return job;
-}
-
-static void
-end_attempt(bed_t *bed, int number, attempt_outcome_t outcome)
-{
-	body_t *body = body_create("x", 1);
-
-	outcome.reused = true;
-	outcome.body = outcome.result == ATTEMPT_OK ? body : NULL;
-	if (outcome.result == ATTEMPT_OK)
-		outcome.http_status = 200;
-	scheduler_attempt_ended(
-	    bed->scheduler, bed->attempts[number - 1], &outcome, bed->now);
-	body_drop(body);
-}
-
-static void
-warm_servers(bed_t *bed, int jobs)
-{
-	for (int i = 0; i < jobs; i++) {
-		job_t job = make_job(0, bed->now + SECONDS(1));
-
-		assert_int_equal(
-		    scheduler_submit(bed->scheduler, &job, bed->now), 0);
-		run_scheduler(bed);
-		bed->now += MS(10);
-		end_attempt(bed, 1, (attempt_outcome_t){0});
-		run_scheduler(bed);
-		bed->attempt_count = 0;
-	}
-	bed->used_count = 0;
-	bed->start = bed->now;
-}
-
-static void
-apply_event(bed_t *bed, const step_t *step)
-{
-	scheduler_stats_t stats;
-
-	switch (step->op) {
-	case END:
-		end_attempt(bed, step->a,
-		    (attempt_outcome_t){.result = (attempt_result_t)step->b,
-			.http_status = 500});
-		break;
-	case MALFORMED:
-		end_attempt(bed, step->a,
-		    (attempt_outcome_t){.result = ATTEMPT_FAILED});
-		break;
-	case DRAIN:
-		end_attempt(
-		    bed, step->a, (attempt_outcome_t){.announced_drain = true});
-		break;
-	case CONFIRM:
-	case LOSE:
-		scheduler_cancel_ended(bed->scheduler,
-		    bed->attempts[step->a - 1], step->op == CONFIRM, bed->now);
-		break;
-	case CHARGED:
-		assert_int_equal(scheduler_charged(bed->scheduler), step->a);
-		break;
-	case STALE:
-		scheduler_get_stats(bed->scheduler, &stats);
-		assert_int_equal(stats.stale, step->a);
-		break;
-	case LIMIT:
-		bed->limit = (uint32_t)step->a;
-		bed->longest = MS(step->b);
-		break;
-	case SERVERS:
-		list_servers(bed, step->a, step->b);
-		break;
-	case UNLIST:
-		bed->service.servers[0] = *find_spec(bed, step->a);
-		bed->service.server_count = 1;
-		scheduler_set_servers(bed->scheduler, &bed->service, bed->now);
-		break;
-	case LEAVING:
-		scheduler_server_leaving(
-		    bed->scheduler, find_spec(bed, step->a)->server, bed->now);
-		break;
-	case PEER_CRASH:
-		suspect_crashed(bed->suspects, (uint64_t)step->a,
-		    (uint64_t)step->b, bed->now);
-		break;
-	case GIVE_BACK:
-		scheduler_give_back(bed->scheduler, bed->now);
-		break;
-	case DROP:
-		scheduler_cancel_query(
-		    bed->scheduler, (id128_t){1, (uint64_t)step->a}, bed->now);
-		break;
-	default:
-		break;
-	}
-}
-
-static void
-apply_step(bed_t *bed, const step_t *step, int number)
-{
-	job_t job = make_job(step->a, bed->start + MS(step->b));
-	int error = 0;
-
-	bed->now = bed->start + MS(step->at);
-	if (step->op == RESERVE)
-		job.kind = JOB_RESERVATION;
-	if (step->op == SUBMIT || step->op == RESERVE || step->op == REFUSED)
-		error = scheduler_submit(bed->scheduler, &job, bed->now);
-	apply_event(bed, step);
-	run_scheduler(bed);
-	if (step->op == REFUSED)
-		snprintf(bed->actions, sizeof(bed->actions), "%s",
-		    error_kind(error));
-	else
-		assert_int_equal(error, 0);
-	if (strcmp(bed->actions, step->expect) != 0)
-		print_message("    at step %d\n", number);
-	assert_string_equal(bed->actions, step->expect);
-}
-
-static void
-open_bed(bed_t *bed, int servers, uint32_t limit, int warm)
-{
-	*bed = (bed_t){.now = SECONDS(100), .limit = limit, .longest = MS(250)};
-	bed->suspects = suspect_list_create();
-	bed->scheduler = scheduler_create("slotplan", bed->suspects, 1);
-	list_servers(bed, servers, 0);
-	warm_servers(bed, warm);
-}
-
-static void
-close_bed(bed_t *bed)
-{
-	scheduler_destroy(bed->scheduler);
-	suspect_list_destroy(bed->suspects);
-	assert_int_equal(event_count(EVENT_INVARIANT_BROKEN), 0);
-}
-
 static void
 run_case(const case_t *test)
 {
-	bed_t bed;
+	scheduler_fixture_t fixture;
 
 	print_message("  %s\n", test->name);
-	open_bed(&bed, test->servers, (uint32_t)test->limit, test->warm);
+	fixture_open(
+	    &fixture, test->servers, (uint32_t)test->limit, test->warm);
 	for (int i = 0; test->steps[i].expect != NULL; i++)
-		apply_step(&bed, &test->steps[i], i);
-	close_bed(&bed);
+		fixture_apply(&fixture, &test->steps[i], i);
+	fixture_close(&fixture);
 }
 
 static const case_t cases[] = {
@@ -566,16 +276,18 @@
 }
 
 static void
-submit_many(bed_t *bed, const char *customer, uint32_t weight, int count)
+submit_many(scheduler_fixture_t *fixture, const char *customer, uint32_t weight,
+    int count)
 {
 	for (int i = 0; i < count; i++) {
 		/* The later ones are more urgent. */
-		job_t job = make_job(i + 1, bed->now + MS(200 - i));
+		job_t job = fixture_job(i + 1, fixture->now + MS(200 - i));
 
 		job.weight = weight;
 		g_strlcpy(job.customer, customer, sizeof(job.customer));
 		assert_int_equal(
-		    scheduler_submit(bed->scheduler, &job, bed->now), 0);
+		    scheduler_submit(fixture->scheduler, &job, fixture->now),
+		    0);
 	}
 }
 
@@ -585,22 +297,23 @@
 customers_share_by_weight(void **state)
 {
 	int heavy = 0, light = 0, last_heavy = 1000;
-	bed_t bed;
+	scheduler_fixture_t fixture;
 
-	open_bed(&bed, 1, 1, 0);
-	bed.limit = 0;
-	submit_many(&bed, "heavy", 3, 60);
-	submit_many(&bed, "light", 1, 20);
-	bed.limit = 1;
+	fixture_open(&fixture, 1, 1, 0);
+	fixture.limit = 0;
+	submit_many(&fixture, "heavy", 3, 60);
+	submit_many(&fixture, "light", 1, 20);
+	fixture.limit = 1;
 	for (int i = 0; i < 40; i++) {
 		scheduler_action_t action;
 
-		scheduler_run(bed.scheduler, 1, bed.longest, bed.now);
+		scheduler_run(
+		    fixture.scheduler, 1, fixture.longest, fixture.now);
 		do
 			assert_true(
-			    scheduler_next_action(bed.scheduler, &action));
+			    scheduler_next_action(fixture.scheduler, &action));
 		while (action.kind != SCHEDULER_START);
-		bed.attempts[0] = action.attempt;
+		fixture.attempts[0] = action.attempt;
 		if (strcmp(action.job->customer, "heavy") == 0) {
 			heavy++;
 			assert_true((int)action.job->tag < last_heavy);
@@ -609,27 +322,27 @@
 			light++;
 		}
 		assert_true(heavy <= 3 * light + 3 && light <= heavy / 3 + 1);
-		end_attempt(&bed, 1, (attempt_outcome_t){0});
+		fixture_end_attempt(&fixture, 1, (attempt_outcome_t){0});
 	}
 	assert_int_equal(heavy, 30);
-	close_bed(&bed);
+	fixture_close(&fixture);
 }
 
 static void
 the_queue_is_bounded(void **state)
 {
 	job_t job;
-	bed_t bed;
+	scheduler_fixture_t fixture;
 
-	open_bed(&bed, 1, 0, 0);
+	fixture_open(&fixture, 1, 0, 0);
 	for (int i = 0; i < SCHEDULER_MAX_JOBS; i++) {
-		job = make_job(i, bed.now + MS(200));
+		job = fixture_job(i, fixture.now + MS(200));
 		assert_int_equal(
-		    scheduler_submit(bed.scheduler, &job, bed.now), 0);
+		    scheduler_submit(fixture.scheduler, &job, fixture.now), 0);
 	}
 	assert_int_equal(
-	    scheduler_submit(bed.scheduler, &job, bed.now), BW_E_FULL);
-	close_bed(&bed);
+	    scheduler_submit(fixture.scheduler, &job, fixture.now), BW_E_FULL);
+	fixture_close(&fixture);
 }
 
 /* Guards against a request sent for a query that was cancelled before the
@@ -637,35 +350,36 @@
 static void
 cancelled_starts_are_not_given_out(void **state)
 {
-	job_t job = make_job(1, SECONDS(101));
-	bed_t bed;
+	job_t job = fixture_job(1, SECONDS(101));
+	scheduler_fixture_t fixture;
 
-	open_bed(&bed, 1, 1, 0);
+	fixture_open(&fixture, 1, 1, 0);
 	job.kind = JOB_RESERVATION;
-	assert_int_equal(scheduler_submit(bed.scheduler, &job, bed.now), 0);
-	scheduler_run(bed.scheduler, 1, bed.longest, bed.now);
-	assert_int_equal(scheduler_charged(bed.scheduler), 1);
-	scheduler_cancel_query(bed.scheduler, job.query, bed.now);
-	assert_int_equal(scheduler_charged(bed.scheduler), 0);
-	run_scheduler(&bed);
-	assert_string_equal(bed.actions, "");
-	close_bed(&bed);
+	assert_int_equal(
+	    scheduler_submit(fixture.scheduler, &job, fixture.now), 0);
+	scheduler_run(fixture.scheduler, 1, fixture.longest, fixture.now);
+	assert_int_equal(scheduler_charged(fixture.scheduler), 1);
+	scheduler_cancel_query(fixture.scheduler, job.query, fixture.now);
+	assert_int_equal(scheduler_charged(fixture.scheduler), 0);
+	fixture_run(&fixture);
+	assert_string_equal(fixture.actions, "");
+	fixture_close(&fixture);
 }
 
 static void
-run_batch(bed_t *bed, int size)
+run_batch(scheduler_fixture_t *fixture, int size)
 {
-	bed->attempt_count = 0;
+	fixture->attempt_count = 0;
 	for (int i = 0; i < size; i++) {
-		job_t job = make_job(i, bed->now + MS(200));
+		job_t job = fixture_job(i, fixture->now + MS(200));
 
-		scheduler_submit(bed->scheduler, &job, bed->now);
+		scheduler_submit(fixture->scheduler, &job, fixture->now);
 	}
-	run_scheduler(bed);
-	bed->now += MS(5) + bed->now % 1000;
+	fixture_run(fixture);
+	fixture->now += MS(5) + fixture->now % 1000;
 	for (int i = 1; i <= size; i++)
-		end_attempt(bed, i, (attempt_outcome_t){0});
-	run_scheduler(bed);
+		fixture_end_attempt(fixture, i, (attempt_outcome_t){0});
+	fixture_run(fixture);
 }
 
 /* Guards against jobs lost or charges kept in a long run; BW_TIMING=1 makes it
@@ -676,21 +390,21 @@
 	int rounds = getenv("BW_TIMING") != NULL ? 20000 : 200;
 	scheduler_stats_t stats;
 	clock_t begin;
-	bed_t bed;
+	scheduler_fixture_t fixture;
 
-	open_bed(&bed, 3, 5, 3);
+	fixture_open(&fixture, 3, 5, 3);
 	begin = clock();
 	for (int i = 0; i < rounds; i++)
-		run_batch(&bed, 10);
+		run_batch(&fixture, 10);
 	if (getenv("BW_TIMING") != NULL)
 		print_message("%.2f us for each sub-request\n",
 		    (double)(clock() - begin) * 1e6 / CLOCKS_PER_SEC /
 			(rounds * 10));
-	scheduler_get_stats(bed.scheduler, &stats);
+	scheduler_get_stats(fixture.scheduler, &stats);
 	assert_int_equal(stats.attempts, rounds * 10 + 3);
 	assert_int_equal(stats.running + stats.queued, 0);
-	assert_int_equal(scheduler_next_wakeup(bed.scheduler), 0);
-	close_bed(&bed);
+	assert_int_equal(scheduler_next_wakeup(fixture.scheduler), 0);
+	fixture_close(&fixture);
 }
 
 int
