--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -347,7 +347,7 @@
 	if (!http_message_find(request, engine->settings.headers.request_id,
 		&exchange->request_id) ||
 	    exchange->request_id.size == 0 ||
-	    exchange->request_id.size >= SERVER_ID_MAX) {
+	    exchange->request_id.size >= REQUEST_ID_MAX) {
 		*cause = "no_request_id";
 		exchange->request_id = slice_from("-");
 		return BW_E_INVALID;
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -22,6 +22,8 @@
 	ATTEMPT_UNKNOWN	  /* the server may have run it */
 } attempt_outcome_t;
 
+#define REQUEST_ID_MAX 64 /* bytes of an id, with the final NUL */
+
 typedef struct pool pool_t;
 typedef struct attempt attempt_t;
 
@@ -32,7 +34,7 @@
 	usec_t started_at;
 	usec_t expires_at;  /* the server stops work here */
 	bool arrived_maybe; /* a byte of the request has left */
-	char request_id[SERVER_ID_MAX];
+	char request_id[REQUEST_ID_MAX];
 	struct pool_connection *connection;
 };
 
--- a/source/peers/peer_group.c
+++ b/source/peers/peer_group.c
@@ -5,10 +5,16 @@
 
 /* With fewer nodes, relays save no calls. */
 #define LEAST_NODES (PEER_RELAYS + 2)
-/* A few datagrams may be lost before a relay counts as gone. */
-#define RELAY_SILENCE MS(1100)
-/* A relay asks the store twice a second whether it answers. */
-#define STORE_SILENCE MS(1300)
+/*
+ * A relay asks the store twice a second whether it answers, and says so four
+ * times a second; some of that may be lost.
+ */
+#define RELAY_SILENCE MS(1300)
+/* A node that the store has not answered for so long can't be a relay. */
+#define STORE_SILENCE SECONDS(3)
+/* Each node that comes before has this time to take a relay's place. */
+#define PROMOTION_STEP MS(300)
+#define PROMOTION_MAX SECONDS(3)
 /* The datagrams with a change may come after the status that names it. */
 #define CHANGE_DELAY MS(300)
 
@@ -16,6 +22,7 @@
 	name_t own_name;
 	GArray *peers;	     /* peer_t, in the order of their names */
 	usec_t behind_since; /* a relay knows more than this node; 0: no */
+	usec_t vacant_since; /* relays are missing; 0: no */
 	peer_role_t role;
 };
 
@@ -97,38 +104,51 @@
 	return &g_array_index(group->peers, peer_t, index);
 }
 
-static bool
-is_heard(const peer_t *peer, usec_t now)
-{
-	return peer->heard_at != 0 && now - peer->heard_at < RELAY_SILENCE;
-}
-
 static bool
 is_fresh(const peer_t *peer, usec_t now)
 {
-	return is_heard(peer, now) && now < peer->fresh_until;
+	return now < peer->fresh_until;
 }
 
 void
 peer_group_note_status(peer_t *peer, const peer_status_t *status, usec_t now)
 {
-	peer->heard_at = now;
-	peer->fresh_until = now + STORE_SILENCE - status->age;
+	peer->fresh_until = now + RELAY_SILENCE - status->age;
 	memcpy(peer->positions, status->positions, sizeof(peer->positions));
 }
 
+/* When this node is to be a relay if the nodes before it stay silent. */
+static usec_t
+promotion_time(const peer_group_t *group, uint32_t silent)
+{
+	usec_t wait = silent * PROMOTION_STEP;
+
+	return group->vacant_since + MIN(wait, PROMOTION_MAX);
+}
+
 static bool
-is_relay(const peer_group_t *group, usec_t now)
+is_relay(peer_group_t *group, usec_t now)
 {
-	uint32_t before = 0;
+	uint32_t before = 0, silent = 0;
 
 	for (guint i = 0; i < group->peers->len; i++) {
 		const peer_t *peer = peer_group_at(group, i);
 
-		if (strcmp(peer->node.name, group->own_name) < 0)
-			before += is_heard(peer, now);
+		if (strcmp(peer->node.name, group->own_name) > 0)
+			continue;
+		if (is_fresh(peer, now))
+			before++;
+		else
+			silent++;
+	}
+	if (before >= PEER_RELAYS) {
+		group->vacant_since = 0;
+		return false;
 	}
-	return before < PEER_RELAYS;
+	if (group->vacant_since == 0)
+		group->vacant_since = now;
+	return group->role == PEER_RELAY ||
+	    now >= promotion_time(group, silent);
 }
 
 bool
@@ -185,12 +205,16 @@
 }
 
 peer_role_t
-peer_group_role(
-    peer_group_t *group, const peer_position_t own[PEER_TOPICS], usec_t now)
+peer_group_role(peer_group_t *group, const peer_position_t own[PEER_TOPICS],
+    usec_t checked_at, usec_t now)
 {
+	bool reaches_store =
+	    checked_at != 0 && now - checked_at < STORE_SILENCE;
+	bool relay = is_relay(group, now);
+
 	if (group->peers->len + 1 < LEAST_NODES)
 		group->role = PEER_ALONE;
-	else if (is_relay(group, now))
+	else if (relay && reaches_store)
 		group->role = PEER_RELAY;
 	else if (is_covered(group, own, now))
 		group->role = PEER_FOLLOWER;
--- a/source/peers/peer_group.h
+++ b/source/peers/peer_group.h
@@ -14,11 +14,11 @@
  *
  * Load pattern: many nodes, and a configuration and servers that change. When
  * each node asks the platform's store for each change, the calls grow with the
- * nodes, and the store's rates do not. The first nodes by name that are heard
- * are relays: they ask, and tell the others. The others follow as long as a
- * relay is heard that reaches the store, and nothing that it knows is missing
- * here; otherwise they ask for themselves. Nothing depends on agreement: with
- * relays too many or too few, only calls are made that would not be needed.
+ * nodes, and the store's rates do not. The first nodes by name that reach the
+ * store are relays: they ask, and tell the others. The others follow as long as
+ * a relay is heard and nothing that it knows is missing here; otherwise they
+ * ask for themselves. Nothing depends on agreement: with relays too many or too
+ * few, only calls are made that would not be needed.
  */
 
 #define PEER_GROUP_MAX 256
@@ -43,8 +43,7 @@
 
 typedef struct {
 	peer_address_t node;
-	usec_t heard_at;    /* when its last status came; 0: never */
-	usec_t fresh_until; /* it has reached the store not long before */
+	usec_t fresh_until; /* it is a relay, and reached the store lately */
 	peer_position_t positions[PEER_TOPICS];
 } peer_t;
 
@@ -75,9 +74,10 @@
 /**
  * peer_group_role() - What this node is now.
  * @own: how far it has read the topics
+ * @checked_at: when the store last answered it; 0: never
  */
-peer_role_t peer_group_role(
-    peer_group_t *group, const peer_position_t own[PEER_TOPICS], usec_t now);
+peer_role_t peer_group_role(peer_group_t *group,
+    const peer_position_t own[PEER_TOPICS], usec_t checked_at, usec_t now);
 
 /**
  * peer_group_lacks() - Whether a relay that reaches the store knows of changes
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -63,8 +63,6 @@
 {
 	peer_message_t message = {.kind = PEER_STATUS};
 
-	if (link->checked_at == 0)
-		return;
 	if (g_queue_is_empty(&link->unsent))
 		memcpy(link->told, link->positions, sizeof(link->told));
 	memcpy(message.status.positions, link->told, sizeof(link->told));
@@ -75,7 +73,8 @@
 static peer_role_t
 next_role(peer_link_t *link, usec_t now)
 {
-	peer_role_t role = peer_group_role(link->group, link->positions, now);
+	peer_role_t role = peer_group_role(
+	    link->group, link->positions, link->checked_at, now);
 
 	return role == PEER_FOLLOWER && now < link->doubt_until ? PEER_ALONE
 								: role;
@@ -332,6 +331,7 @@
 {
 	peer_position_t *own = &link->positions[topic];
 
+	peer_link_checked(link);
 	own->revision = MAX(own->revision, revision);
 }
 
@@ -372,6 +372,7 @@
 	    .to = to,
 	};
 
+	peer_link_checked(link);
 	if (to <= own->revision)
 		return;
 	if (link->role == PEER_RELAY && content.size > 0)
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -28,6 +28,7 @@
 	address_t metrics;
 	int version; /* of the configuration written last */
 	int timeout_ms;
+	uint32_t polls; /* that the store had when a check began */
 } gateway_world_t;
 
 /** world_create() - Stand-ins and a ready gateway. */
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -30,6 +30,9 @@
 	GPtrArray *objects; /* stored_t, by kind and name */
 	json_int_t revision;
 	json_int_t compacted; /* history up to here is gone */
+	json_int_t forgotten; /* the same, but for new watches only */
+	/* as compacted, but for new watches only */ /* history up to here
+							is gone */
 	uint32_t page;
 	store_fault_t fault;
 	uint64_t calls;
@@ -187,6 +190,11 @@
 	json_t *events;
 
 	g_mutex_lock(&store->lock);
+	if (revision < store->forgotten) {
+		g_mutex_unlock(&store->lock);
+		fake_reply_text(reply, 410, "{}");
+		return;
+	}
 	count(store->watches, kind, 1);
 	if (until - clock_monotonic() >= LONG_WAIT)
 		count(store->polls, kind, 1);
@@ -366,6 +374,14 @@
 	fake_server_wake_all(store->http);
 }
 
+void
+object_store_forget(object_store_t *store)
+{
+	g_mutex_lock(&store->lock);
+	store->forgotten = ++store->revision;
+	g_mutex_unlock(&store->lock);
+}
+
 void
 object_store_compact(object_store_t *store)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -36,6 +36,9 @@
 /** object_store_compact() - Forgets history and ends all watches. */
 void object_store_compact(object_store_t *store);
 
+/** object_store_forget() - Forgets history; watches that wait go on waiting. */
+void object_store_forget(object_store_t *store);
+
 /** object_store_calls() - Calls so far. */
 uint64_t object_store_calls(object_store_t *store);
 
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -83,6 +83,30 @@
 	world_destroy(world);
 }
 
+static bool
+has_polled_again(gateway_world_t *world)
+{
+	return object_store_polls(world->store, "servers") > world->polls;
+}
+
+/*
+ * The answer 410 to the probe means that changes were dropped which a waiting
+ * poll may never tell: both polls begin again.
+ */
+static void
+begins_again_when_the_probe_finds_history_gone(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+
+	assert_true(world_wait(watches_again, world, SOON_MS));
+	world->polls = object_store_polls(world->store, "servers");
+	object_store_forget(world->store);
+	assert_true(world_wait(has_polled_again, world, SOON_MS));
+	world_configure(world);
+	assert_true(world_wait(adopted, world, SOON_MS));
+	world_destroy(world);
+}
+
 static void
 serves_while_the_store_is_away(void **state)
 {
@@ -283,6 +307,7 @@
 	    HARNESS_TEST(says_not_run_before_its_first_configuration),
 	    HARNESS_TEST(follows_the_configuration),
 	    HARNESS_TEST(notices_a_watch_that_was_lost_in_an_outage),
+	    HARNESS_TEST(begins_again_when_the_probe_finds_history_gone),
 	    HARNESS_TEST(serves_while_the_store_is_away),
 	    HARNESS_TEST(sends_nothing_to_a_server_that_leaves),
 	    HARNESS_TEST(reads_a_backlog_of_changes_at_once),
