--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -18,6 +18,11 @@
 /* Of the 5 s after which a leaving server must get no more requests, 1.5 s are
  * used after a node has learned of it. */
 #define LEARN_MS 3500
+/* Entries that lapsed may be used for 2.6 s after an outage. */
+#define RETURN_LEARN_MS 2400
+#define STRAY_ENTRIES 400
+#define STRAY_WORDS 60
+#define CUT_MS 4500 /* its probe fails meanwhile */
 #define STEP_MS 20
 #define CHANGES 3
 #define PAUSE_MS 2200 /* longer than a node's pause after a change */
@@ -80,19 +85,25 @@
 	world_register(fleet->world, server, "draining");
 }
 
+static void
+wait_for_node(const gateway_fleet_t *fleet, int gateway, int leaving,
+    gint64 until, const char *failure)
+{
+	while (!knows(fleet, gateway, leaving)) {
+		if (g_get_monotonic_time() > until)
+			fail_msg("%s: g%d does not know", failure, gateway);
+		g_usleep(STEP_MS * 1000);
+	}
+}
+
 static void
 wait_until_known(
     const gateway_fleet_t *fleet, int first, int leaving, const char *failure)
 {
 	gint64 until = g_get_monotonic_time() + LEARN_MS * 1000;
 
-	for (int i = first; i < FLEET_GATEWAYS; i++) {
-		while (!knows(fleet, i, leaving)) {
-			if (g_get_monotonic_time() > until)
-				fail_msg("%s: g%d does not know", failure, i);
-			g_usleep(STEP_MS * 1000);
-		}
-	}
+	for (int i = first; i < FLEET_GATEWAYS; i++)
+		wait_for_node(fleet, i, leaving, until, failure);
 }
 
 /* Calls grew with the nodes when each of them watched the store. */
@@ -203,6 +214,52 @@
 	world_destroy(world);
 }
 
+/* More than relays can tell, so that a node has to ask for itself. */
+static void
+write_much(gateway_world_t *world)
+{
+	GRand *random = g_rand_new_with_seed(1);
+
+	for (int i = 0; i < STRAY_ENTRIES; i++) {
+		char name[32];
+		GString *text = g_string_new(NULL);
+
+		snprintf(name, sizeof(name), "stray-%d", i);
+		for (int j = 0; j < STRAY_WORDS; j++)
+			g_string_append_printf(
+			    text, "%08x", g_rand_int(random));
+		object_store_put(world->store, "servers", name,
+		    json_pack("{s:s}", "service", text->str));
+		g_string_free(text, TRUE);
+	}
+	g_rand_free(random);
+}
+
+/*
+ * A node that was cut off waited for relays before it asked the store again,
+ * and used a server that had left beyond its bound.
+ */
+static void
+a_node_that_was_cut_off_learns_in_time(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+	int last = FLEET_GATEWAYS - 1;
+	gint64 until;
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	proxy_set(fleet.gateways[last].store_way, PROXY_HOLD);
+	write_much(world);
+	g_usleep(CUT_MS * 1000);
+	proxy_set(fleet.gateways[last].store_way, PROXY_PASS);
+	change(&fleet, 0);
+	until = g_get_monotonic_time() + RETURN_LEARN_MS * 1000;
+	wait_for_node(&fleet, last, 1, until, "back at the store");
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
 /* After an outage, history that was dropped must not leave gaps. */
 static void
 all_catch_up_after_an_outage(void **state)
@@ -281,6 +338,7 @@
 	static const struct CMUnitTest tests[] = {
 	    HARNESS_TEST(relays_ask_for_all),
 	    HARNESS_TEST(followers_learn_in_time_when_relays_fail),
+	    HARNESS_TEST(a_node_that_was_cut_off_learns_in_time),
 	    HARNESS_TEST(all_catch_up_after_an_outage),
 	    HARNESS_TEST(datagrams_of_strangers_are_dropped),
 	};
