Tell all nodes which requests crash the servers that run them

Cause: a request that crashes each server was bounded for one client attempt only. It comes again at any node, and each node let it crash servers once more.

Change: a server that loses a connection with a request running and then refuses connections has crashed (a lost answer alone is none); the pool connects at once to find out. The product's list of suspects, as the serving nodes use it, decides: after one crash the request gets one attempt on one server, after a second one in another attempt it is refused as not run for 60 s. Servers that crash at the same moment count once, whatever the cause. A node tells all nodes of all data centres by datagram, twice. The refusal is 503, since the platform's clients take only that as "not run".

Tests: a_request_that_crashes_servers_is_known_to_all (without the datagrams other nodes crash servers again: seen failing), a_request_whose_answers_are_lost_is_not_suspected (without the refused connection as proof: seen failing). The stand-in server crashes on demand.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # The gateway needs few of the libraries, and its memory counts.
 GATEWAY_CFLAGS := $(shell pkg-config --cflags glib-2.0 jansson)
 GATEWAY_LIBS := $(shell pkg-config --libs glib-2.0 jansson) -lev -llog4c \
-    -lhttp_parser -lmsgpackc -lz -lm
+    -lhttp_parser -lmsgpackc -lxxhash -lz -lm
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
 CSTD = -std=gnu11 -D_GNU_SOURCE
@@ -54,7 +54,8 @@
 GATEWAY_SRC := tools/bulrushwell-gateway.c $(wildcard source/gateway/*.c \
     source/http/*.c source/peers/*.c platform/*.c) \
     $(addprefix source/base/,buffer.c clock.c codec.c \
-    error.c event.c histogram.c log_sink.c loop_clock.c name.c) source/net/net_address.c source/query/limiter.c
+    error.c event.c histogram.c log_sink.c loop_clock.c name.c) source/net/net_address.c source/query/limiter.c \
+    source/routing/suspect.c
 GATEWAY_OBJ := $(GATEWAY_SRC:%.c=$(BUILD)/%.o)
 GATEWAY = $(BUILD)/bin/bulrushwell-gateway
 
--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -394,6 +394,30 @@
 	return !exchange->admitted;
 }
 
+/* Whether the request has crashed servers, in other attempts of clients too. */
+static bool
+crashes_servers(exchange_t *exchange, usec_t now)
+{
+	const http_message_t *request = exchange->request;
+	slice_t target = http_message_target(request);
+	slice_t host = {0};
+	char *host_text, *path;
+	suspect_verdict_t verdict;
+
+	http_message_find(request, "Host", &host);
+	host_text = g_strndup(host.data, host.size);
+	path = g_strndup(target.data, target.size);
+	exchange->fingerprint =
+	    suspect_fingerprint(host_text, http_message_method(request), path,
+		(slice_t){request->body.data, request->body.size});
+	g_free(host_text);
+	g_free(path);
+	verdict = suspect_verdict(
+	    exchange->engine->suspects, exchange->fingerprint, now);
+	exchange->suspect = verdict != SUSPECT_CLEAR;
+	return verdict == SUSPECT_REFUSED;
+}
+
 static void
 begin(exchange_t *exchange, bool fresh, usec_t now)
 {
@@ -401,6 +425,14 @@
 
 	exchange->state = route_state_find(engine, exchange->route);
 	set_times(exchange, fresh);
+	if (crashes_servers(exchange, now)) {
+		event_log_sampled(EVENT_SUSPECT_REFUSED,
+		    "request=%.*s fingerprint=%016llx",
+		    (int)exchange->request_id.size, exchange->request_id.data,
+		    (unsigned long long)exchange->fingerprint);
+		reply_error(exchange, BW_E_SUSPECT, "crashes_servers", now);
+		return;
+	}
 	assign_tasks(exchange);
 	/* Before the limit, which would take the refusal for overload. */
 	if (lacks_servers(exchange, now)) {
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -81,6 +81,18 @@
 void engine_visit_routes(exchange_engine_t *engine,
     void (*visit)(void *context, const route_view_t *route), void *context);
 
+/** typedef suspect_told_t - A request crashed a server; others should know. */
+typedef void (*suspect_told_t)(
+    void *context, uint64_t fingerprint, uint64_t crash);
+
+/** engine_tell_suspects() - Who is told what this node finds. */
+void engine_tell_suspects(
+    exchange_engine_t *engine, suspect_told_t tell, void *context);
+
+/** engine_suspect() - Another node found that a request crashed a server. */
+void engine_suspect(
+    exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash);
+
 /** engine_refuse() - From now on, new requests are refused as not run. */
 void engine_refuse(exchange_engine_t *engine);
 
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -1,5 +1,6 @@
 /* What all exchanges share: the pool, the limiter, the state of routes. */
 #include "../base/loop_clock.h"
+#include "bulrushwell/event.h"
 #include "exchange_private.h"
 
 #define MAX_RESPONSE_BYTES ((size_t)8 * 1024 * 1024)
@@ -39,6 +40,7 @@
 	const pool_handlers_t handlers = {
 	    .ended = task_ended,
 	    .room = task_room,
+	    .crashed = engine_crashed,
 	    .context = engine,
 	};
 
@@ -46,6 +48,7 @@
 	engine->settings = *settings;
 	engine->pool = pool_create(loop, &pool_settings, &handlers);
 	engine->limiter = limiter_create();
+	engine->suspects = suspect_list_create();
 	engine->route_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, free_route_state);
 	return engine;
@@ -58,6 +61,7 @@
 		return;
 	pool_destroy(engine->pool);
 	limiter_destroy(engine->limiter);
+	suspect_list_destroy(engine->suspects);
 	route_table_drop(engine->table);
 	g_hash_table_destroy(engine->route_states);
 	buffer_free(&engine->scratch);
@@ -90,6 +94,41 @@
 	return &engine->counters;
 }
 
+void
+engine_tell_suspects(
+    exchange_engine_t *engine, suspect_told_t tell, void *context)
+{
+	engine->tell_suspect = tell;
+	engine->tell_context = context;
+}
+
+void
+engine_suspect(exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash)
+{
+	if (suspect_crashed(
+		engine->suspects, fingerprint, crash, engine_now(engine)))
+		event_log_sampled(EVENT_SUSPECT_ADDED,
+		    "fingerprint=%016llx from=peer",
+		    (unsigned long long)fingerprint);
+}
+
+void
+engine_crashed(void *context, const replica_t *replica, const lost_run_t *run)
+{
+	exchange_engine_t *engine = context;
+
+	if (!suspect_crashed(engine->suspects, run->fingerprint, run->crash,
+		engine_now(engine)))
+		return;
+	event_log_sampled(EVENT_SUSPECT_ADDED,
+	    "fingerprint=%016llx server=%s upstream=%s",
+	    (unsigned long long)run->fingerprint, replica->entry.id,
+	    replica->upstream->name);
+	if (engine->tell_suspect != NULL)
+		engine->tell_suspect(
+		    engine->tell_context, run->fingerprint, run->crash);
+}
+
 void
 engine_refuse(exchange_engine_t *engine)
 {
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -2,6 +2,7 @@
 #define EXCHANGE_PRIVATE_H
 
 #include "bulrushwell/limiter.h"
+#include "bulrushwell/suspect.h"
 #include "exchange.h"
 #include "return_schedule.h"
 
@@ -51,7 +52,9 @@
 	const route_t *route;
 	route_state_t *state;
 	slice_t request_id;
-	buffer_t head; /* request line and headers for all servers */
+	uint64_t fingerprint; /* the same for each client attempt */
+	bool suspect;	      /* it has crashed a server */
+	buffer_t head;	      /* request line and headers for all servers */
 	usec_t received_at;
 	usec_t goal_at;
 	usec_t final_at;
@@ -72,6 +75,9 @@
 	engine_settings_t settings;
 	pool_t *pool;
 	limiter_t *limiter; /* of running fan-outs */
+	suspect_list_t *suspects;
+	suspect_told_t tell_suspect; /* NULL: there is nobody to tell */
+	void *tell_context;
 	route_table_t *table;
 	GHashTable *route_states; /* by route name */
 	exchange_counters_t counters;
@@ -116,6 +122,10 @@
 /** exchange_check() - Answers if it is time; may free the exchange. */
 void exchange_check(exchange_t *exchange, usec_t now);
 
+/** engine_crashed() - Handler for the pool. */
+void engine_crashed(
+    void *context, const replica_t *replica, const lost_run_t *run);
+
 /** route_state_find() - The state of a route; made at its first request. */
 route_state_t *route_state_find(
     exchange_engine_t *engine, const route_t *route);
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -108,6 +108,13 @@
 	return (double)wait / USEC_PER_SEC;
 }
 
+/* The platform's clients know no other status that says "not run" for this. */
+static int
+error_status(int error)
+{
+	return error == BW_E_SUSPECT ? 503 : error_http_status(error);
+}
+
 void
 reply_error(exchange_t *exchange, int error, const char *cause, usec_t now)
 {
@@ -115,7 +122,7 @@
 	char body[ERROR_BODY_MAX];
 	buffer_t head = {0};
 	int said = honest_error(exchange, error);
-	int status = error_http_status(said);
+	int status = error_status(said);
 	int size = snprintf(body, sizeof(body),
 	    "{\"error\":{\"kind\":\"%s\",\"code\":%d,\"not_run\":%s,"
 	    "\"message\":\"%s\",\"remedy\":\"%s\"}}\n",
@@ -135,6 +142,14 @@
 	buffer_free(&head);
 }
 
+static void
+clear_suspect(const exchange_t *exchange, usec_t now)
+{
+	if (exchange->suspect)
+		suspect_answered(
+		    exchange->engine->suspects, exchange->fingerprint, now);
+}
+
 void
 reply_response(exchange_t *exchange, const attempt_t *attempt,
     const http_message_t *response, usec_t now)
@@ -146,9 +161,10 @@
 
 	if (changed)
 		status = 502;
-	if (status < 500)
+	if (status < 500) {
 		exchange->engine->counters.answered++;
-	else
+		clear_suspect(exchange, now);
+	} else
 		exchange->engine->counters.failed++;
 	log_end(exchange, status, attempt->replica->entry.id, now);
 	record_end(exchange, status < 500, now);
@@ -202,6 +218,7 @@
 
 	counters->answered++;
 	exchange->answered = true;
+	clear_suspect(exchange, now);
 	if (in < exchange->task_count)
 		counters->partial++;
 	log_end(exchange, 200, in < exchange->task_count ? "partial" : "whole",
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -17,6 +17,9 @@
 {
 	uint32_t most = task->exchange->route->max_attempts;
 
+	/* Each further server may crash as well. */
+	if (task->exchange->suspect)
+		return 1;
 	return MIN(MAX(most, 1), TASK_MAX_ATTEMPTS);
 }
 
@@ -59,6 +62,18 @@
 	    (task->exchange->route->idempotent || !task->ran);
 }
 
+/*
+ * Names the first, second and so on sends of one client attempt: servers that
+ * crash at the same moment count once, whatever the cause.
+ */
+static uint64_t
+try_number(const task_t *task)
+{
+	slice_t id = task->exchange->request_id;
+
+	return suspect_fingerprint("", "", "", id) + task->sent;
+}
+
 static void
 send_attempt(task_t *task, replica_t *replica, usec_t now)
 {
@@ -71,6 +86,8 @@
 	    .request_id = exchange->request_id,
 	    .head_only = exchange->request->parser.method == HTTP_HEAD,
 	    .expires_at = exchange->final_at,
+	    .fingerprint = exchange->fingerprint,
+	    .crash = try_number(task),
 	    .latency = exchange->state->latency,
 	};
 	attempt_t *attempt;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -193,6 +193,26 @@
 	ev_prepare_start(gateway->loop, &gateway->prepare);
 }
 
+static void
+tell_suspect(void *context, uint64_t fingerprint, uint64_t crash)
+{
+	peer_link_tell_suspect(context, fingerprint, crash);
+}
+
+static int
+open_peers(gateway_t *gateway)
+{
+	const gateway_settings_t *settings = &gateway->settings;
+
+	gateway->peers = peer_link_create(
+	    gateway->loop, settings->node, &settings->peer_address);
+	if (gateway->peers == NULL)
+		return BW_E_IO;
+	peer_link_set_follow(gateway->peers, settings->may_follow);
+	engine_tell_suspects(gateway->engine, tell_suspect, gateway->peers);
+	return 0;
+}
+
 static bool
 open_addresses(gateway_t *gateway, char *why, size_t why_size)
 {
@@ -215,9 +235,7 @@
 	}
 	if (error == 0 && settings->has_peer_address) {
 		flag = "peers";
-		gateway->peers = peer_link_create(
-		    gateway->loop, settings->node, &settings->peer_address);
-		error = gateway->peers != NULL ? 0 : BW_E_IO;
+		error = open_peers(gateway);
 	}
 	if (error == 0)
 		return true;
@@ -284,6 +302,12 @@
 	return gateway->peers;
 }
 
+void
+gateway_suspect(gateway_t *gateway, uint64_t fingerprint, uint64_t crash)
+{
+	engine_suspect(gateway->engine, fingerprint, crash);
+}
+
 bool
 gateway_stopping(const gateway_t *gateway)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -31,6 +31,9 @@
 /** gateway_peers() - Its link to other gateways, or NULL without one. */
 peer_link_t *gateway_peers(gateway_t *gateway);
 
+/** gateway_suspect() - Another node found that a request crashed a server. */
+void gateway_suspect(gateway_t *gateway, uint64_t fingerprint, uint64_t crash);
+
 /** gateway_stopping() - Whether a planned stop has begun. */
 bool gateway_stopping(const gateway_t *gateway);
 
--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -172,8 +172,8 @@
 	settings->drain_limit =
 	    (usec_t)(LAST_RESORT_PART * drain_ms * USEC_PER_MS);
 	/* A leaving server must not be learned of too late from others. */
-	if (TOLD_PART * drain_ms * USEC_PER_MS < PEER_LEARN_MAX)
-		settings->has_peer_address = false;
+	settings->may_follow =
+	    TOLD_PART * drain_ms * USEC_PER_MS >= PEER_LEARN_MAX;
 	settings->stop_limit = (usec_t)(stop_s * USEC_PER_SEC) - STOP_MARGIN;
 	return 0;
 }
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -23,7 +23,8 @@
 	struct sockaddr_in metrics_address;
 	bool has_metrics_address;
 	struct sockaddr_in peer_address;
-	bool has_peer_address; /* given, and the bounds allow to use it */
+	bool has_peer_address;
+	bool may_follow; /* the bounds allow to be told of changes by peers */
 	struct sockaddr_in store_address;
 	usec_t store_history; /* the store keeps changes for this long */
 	retry_limits_t retries;
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -35,6 +35,8 @@
 	usec_t expires_at;  /* the server stops work here */
 	bool arrived_maybe; /* a byte of the request has left */
 	char request_id[REQUEST_ID_MAX];
+	uint64_t fingerprint; /* of the request, the same for each try */
+	uint64_t crash;	      /* names this try, if the server crashes */
 	struct pool_connection *connection;
 };
 
@@ -50,6 +52,9 @@
 	    attempt_outcome_t outcome, const http_message_t *response);
 	/** A server of the upstream may take another attempt. */
 	void (*room)(void *context, upstream_t *upstream);
+	/** A server crashed while it ran the request. */
+	void (*crashed)(
+	    void *context, const replica_t *replica, const lost_run_t *run);
 	void *context;
 } pool_handlers_t;
 
@@ -111,6 +116,8 @@
 	slice_t request_id;
 	bool head_only;
 	usec_t expires_at;
+	uint64_t fingerprint;
+	uint64_t crash;
 	latency_model_t *latency;
 } pool_request_t;
 
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -15,6 +15,8 @@
 #define SWEEP_INTERVAL MS(100)
 #define RECENT_INTERVAL MS(500)
 #define BROKEN_IN_ROW_EJECTS 3
+/* A server that refuses connections so soon after it lost one has crashed. */
+#define CRASH_CONFIRM_TIME SECONDS(2)
 #define SPARE_INTERVAL MS(400) /* between spare connections to a server */
 #define SPARE_PER_SWEEP 4      /* nodes that start together spread their load */
 
@@ -79,6 +81,32 @@
 	pool_close_idle(replica);
 }
 
+static void
+remember_lost_run(replica_t *replica, const attempt_t *attempt, usec_t now)
+{
+	if (replica->lost_run_count == LOST_RUNS_MAX)
+		return;
+	replica->lost_runs[replica->lost_run_count++] =
+	    (lost_run_t){attempt->fingerprint, attempt->crash, now};
+}
+
+/*
+ * A lost connection alone may be a lost answer. When the server then refuses
+ * connections, it has crashed, maybe because of what it ran.
+ */
+static void
+confirm_crash(pool_t *pool, replica_t *replica, usec_t now)
+{
+	for (uint32_t i = 0; i < replica->lost_run_count; i++) {
+		const lost_run_t *run = &replica->lost_runs[i];
+
+		if (now - run->at < CRASH_CONFIRM_TIME)
+			pool->handlers.crashed(
+			    pool->handlers.context, replica, run);
+	}
+	replica->lost_run_count = 0;
+}
+
 void
 pool_connection_fail(pool_connection_t *connection, bool refused)
 {
@@ -94,6 +122,10 @@
 	connection->held = true;
 	if (refused || attempt != NULL)
 		note_broken(replica, refused, pool_now(pool));
+	if (refused && !arrived)
+		confirm_crash(pool, replica, pool_now(pool));
+	else if (!refused && arrived)
+		remember_lost_run(replica, attempt, pool_now(pool));
 	if (attempt != NULL) {
 		pool->broken[0]++;
 		attempt->connection = NULL;
@@ -112,6 +144,7 @@
 	replica_t *replica = connection->replica;
 
 	connection->idle_since = pool_now(connection->pool);
+	replica->lost_run_count = 0;
 	if (!replica->health.unproven)
 		return;
 	replica_health_connected(&replica->health);
@@ -175,6 +208,7 @@
 	    pool_connection_limit(connection->pool, replica->upstream);
 
 	replica->broken_in_row = 0;
+	replica->lost_run_count = 0;
 	if (not_run) {
 		replica_health_shed(
 		    &replica->health, replica->connections->len, now);
@@ -308,6 +342,8 @@
 	attempt->latency = request->latency;
 	attempt->started_at = now;
 	attempt->expires_at = request->expires_at;
+	attempt->fingerprint = request->fingerprint;
+	attempt->crash = request->crash;
 	attempt->connection = connection;
 	g_strlcpy(attempt->request_id, request->request_id.data,
 	    MIN(sizeof(attempt->request_id), request->request_id.size + 1));
@@ -402,8 +438,8 @@
 	if (!upstream->routed || replica->leaving_since != 0 ||
 	    replica->connections->len > 0)
 		return false;
-	if (replica->health.unproven)
-		return true; /* nothing else shows that it is back */
+	if (replica->health.unproven || replica->lost_run_count > 0)
+		return true; /* nothing else shows whether it lives */
 	if (pool_connection_limit(pool, upstream) > 1)
 		return true;
 	return replica->preferred;
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -29,6 +29,15 @@
 	int64_t sequence;    /* grows with each report of an incarnation */
 } server_entry_t;
 
+/** A request that ran when a connection to the server was lost. */
+typedef struct {
+	uint64_t fingerprint; /* of the request */
+	uint64_t crash;	      /* of this try of it */
+	usec_t at;
+} lost_run_t;
+
+#define LOST_RUNS_MAX 8
+
 typedef struct upstream upstream_t;
 typedef struct replica replica_t;
 
@@ -42,6 +51,8 @@
 	usec_t leaving_since; /* 0: it stays */
 	bool listed;	      /* the registry has its entry */
 	uint32_t broken_in_row;
+	lost_run_t lost_runs[LOST_RUNS_MAX]; /* until it shows that it lives */
+	uint32_t lost_run_count;
 	bool removed; /* freed with its last connection */
 	GPtrArray *connections;
 	bool assigned;	/* this node uses it while others are fine too */
--- a/source/peers/peer_group.c
+++ b/source/peers/peer_group.c
@@ -45,11 +45,11 @@
 	g_free(group);
 }
 
-static bool
-same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+bool
+peer_address_is(const peer_address_t *node, const struct sockaddr_in *address)
 {
-	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
-	    a->sin_port == b->sin_port;
+	return node->address.sin_addr.s_addr == address->sin_addr.s_addr &&
+	    node->address.sin_port == address->sin_port;
 }
 
 peer_t *
@@ -58,7 +58,7 @@
 	for (guint i = 0; i < group->peers->len; i++) {
 		peer_t *peer = &g_array_index(group->peers, peer_t, i);
 
-		if (same_address(&peer->node.address, address))
+		if (peer_address_is(&peer->node, address))
 			return peer;
 	}
 	return NULL;
@@ -81,7 +81,8 @@
 		const peer_t *old = peer_group_find(group, &nodes[i].address);
 		peer_t peer = {.node = nodes[i]};
 
-		if (strcmp(nodes[i].name, group->own_name) == 0)
+		if (!nodes[i].same_data_centre ||
+		    strcmp(nodes[i].name, group->own_name) == 0)
 			continue;
 		if (old != NULL && strcmp(old->node.name, nodes[i].name) == 0)
 			peer = *old;
--- a/source/peers/peer_group.h
+++ b/source/peers/peer_group.h
@@ -39,6 +39,7 @@
 typedef struct {
 	name_t name;
 	struct sockaddr_in address;
+	bool same_data_centre; /* as this node */
 } peer_address_t;
 
 typedef struct {
@@ -54,7 +55,8 @@
 void peer_group_destroy(peer_group_t *group);
 
 /**
- * peer_group_set() - The nodes of the data centre, this one included or not.
+ * peer_group_set() - All nodes, this one included or not; those of other data
+ * centres are left out.
  * What is known of a node is kept while its address stays the same.
  */
 void peer_group_set(
@@ -63,6 +65,10 @@
 uint32_t peer_group_count(const peer_group_t *group);
 const peer_t *peer_group_at(const peer_group_t *group, uint32_t index);
 
+/** peer_address_is() - Whether the node receives datagrams there. */
+bool peer_address_is(
+    const peer_address_t *node, const struct sockaddr_in *address);
+
 /** peer_group_find() - The peer with this address, or NULL. */
 peer_t *peer_group_find(
     const peer_group_t *group, const struct sockaddr_in *address);
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -22,6 +22,10 @@
 	struct ev_loop *loop;
 	peer_link_handlers_t handlers;
 	peer_group_t *group;
+	GArray *nodes;	  /* peer_address_t: all of them */
+	GArray *suspects; /* peer_suspect_t: to be told once more */
+	struct sockaddr_in own_address;
+	bool follow;
 	ev_io io;
 	ev_timer tick;
 	ev_timer pace;
@@ -38,26 +42,54 @@
 };
 
 static void
-send_to_all(peer_link_t *link, const peer_message_t *message)
+send_to(peer_link_t *link, const peer_address_t *node, const writer_t *writer)
+{
+	ssize_t sent =
+	    sendto(link->fd, writer->buffer.data, writer->buffer.size, 0,
+		(const struct sockaddr *)&node->address, sizeof(node->address));
+
+	/* What is lost shows at its receiver, or is sent again. */
+	if (sent == (ssize_t)writer->buffer.size)
+		link->counters.sent++;
+}
+
+static void
+send_to_group(peer_link_t *link, const peer_message_t *message)
 {
 	writer_t writer;
 
 	writer_init(&writer);
 	peer_message_encode(message, &writer);
-	for (uint32_t i = 0; i < peer_group_count(link->group); i++) {
-		const peer_t *peer = peer_group_at(link->group, i);
-		const struct sockaddr_in *address = &peer->node.address;
-		ssize_t sent =
-		    sendto(link->fd, writer.buffer.data, writer.buffer.size, 0,
-			(const struct sockaddr *)address, sizeof(*address));
-
-		/* What is lost shows at its receiver: it lacks changes. */
-		if (sent == (ssize_t)writer.buffer.size)
-			link->counters.sent++;
-	}
+	for (uint32_t i = 0; i < peer_group_count(link->group); i++)
+		send_to(link, &peer_group_at(link->group, i)->node, &writer);
+	writer_clear(&writer);
+}
+
+static void
+send_suspect(peer_link_t *link, const peer_suspect_t *suspect)
+{
+	const peer_message_t message = {
+	    .kind = PEER_SUSPECT, .suspect = *suspect};
+	writer_t writer;
+
+	writer_init(&writer);
+	peer_message_encode(&message, &writer);
+	for (guint i = 0; i < link->nodes->len; i++)
+		send_to(link, &g_array_index(link->nodes, peer_address_t, i),
+		    &writer);
 	writer_clear(&writer);
 }
 
+/* A datagram may be lost, and nothing else would tell of the request. */
+static void
+repeat_suspects(peer_link_t *link)
+{
+	for (guint i = 0; i < link->suspects->len; i++)
+		send_suspect(
+		    link, &g_array_index(link->suspects, peer_suspect_t, i));
+	g_array_set_size(link->suspects, 0);
+}
+
 static void
 send_status(peer_link_t *link, usec_t now)
 {
@@ -67,7 +99,7 @@
 		memcpy(link->told, link->positions, sizeof(link->told));
 	memcpy(message.status.positions, link->told, sizeof(link->told));
 	message.status.age = now - link->checked_at;
-	send_to_all(link, &message);
+	send_to_group(link, &message);
 }
 
 static peer_role_t
@@ -76,8 +108,9 @@
 	peer_role_t role = peer_group_role(
 	    link->group, link->positions, link->checked_at, now);
 
-	return role == PEER_FOLLOWER && now < link->doubt_until ? PEER_ALONE
-								: role;
+	if (!link->follow || (role == PEER_FOLLOWER && now < link->doubt_until))
+		return PEER_ALONE;
+	return role;
 }
 
 static void
@@ -119,6 +152,7 @@
 	usec_t now = loop_clock_now(loop);
 
 	update_role(link, now);
+	repeat_suspects(link);
 	if (link->role == PEER_RELAY)
 		send_status(link, now);
 	if (link->role == PEER_ALONE)
@@ -145,7 +179,7 @@
 		return;
 	message.changes = *part;
 	g_free(part);
-	send_to_all(link, &message);
+	send_to_group(link, &message);
 	ev_timer_set(&link->pace, PART_INTERVAL_S, 0.0);
 	ev_timer_start(link->loop, &link->pace);
 }
@@ -190,36 +224,69 @@
 	set_known(link, topic, changes->to);
 }
 
+/* Whether a node of any data centre has this address. */
+static bool
+is_listed(const peer_link_t *link, const struct sockaddr_in *address)
+{
+	for (guint i = 0; i < link->nodes->len; i++)
+		if (peer_address_is(
+			&g_array_index(link->nodes, peer_address_t, i),
+			address))
+			return true;
+	return false;
+}
+
 static void
-take_datagram(
-    peer_link_t *link, const struct sockaddr_in *sender, slice_t bytes)
+reject(peer_link_t *link, event_number_t event,
+    const struct sockaddr_in *sender, size_t size)
 {
-	peer_t *peer = peer_group_find(link->group, sender);
-	peer_message_t message;
+	link->counters.rejected++;
+	event_log_sampled(event, "address=%08x:%u bytes=%zu",
+	    ntohl(sender->sin_addr.s_addr), ntohs(sender->sin_port), size);
+}
 
-	if (peer == NULL) {
-		link->counters.rejected++;
-		event_log_sampled(EVENT_PEER_REJECTED, "address=%08x:%u",
-		    ntohl(sender->sin_addr.s_addr), ntohs(sender->sin_port));
-		return;
-	}
-	if (peer_message_decode(bytes, &message) != 0) {
-		link->counters.rejected++;
-		event_log_sampled(EVENT_PEER_BAD_MESSAGE, "node=%s bytes=%zu",
-		    peer->node.name, bytes.size);
-		return;
-	}
-	link->counters.received++;
-	switch (message.kind) {
+/* Only nodes of this data centre tell of the store. */
+static bool
+is_allowed(const peer_message_t *message, const peer_t *peer)
+{
+	return peer != NULL || message->kind == PEER_SUSPECT;
+}
+
+static void
+take_message(peer_link_t *link, peer_t *peer, const peer_message_t *message)
+{
+	switch (message->kind) {
 	case PEER_STATUS:
-		take_status(link, peer, &message.status);
+		take_status(link, peer, &message->status);
 		break;
 	case PEER_CHANGES:
-		take_changes(link, &message.changes);
+		take_changes(link, &message->changes);
+		break;
+	case PEER_SUSPECT:
+		link->handlers.suspect(link->handlers.context,
+		    message->suspect.fingerprint, message->suspect.crash);
 		break;
 	}
 }
 
+static void
+take_datagram(
+    peer_link_t *link, const struct sockaddr_in *sender, slice_t bytes)
+{
+	peer_t *peer = peer_group_find(link->group, sender);
+	peer_message_t message;
+
+	if (peer == NULL && !is_listed(link, sender)) {
+		reject(link, EVENT_PEER_REJECTED, sender, bytes.size);
+	} else if (peer_message_decode(bytes, &message) != 0 ||
+	    !is_allowed(&message, peer)) {
+		reject(link, EVENT_PEER_BAD_MESSAGE, sender, bytes.size);
+	} else {
+		link->counters.received++;
+		take_message(link, peer, &message);
+	}
+}
+
 static void
 on_readable(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -267,6 +334,10 @@
 	link = g_new0(peer_link_t, 1);
 	link->loop = loop;
 	link->group = peer_group_create(own_name);
+	link->nodes = g_array_new(FALSE, TRUE, sizeof(peer_address_t));
+	link->suspects = g_array_new(FALSE, TRUE, sizeof(peer_suspect_t));
+	link->own_address = *address;
+	link->follow = true;
 	for (int i = 0; i < PEER_TOPICS; i++)
 		link->batches[i] = peer_batch_create();
 	link->fd = fd;
@@ -295,6 +366,8 @@
 	for (int i = 0; i < PEER_TOPICS; i++)
 		peer_batch_destroy(link->batches[i]);
 	peer_group_destroy(link->group);
+	g_array_free(link->nodes, TRUE);
+	g_array_free(link->suspects, TRUE);
 	g_free(link);
 }
 
@@ -309,6 +382,25 @@
     peer_link_t *link, const peer_address_t *nodes, uint32_t count)
 {
 	peer_group_set(link->group, nodes, count);
+	g_array_set_size(link->nodes, 0);
+	for (uint32_t i = 0; i < count; i++)
+		if (!peer_address_is(&nodes[i], &link->own_address))
+			g_array_append_val(link->nodes, nodes[i]);
+}
+
+void
+peer_link_set_follow(peer_link_t *link, bool follow)
+{
+	link->follow = follow;
+}
+
+void
+peer_link_tell_suspect(peer_link_t *link, uint64_t fingerprint, uint64_t crash)
+{
+	const peer_suspect_t suspect = {fingerprint, crash};
+
+	send_suspect(link, &suspect);
+	g_array_append_val(link->suspects, suspect);
 }
 
 void
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -6,10 +6,11 @@
 #include "peer_group.h"
 
 /**
- * DOC: The datagrams that the gateways of a data centre exchange
+ * DOC: The datagrams that gateways exchange
  *
- * Relays tell the other nodes how far they have read the store, and what has
- * changed in it. Datagrams of addresses that are not listed are dropped.
+ * Relays tell the other nodes of their data centre how far they have read the
+ * store, and what has changed in it. A node tells all nodes which requests
+ * crash servers. Datagrams of addresses that are not listed are dropped.
  * Nothing waits for an answer.
  */
 
@@ -27,6 +28,8 @@
 	void (*known)(void *context, peer_topic_t topic, int64_t revision);
 	/** This node, which asks for itself, lacks changes of a topic. */
 	void (*behind)(void *context, peer_topic_t topic);
+	/** Another node found that a request crashed a server. */
+	void (*suspect)(void *context, uint64_t fingerprint, uint64_t crash);
 	/** The role of this node is another one from now on. */
 	void (*role)(void *context, peer_role_t role);
 	void *context;
@@ -51,7 +54,10 @@
 void peer_link_set_handlers(
     peer_link_t *link, const peer_link_handlers_t *handlers);
 
-/** peer_link_set_nodes() - The nodes of the data centre. */
+/** peer_link_set_follow() - Whether it may rely on relays; it may at first. */
+void peer_link_set_follow(peer_link_t *link, bool follow);
+
+/** peer_link_set_nodes() - All nodes. */
 void peer_link_set_nodes(
     peer_link_t *link, const peer_address_t *nodes, uint32_t count);
 
@@ -64,6 +70,11 @@
  */
 void peer_link_doubt(peer_link_t *link);
 
+/** peer_link_tell_suspect() - Tells all nodes that a request crashed a server.
+ */
+void peer_link_tell_suspect(
+    peer_link_t *link, uint64_t fingerprint, uint64_t crash);
+
 /** peer_link_quiet() - This node has read no changes up to @revision. */
 void peer_link_quiet(peer_link_t *link, peer_topic_t topic, int64_t revision);
 
--- a/source/peers/peer_message.c
+++ b/source/peers/peer_message.c
@@ -8,6 +8,7 @@
 #define HEAD_FIELDS 2
 #define STATUS_FIELDS (1 + 2 * PEER_TOPICS)
 #define CHANGES_FIELDS 7
+#define SUSPECT_FIELDS 2
 #define AGE_MAX SECONDS(3600)
 #define WHOLE_SIZE_MAX (1024u * 1024u)
 
@@ -33,22 +34,31 @@
 	writer_bytes(writer, (slice_t){changes->bytes, changes->size});
 }
 
+static void
+write_head(writer_t *writer, peer_kind_t kind, size_t fields)
+{
+	writer_array(writer, HEAD_FIELDS + fields);
+	writer_uint(writer, PROTOCOL_VERSION);
+	writer_uint(writer, kind);
+}
+
 void
 peer_message_encode(const peer_message_t *message, writer_t *writer)
 {
-	bool status = message->kind == PEER_STATUS;
-
-	writer_array(
-	    writer, HEAD_FIELDS + (status ? STATUS_FIELDS : CHANGES_FIELDS));
-	writer_uint(writer, PROTOCOL_VERSION);
-	writer_uint(writer, message->kind);
 	switch (message->kind) {
 	case PEER_STATUS:
+		write_head(writer, PEER_STATUS, STATUS_FIELDS);
 		write_status(writer, &message->status);
 		break;
 	case PEER_CHANGES:
+		write_head(writer, PEER_CHANGES, CHANGES_FIELDS);
 		write_changes(writer, &message->changes);
 		break;
+	case PEER_SUSPECT:
+		write_head(writer, PEER_SUSPECT, SUSPECT_FIELDS);
+		writer_uint(writer, message->suspect.fingerprint);
+		writer_uint(writer, message->suspect.crash);
+		break;
 	}
 }
 
@@ -116,6 +126,10 @@
 		return read_status(reader, &message->status);
 	case PEER_CHANGES:
 		return read_changes(reader, &message->changes);
+	case PEER_SUSPECT:
+		message->suspect.fingerprint = reader_uint(reader);
+		message->suspect.crash = reader_uint(reader);
+		return reader_error(reader);
 	}
 	return BW_E_PROTOCOL;
 }
--- a/source/peers/peer_message.h
+++ b/source/peers/peer_message.h
@@ -30,8 +30,9 @@
 } peer_position_t;
 
 typedef enum {
-	PEER_STATUS = 1, /* how far a relay has read the store */
-	PEER_CHANGES = 2 /* what it has read */
+	PEER_STATUS = 1,  /* how far a relay has read the store */
+	PEER_CHANGES = 2, /* what it has read */
+	PEER_SUSPECT = 3  /* a request crashed a server */
 } peer_kind_t;
 
 typedef struct {
@@ -51,11 +52,17 @@
 	char bytes[PEER_PART_BYTES];
 } peer_changes_t;
 
+typedef struct {
+	uint64_t fingerprint; /* of the request */
+	uint64_t crash;	      /* the same in all reports of one crash */
+} peer_suspect_t;
+
 typedef struct {
 	peer_kind_t kind;
 	union {
 		peer_status_t status;
 		peer_changes_t changes;
+		peer_suspect_t suspect;
 	};
 } peer_message_t;
 
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -13,12 +13,15 @@
 #define REQUEST_MAX_BYTES 65536
 #define HANG_CHECK_MS 20
 #define EXTRA_DELAY_MS 30
+#define CRASH_MS 700
 #define RECORD_BYTES 16
 
 struct plain_server {
 	char id[64];
 	char address[64];
 	int listener;
+	struct sockaddr_in bound;
+	bool crashed;
 	GThread *acceptor;
 	GMutex lock;
 	GPtrArray *threads;
@@ -152,6 +155,8 @@
 		server->fault_count--;
 		fault = server->fault;
 	}
+	if (strstr(record->last_head, "crash") != NULL)
+		fault = PLAIN_CRASH;
 	if (fault != PLAIN_SHED && fault != PLAIN_MISDIRECTED) {
 		record->runs++;
 		count_run(server, connection->request_id);
@@ -228,6 +233,18 @@
 	send_text(connection, interim, strlen(interim));
 }
 
+static void
+crash(plain_server_t *server)
+{
+	g_mutex_lock(&server->lock);
+	server->record.crashes++;
+	server->crashed = true;
+	shutdown(server->listener, SHUT_RDWR);
+	for (guint i = 0; i < server->sockets->len; i++)
+		shutdown(g_array_index(server->sockets, int, i), SHUT_RDWR);
+	g_mutex_unlock(&server->lock);
+}
+
 /* Returns whether the connection stays open. */
 static bool
 respond(plain_connection_t *connection, plain_fault_t fault)
@@ -282,6 +299,9 @@
 	case PLAIN_HANG:
 		hang(connection);
 		return false;
+	case PLAIN_CRASH:
+		crash(connection->server);
+		return false;
 	}
 	return false;
 }
@@ -322,6 +342,68 @@
 	return NULL;
 }
 
+/* At a free port the first time, at the same one after a crash. */
+static void
+open_listener(plain_server_t *server)
+{
+	struct sockaddr_in *address = &server->bound;
+	socklen_t size = sizeof(*address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int yes = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+	if (bind(fd, (struct sockaddr *)address, size) != 0 ||
+	    listen(fd, 64) != 0)
+		g_error("plain server: no port");
+	getsockname(fd, (struct sockaddr *)address, &size);
+	server->listener = fd;
+}
+
+/* Returns whether the server serves again. */
+static bool
+restart(plain_server_t *server)
+{
+	bool stopping;
+
+	g_mutex_lock(&server->lock);
+	close(server->listener);
+	server->listener = -1;
+	g_mutex_unlock(&server->lock);
+	g_usleep(CRASH_MS * 1000);
+	g_mutex_lock(&server->lock);
+	stopping = server->stopping;
+	server->crashed = false;
+	if (!stopping)
+		open_listener(server);
+	g_mutex_unlock(&server->lock);
+	return !stopping;
+}
+
+static bool
+has_crashed(plain_server_t *server)
+{
+	bool crashed;
+
+	g_mutex_lock(&server->lock);
+	crashed = server->crashed && !server->stopping;
+	g_mutex_unlock(&server->lock);
+	return crashed;
+}
+
+static void
+add_connection(plain_server_t *server, int fd)
+{
+	plain_connection_t *connection = g_new0(plain_connection_t, 1);
+
+	connection->server = server;
+	connection->fd = fd;
+	g_mutex_lock(&server->lock);
+	g_array_append_val(server->sockets, fd);
+	g_ptr_array_add(server->threads,
+	    g_thread_new("plain", serve_connection, connection));
+	g_mutex_unlock(&server->lock);
+}
+
 static void *
 accept_connections(void *argument)
 {
@@ -329,21 +411,15 @@
 
 	for (;;) {
 		int fd = accept(server->listener, NULL, NULL);
-		plain_connection_t *connection;
 
-		if (fd < 0 || is_stopping(server)) {
-			if (fd >= 0)
-				close(fd);
-			return NULL;
+		if (fd >= 0 && !is_stopping(server)) {
+			add_connection(server, fd);
+			continue;
 		}
-		connection = g_new0(plain_connection_t, 1);
-		connection->server = server;
-		connection->fd = fd;
-		g_mutex_lock(&server->lock);
-		g_array_append_val(server->sockets, fd);
-		g_ptr_array_add(server->threads,
-		    g_thread_new("plain", serve_connection, connection));
-		g_mutex_unlock(&server->lock);
+		if (fd >= 0)
+			close(fd);
+		if (!has_crashed(server) || !restart(server))
+			return NULL;
 	}
 }
 
@@ -351,8 +427,6 @@
 plain_server_create(const char *id)
 {
 	plain_server_t *server = g_new0(plain_server_t, 1);
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t size = sizeof(address);
 
 	g_strlcpy(server->id, id, sizeof(server->id));
 	g_mutex_init(&server->lock);
@@ -360,15 +434,11 @@
 	server->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	server->sockets = g_array_new(FALSE, FALSE, sizeof(int));
-	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(server->listener, (struct sockaddr *)&address,
-		sizeof(address)) != 0 ||
-	    listen(server->listener, 64) != 0)
-		g_error("plain server: no port");
-	getsockname(server->listener, (struct sockaddr *)&address, &size);
+	server->bound.sin_family = AF_INET;
+	server->bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	open_listener(server);
 	snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
-	    ntohs(address.sin_port));
+	    ntohs(server->bound.sin_port));
 	server->acceptor = g_thread_new("accept", accept_connections, server);
 	return server;
 }
@@ -387,7 +457,8 @@
 	g_thread_join(server->acceptor);
 	for (guint i = 0; i < server->threads->len; i++)
 		g_thread_join(server->threads->pdata[i]);
-	close(server->listener);
+	if (server->listener >= 0)
+		close(server->listener);
 	g_ptr_array_free(server->threads, TRUE);
 	g_hash_table_destroy(server->runs);
 	g_array_free(server->sockets, TRUE);
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -8,7 +8,9 @@
  * DOC: A stand-in of an upstream server that controls every byte it sends
  *
  * Answers each request with records of its own and the headers of the
- * platform. Faults apply to the next requests, then it answers well again.
+ * platform. Faults apply to the next requests, then it answers well again. A
+ * request whose path holds "crash" ends all connections, and new ones are
+ * refused for a while.
  */
 
 typedef enum {
@@ -25,7 +27,8 @@
 	PLAIN_EXTRA,	      /* a second response after the first, later */
 	PLAIN_INTERIM,	      /* an interim response before the final one */
 	PLAIN_ENCODED,	      /* a Content-Encoding that nobody asked for */
-	PLAIN_HANG	      /* reads it and never answers */
+	PLAIN_HANG,	      /* reads it and never answers */
+	PLAIN_CRASH	      /* refuses connections for a while */
 } plain_fault_t;
 
 typedef struct plain_server plain_server_t;
@@ -33,6 +36,7 @@
 typedef struct {
 	uint32_t arrivals;
 	uint32_t runs;
+	uint32_t crashes;
 	uint32_t left; /* connections that ended while a request hung */
 	int64_t last_deadline_ms;
 	char last_head[2048];
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -66,7 +66,7 @@
 
 /* A node that follows relays may learn of a leaving server late. */
 static void
-peers_are_used_only_if_the_bound_of_a_leaving_server_allows(void **state)
+peers_are_followed_only_if_the_bound_of_a_leaving_server_allows(void **state)
 {
 	static const struct {
 		const char *drain;
@@ -81,7 +81,7 @@
 		char why[256];
 
 		assert_int_equal(load(&row, &settings, why, sizeof(why)), 0);
-		assert_int_equal(settings.has_peer_address, cases[i].used);
+		assert_int_equal(settings.may_follow, cases[i].used);
 	}
 }
 
@@ -321,7 +321,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(settings_are_checked),
 	    cmocka_unit_test(
-		peers_are_used_only_if_the_bound_of_a_leaving_server_allows),
+		peers_are_followed_only_if_the_bound_of_a_leaving_server_allows),
 	    cmocka_unit_test(a_flag_goes_before_its_variable),
 	    cmocka_unit_test(entries_name_servers_or_nothing),
 	    cmocka_unit_test(configurations_are_adopted_whole_or_not),
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -20,6 +20,11 @@
     .status = {.positions = {{4, 9}, {7, 7}}, .age = MS(20)},
 };
 
+static const peer_message_t suspect = {
+    .kind = PEER_SUSPECT,
+    .suspect = {UINT64_MAX, 7},
+};
+
 static peer_changes_t
 make_changes(void)
 {
@@ -59,6 +64,9 @@
 	assert_int_equal(received.kind, PEER_STATUS);
 	assert_memory_equal(
 	    &received.status, &status.status, sizeof(peer_status_t));
+	assert_int_equal(pass(&suspect, &received), 0);
+	assert_int_equal(received.suspect.fingerprint, UINT64_MAX);
+	assert_int_equal(received.suspect.crash, 7);
 	sent.changes.size = PEER_PART_BYTES;
 	sent.changes.to = INT64_MAX;
 	assert_int_equal(pass(&sent, &received), 0);
@@ -312,7 +320,8 @@
 static peer_address_t
 node_address(int i)
 {
-	peer_address_t node = {.address = {.sin_family = AF_INET}};
+	peer_address_t node = {
+	    .address = {.sin_family = AF_INET}, .same_data_centre = true};
 
 	snprintf(node.name, sizeof(node.name), "n%d", i);
 	node.address.sin_addr.s_addr = htonl(0x0a000001u + (uint32_t)i);
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -25,7 +25,9 @@
 #define CUT_MS 4500 /* its probe fails meanwhile */
 #define STEP_MS 20
 #define CHANGES 3
-#define PAUSE_MS 2200 /* longer than a node's pause after a change */
+#define DEADLINE_MS 1500
+#define CONTACT_MS 4000 /* by then all nodes have to know */
+#define PAUSE_MS 2200	/* longer than a node's pause after a change */
 
 static int64_t
 metric(const gateway_fleet_t *fleet, int gateway, const char *name)
@@ -280,6 +282,86 @@
 	world_destroy(world);
 }
 
+static uint32_t
+crashes(gateway_world_t *world, int service)
+{
+	uint32_t sum = 0;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++) {
+		plain_record_t record;
+
+		plain_server_read(world_replica(world, service, i), &record);
+		sum += record.crashes;
+	}
+	return sum;
+}
+
+static int
+ask_status(const gateway_fleet_t *fleet, int gateway, const char *path)
+{
+	gateway_world_t view = fleet_view(fleet, gateway);
+	http_reply_t result = world_ask(&view, "GET", path, DEADLINE_MS, NULL);
+	int status = result.status;
+
+	http_reply_clear(&result);
+	return status;
+}
+
+/* Each node let the request crash servers until it had seen that itself. */
+static void
+a_request_that_crashes_servers_is_known_to_all(void **state)
+{
+	static const struct {
+		const char *crashing;
+		const char *other;
+		int service;
+	} cases[] = {{"/one/crash", "/one/fine", WORLD_ONE},
+	    {"/all/crash", "/all/fine", 0}};
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint32_t before;
+
+		ask_status(&fleet, 0, cases[i].crashing);
+		ask_status(&fleet, 1, cases[i].crashing);
+		g_usleep(CONTACT_MS * 1000);
+		before = crashes(world, cases[i].service);
+		assert_true(before > 0);
+		for (int j = 0; j < FLEET_GATEWAYS; j++)
+			assert_int_equal(
+			    ask_status(&fleet, j, cases[i].crashing), 503);
+		assert_int_equal(crashes(world, cases[i].service), before);
+		for (int j = 0; j < FLEET_GATEWAYS; j++)
+			assert_int_equal(
+			    ask_status(&fleet, j, cases[i].other), 200);
+	}
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+/* Lost answers alone say nothing against a request. */
+static void
+a_request_whose_answers_are_lost_is_not_suspected(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+
+	fleet_create(&fleet, world);
+	settle(&fleet);
+	world_fault_service(world, WORLD_ONE, PLAIN_RESET, 3);
+	for (int i = 0; i < 3; i++)
+		ask_status(&fleet, 0, "/one/lost");
+	world_fault_service(world, WORLD_ONE, PLAIN_ANSWER, 0);
+	g_usleep(CONTACT_MS * 1000);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		assert_int_equal(ask_status(&fleet, i, "/one/lost"), 200);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
 static void
 send_datagram(int fd, const char *address, slice_t bytes)
 {
@@ -340,6 +422,8 @@
 	    HARNESS_TEST(followers_learn_in_time_when_relays_fail),
 	    HARNESS_TEST(a_node_that_was_cut_off_learns_in_time),
 	    HARNESS_TEST(all_catch_up_after_an_outage),
+	    HARNESS_TEST(a_request_that_crashes_servers_is_known_to_all),
+	    HARNESS_TEST(a_request_whose_answers_are_lost_is_not_suspected),
 	    HARNESS_TEST(datagrams_of_strangers_are_dropped),
 	};
 
