--- a/source/peers/peer_batch.c
+++ b/source/peers/peer_batch.c
@@ -101,27 +101,26 @@
 	}
 }
 
-bool
+uint32_t
 peer_batch_cut(const peer_changes_t *changes, slice_t content,
     void (*send)(void *context, const peer_changes_t *part), void *context)
 {
 	uLongf size = compressBound(content.size);
 	peer_changes_t part = *changes;
 	Bytef *packed;
-	bool fits;
 
 	if (content.size > CONTENT_MAX)
-		return false;
+		return 0;
 	packed = g_malloc(size);
-	fits = compress2(packed, &size, (const Bytef *)content.data,
-		   content.size, COMPRESSION) == Z_OK &&
-	    size <= (uLongf)PEER_PARTS_MAX * PEER_PART_BYTES;
-	if (fits) {
-		part.whole_size = (uint32_t)content.size;
+	part.whole_size = (uint32_t)content.size;
+	if (compress2(packed, &size, (const Bytef *)content.data, content.size,
+		COMPRESSION) == Z_OK &&
+	    size <= (uLongf)PEER_PARTS_MAX * PEER_PART_BYTES)
 		part.parts =
 		    (uint32_t)((size + PEER_PART_BYTES - 1) / PEER_PART_BYTES);
-		send_parts(&part, packed, size, send, context);
-	}
+	else
+		part.parts = 0;
+	send_parts(&part, packed, size, send, context);
 	g_free(packed);
-	return fits;
+	return part.parts;
 }
--- a/source/peers/peer_batch.h
+++ b/source/peers/peer_batch.h
@@ -38,9 +38,10 @@
  * peer_batch_cut() - Calls @send for each part of @content.
  * @changes: topic, from and to
  *
- * Return: false, with nothing sent, if it is too much for datagrams.
+ * Return: the number of parts; 0, with nothing sent, if it is too much for
+ * datagrams.
  */
-bool peer_batch_cut(const peer_changes_t *changes, slice_t content,
+uint32_t peer_batch_cut(const peer_changes_t *changes, slice_t content,
     void (*send)(void *context, const peer_changes_t *part), void *context);
 
 #endif
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -440,15 +440,15 @@
 tell(peer_link_t *link, const peer_changes_t *changes, slice_t content)
 {
 	usec_t now = loop_clock_now(link->loop);
-	bool sent;
+	uint32_t parts;
 
 	if (peer_group_knows(link->group, changes->topic, changes->to, now))
 		return;
-	sent = peer_batch_cut(changes, content, add_part, link);
+	parts = peer_batch_cut(changes, content, add_part, link);
 	event_log(EVENT_PEERS_TOLD,
-	    "topic=%d from=%lld to=%lld bytes=%zu sent=%d", changes->topic,
+	    "topic=%d from=%lld to=%lld bytes=%zu parts=%u", changes->topic,
 	    (long long)changes->from, (long long)changes->to, content.size,
-	    sent);
+	    parts);
 	if (!ev_is_active(&link->pace))
 		send_next_part(link);
 }
