Answer every client that a stopping gateway has let in

Cause: from 2.8 s after SIGTERM on, advance_stop() closed all connections without a started request, also those accepted a moment ago whose first request was on its way; and it listened until nothing ran, so that under load the last clients met the exit.

Change: a connection that has not sent a request yet is not idle. The listener closes 1 s before the limit at the latest, and is emptied first. What still runs at the limit gets an error response (a fan-out with the minimum share its answer), and 0.2 s to send it.

Seen failing before: a_planned_stop_answers_whom_it_accepts (160 clients, two each 65 ms after the signal, which write 100 ms after connecting): 6 of 100 accepted ones cut; a_planned_stop_answers_at_its_limit: connection closed without a response. After: 142 accepted, 0 cut; both pass.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -209,6 +209,20 @@
 	}
 }
 
+void
+exchange_end(exchange_t *exchange)
+{
+	usec_t now = engine_now(exchange->engine);
+	gather_state_t state = get_gather_state(exchange);
+
+	if (exchange->route->kind == ROUTE_FANOUT &&
+	    gather_has_min_share(&state))
+		reply_fanout(exchange, state.answered, now);
+	else
+		reply_error(exchange, BW_E_STOPPING, "stopping", now);
+	release_if_done(exchange);
+}
+
 static void
 reply_single_if_due(exchange_t *exchange, usec_t now)
 {
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -156,4 +156,10 @@
  */
 void exchange_client_gone(exchange_t *exchange);
 
+/**
+ * exchange_end() - Responds at once and frees the exchange: with what a fan-out
+ * has received if that is enough, otherwise with an error.
+ */
+void exchange_end(exchange_t *exchange);
+
 #endif
--- a/source/gateway/frontend.c
+++ b/source/gateway/frontend.c
@@ -337,14 +337,15 @@
 	ev_io_start(frontend->loop, &client->readable);
 }
 
-static void
+/* Returns false when no client was waiting. */
+static bool
 accept_clients(frontend_t *frontend)
 {
 	for (int i = 0; i < MAX_ACCEPTS_PER_EVENT; i++) {
 		int fd = http_socket_accept(frontend->fd);
 
 		if (fd < 0)
-			return;
+			return i > 0;
 		if (g_hash_table_size(frontend->clients) >= MAX_CLIENTS) {
 			event_log_sampled(
 			    EVENT_CLIENT_REFUSED, "cause=too_many_connections");
@@ -353,6 +354,7 @@
 		}
 		add_client(frontend, fd);
 	}
+	return true;
 }
 
 static void
@@ -361,11 +363,15 @@
 	accept_clients(watcher->data);
 }
 
+/*
+ * Whether the client has had the response to each of its requests. On a
+ * connection without any, the first request is still on its way.
+ */
 static bool
 is_idle(const client_t *client)
 {
-	return client->state == CLIENT_READING && !client->request.started &&
-	    client->output.size == 0;
+	return client->requests > 0 && client->state == CLIENT_READING &&
+	    !client->request.started && client->output.size == 0;
 }
 
 static void
@@ -464,12 +470,27 @@
 	g_list_free(clients);
 }
 
+void
+frontend_end_requests(frontend_t *frontend)
+{
+	GList *clients = g_hash_table_get_keys(frontend->clients);
+
+	for (GList *link = clients; link != NULL; link = link->next) {
+		const client_t *client = link->data;
+
+		if (client->exchange != NULL)
+			exchange_end(client->exchange);
+	}
+	g_list_free(clients);
+}
+
 void
 frontend_close_listener(frontend_t *frontend)
 {
 	if (frontend->fd < 0)
 		return;
-	accept_clients(frontend);
+	while (accept_clients(frontend))
+		;
 	ev_io_stop(frontend->loop, &frontend->listener);
 	close(frontend->fd);
 	frontend->fd = -1;
--- a/source/gateway/frontend.h
+++ b/source/gateway/frontend.h
@@ -35,9 +35,14 @@
  */
 void frontend_stop(frontend_t *frontend);
 
-/** frontend_close_idle() - Closes connections without a started request. */
+/** frontend_close_idle() - Closes connections on which each request has been
+ * answered. Those that have not sent any stay open. */
 void frontend_close_idle(frontend_t *frontend);
 
+/** frontend_end_requests() - Responds at once to all requests that run, see
+ * exchange_end(). */
+void frontend_end_requests(frontend_t *frontend);
+
 /** frontend_close_listener() - Accepts pending clients, then stops listening.
  */
 void frontend_close_listener(frontend_t *frontend);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -19,6 +19,10 @@
  * clients.
  */
 #define STOP_ACCEPT_TIME MS(2800)
+/* Before the limit of a stop: time for clients that have just connected. */
+#define STOP_LISTEN_MARGIN SECONDS(1)
+/* After the limit of a stop: time to send the last responses. */
+#define STOP_FLUSH_TIME MS(200)
 /*
  * A node is isolated from the servers when at least this many attempts failed
  * lately and none was answered.
@@ -117,25 +121,33 @@
 	ev_break(gateway->loop, EVBREAK_ALL);
 }
 
-/* Stops in steps: accept requests, then refuse them, then end the loop. */
+static bool
+serves_clients(const gateway_t *gateway)
+{
+	return engine_running_count(gateway->engine) > 0 ||
+	    frontend_connections(gateway->frontend) > 0;
+}
+
+/*
+ * Stops in steps: accept requests, then refuse them, then accept no more
+ * connections, then end the loop. Each step leaves time to answer the clients
+ * that the step before has let in.
+ */
 static void
 advance_stop(gateway_t *gateway)
 {
 	usec_t elapsed = gateway_now(gateway) - gateway->stopping_since;
+	usec_t limit = gateway->settings.stop_limit;
 
 	if (elapsed < STOP_ACCEPT_TIME)
 		return;
 	engine_refuse_requests(gateway->engine);
 	frontend_close_idle(gateway->frontend);
-	if (elapsed >= gateway->settings.stop_limit) {
-		finish_stop(gateway);
-		return;
-	}
-	if (engine_running_count(gateway->engine) > 0 ||
-	    frontend_connections(gateway->frontend) > 0)
-		return;
-	frontend_close_listener(gateway->frontend);
-	if (frontend_connections(gateway->frontend) == 0)
+	if (elapsed >= limit - STOP_LISTEN_MARGIN || !serves_clients(gateway))
+		frontend_close_listener(gateway->frontend);
+	if (elapsed >= limit)
+		frontend_end_requests(gateway->frontend);
+	if (elapsed >= limit + STOP_FLUSH_TIME || !serves_clients(gateway))
 		finish_stop(gateway);
 }
 
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -265,7 +265,7 @@
 }
 
 int
-world_connect(gateway_world_t *world)
+world_try_connect(gateway_world_t *world)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -273,16 +273,32 @@
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	address.sin_port =
 	    htons((uint16_t)atoi(strchr(world->clients, ':') + 1));
-	assert_int_equal(
-	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+int
+world_connect(gateway_world_t *world)
+{
+	int fd = world_try_connect(world);
+
+	assert_true(fd >= 0);
 	return fd;
 }
 
+bool
+world_try_send(int fd, const char *text)
+{
+	return send(fd, text, strlen(text), MSG_NOSIGNAL) ==
+	    (ssize_t)strlen(text);
+}
+
 void
 world_send_text(int fd, const char *text)
 {
-	assert_int_equal(
-	    send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
+	assert_true(world_try_send(fd, text));
 }
 
 char *
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -112,6 +112,12 @@
  */
 int world_connect(gateway_world_t *world);
 
+/** world_try_connect() - Like world_connect(), but returns -1 on failure. */
+int world_try_connect(gateway_world_t *world);
+
+/** world_try_send() - Sends @text; returns whether all of it was sent. */
+bool world_try_send(int fd, const char *text);
+
 /** world_send_text() - Sends @text on a socket of world_connect(). */
 void world_send_text(int fd, const char *text);
 
--- a/tests/test_process_gateway_stop.c
+++ b/tests/test_process_gateway_stop.c
@@ -138,6 +138,120 @@
 	world_destroy(clients.world);
 }
 
+/* When a client of a stopping gateway connects, and what became of it. */
+typedef struct {
+	gateway_world_t *world;
+	int connect_ms; /* after the signal */
+	bool refused;	/* the connection was */
+	bool answered;
+} slow_client_t;
+
+#define WRITE_DELAY_MS 100 /* from connecting until the request is sent */
+
+/* Sends a request on a connection that has been open for a while. */
+static gpointer
+run_slow_client(gpointer context)
+{
+	slow_client_t *client = context;
+	char *answer;
+	int fd;
+
+	g_usleep((gulong)client->connect_ms * 1000);
+	fd = world_try_connect(client->world);
+	client->refused = fd < 0;
+	if (client->refused)
+		return NULL;
+	g_usleep(WRITE_DELAY_MS * 1000);
+	client->answered =
+	    world_try_send(fd, WORLD_REQUEST("GET", "/one/x", ""));
+	answer = world_receive(fd, NULL, DEADLINE_MS);
+	client->answered = client->answered &&
+	    (strstr(answer, "HTTP/1.1 200") != NULL ||
+		strstr(answer, "HTTP/1.1 503") != NULL);
+	free(answer);
+	close(fd);
+	return NULL;
+}
+
+/*
+ * Guards clients that connect at any moment of a stop and take a while to send
+ * their request: each connection that was accepted gets an answer. Two clients
+ * connect at each moment.
+ */
+static void
+a_planned_stop_answers_whom_it_accepts(void **state)
+{
+	enum { MOMENT_MS = 65, LAST_MS = 5200 };
+	enum { CLIENTS = 2 * LAST_MS / MOMENT_MS };
+	gateway_world_t *world = world_create(*state);
+	slow_client_t clients[CLIENTS];
+	GThread *threads[CLIENTS];
+	int accepted = 0, cut = 0, status;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_set_delay(world_replica(world, WORLD_ONE, i), 50);
+	harness_signal(world->harness, world->gateway, SIGTERM);
+	for (int i = 0; i < CLIENTS; i++) {
+		clients[i] = (slow_client_t){
+		    .world = world, .connect_ms = i / 2 * MOMENT_MS};
+		threads[i] = g_thread_new("slow", run_slow_client, &clients[i]);
+	}
+	status = harness_wait_exit(world->harness, world->gateway, 6000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	for (int i = 0; i < CLIENTS; i++) {
+		g_thread_join(threads[i]);
+		accepted += !clients[i].refused;
+		if (clients[i].refused || clients[i].answered)
+			continue;
+		cut++;
+		print_message(
+		    "cut: connected after %d ms\n", clients[i].connect_ms);
+	}
+	print_message("accepted %d of %d\n", accepted, CLIENTS);
+	assert_true(accepted > 0);
+	assert_int_equal(cut, 0);
+	world_destroy(world);
+}
+
+static bool
+config_is_in_force(gateway_world_t *world)
+{
+	return world_metric(world, "config_version") == world->version;
+}
+
+/*
+ * Guards a request that is still running at the time limit of a stop: it gets
+ * an error response rather than a closed connection.
+ */
+static void
+a_planned_stop_answers_at_its_limit(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	char *answer;
+	int fd, status;
+
+	world->timeout_ms = 20000;
+	world_configure(world);
+	assert_true(world_wait(config_is_in_force, world, 5000));
+	world_fault_service(world, WORLD_ONE, PLAIN_HANG, 1000);
+	fd = world_connect(world);
+	world_send_text(fd,
+	    "POST /once/x HTTP/1.1\r\nHost: example.test\r\n"
+	    "Bulrushwell-Request-Id: raw2\r\n"
+	    "Bulrushwell-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n");
+	g_usleep(100 * 1000);
+	harness_signal(world->harness, world->gateway, SIGTERM);
+	answer = world_receive(fd, NULL, 7000);
+	if (strstr(answer, "HTTP/1.1 502") == NULL &&
+	    strstr(answer, "HTTP/1.1 504") == NULL)
+		fail_msg("the answer is \"%s\"", answer);
+	free(answer);
+	close(fd);
+	status = harness_wait_exit(world->harness, world->gateway, 1000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	world_destroy(world);
+}
+
 static void
 a_hangup_changes_nothing(void **state)
 {
@@ -163,6 +277,8 @@
 	    HARNESS_TEST(a_planned_stop_cuts_no_late_request),
 	    HARNESS_TEST(a_hangup_changes_nothing),
 	    HARNESS_TEST(a_planned_stop_answers_all_that_it_has_passed_on),
+	    HARNESS_TEST(a_planned_stop_answers_whom_it_accepts),
+	    HARNESS_TEST(a_planned_stop_answers_at_its_limit),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
