Free what elements own when a table is destroyed

Cause: reservations that are left when a node stops during an outage kept their bodies, as table_destroy() knows nothing of them (LeakSanitizer, once).

Change: a table may have a release function, called for each element that is removed or left at the end.

Seen failing: elements_are_released_once, with the call in table_destroy() taken out (10 of 70 released).

--- a/include/bulrushwell/table.h
+++ b/include/bulrushwell/table.h
@@ -24,6 +24,14 @@
  */
 table_t *table_create(size_t element_size, uint32_t capacity);
 
+/**
+ * table_set_release() - Sets the function that frees what an element owns. It
+ * is called for each element that is removed or left when the table is
+ * destroyed.
+ */
+void table_set_release(table_t *table, void (*release)(void *element));
+
+/** table_destroy() - Frees the table and its elements; NULL is allowed. */
 void table_destroy(table_t *table);
 
 /**
--- a/source/base/table.c
+++ b/source/base/table.c
@@ -13,9 +13,10 @@
 struct table {
 	size_t element_size;
 	uint32_t capacity;
-	uint32_t high_water; /* slots that have ever been in use */
-	uint32_t count;	     /* elements in use */
-	uint32_t first_free; /* index + 1, or 0 */
+	uint32_t high_water;		/* slots that have ever been in use */
+	uint32_t count;			/* elements in use */
+	uint32_t first_free;		/* index + 1, or 0 */
+	void (*release)(void *element); /* NULL: elements own nothing */
 	slot_t *slots;
 	char **chunks;
 };
@@ -57,11 +58,29 @@
 	return table;
 }
 
+void
+table_set_release(table_t *table, void (*release)(void *element))
+{
+	table->release = release;
+}
+
+static void
+release_elements(table_t *table)
+{
+	handle_t handle = HANDLE_NONE;
+
+	if (table->release == NULL)
+		return;
+	while ((handle = table_next(table, handle)) != HANDLE_NONE)
+		table->release(table_get(table, handle));
+}
+
 void
 table_destroy(table_t *table)
 {
 	if (table == NULL)
 		return;
+	release_elements(table);
 	for (uint32_t i = 0; i < table->capacity / CHUNK_ELEMENTS + 1; i++)
 		g_free(table->chunks[i]);
 	g_free(table->chunks);
@@ -108,9 +127,12 @@
 table_remove(table_t *table, handle_t handle)
 {
 	uint32_t index = handle_index(handle);
+	void *element = table_get(table, handle);
 
-	if (table_get(table, handle) == NULL)
+	if (element == NULL)
 		return;
+	if (table->release != NULL)
+		table->release(element);
 	table->slots[index].generation++;
 	table->slots[index].next_free = table->first_free;
 	table->first_free = index + 1;
--- a/source/node/node_reserve.c
+++ b/source/node/node_reserve.c
@@ -23,12 +23,22 @@
 	char object[2 * NAME_SIZE];
 } claim_call_t;
 
+static void
+release_reservation(void *element)
+{
+	const reservation_t *reservation = element;
+
+	body_unref(reservation->body);
+}
+
 static table_t *
 reservation_table(node_t *node)
 {
-	if (node->reservations == NULL)
+	if (node->reservations == NULL) {
 		node->reservations =
 		    table_create(sizeof(reservation_t), MAX_RESERVATIONS);
+		table_set_release(node->reservations, release_reservation);
+	}
 	return node->reservations;
 }
 
@@ -179,7 +189,6 @@
 static void
 remove_reservation(node_t *node, reservation_t *reservation)
 {
-	body_unref(reservation->body);
 	table_remove(reservation_table(node), reservation->handle);
 }
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -38,6 +38,39 @@
 	table_destroy(table);
 }
 
+static int released;
+
+static void
+count_released(void *element)
+{
+	released += *(int *)element;
+}
+
+/* Guards against elements that are left when a table is destroyed, as
+ * reservations are when a node stops during an outage: what they own is freed,
+ * once. */
+static void
+elements_are_released_once(void **state)
+{
+	table_t *table = table_create(sizeof(int), 100);
+	handle_t handles[70];
+	int *value;
+
+	released = 0;
+	table_set_release(table, count_released);
+	for (int i = 0; i < 70; i++) {
+		handles[i] = table_insert(table, (void **)&value);
+		*value = 1;
+	}
+	for (int i = 0; i < 10; i++) {
+		table_remove(table, handles[i]);
+		table_remove(table, handles[i]);
+	}
+	assert_int_equal(released, 10);
+	table_destroy(table);
+	assert_int_equal(released, 70);
+}
+
 static void
 histogram_error_is_bounded(void **state)
 {
@@ -143,6 +176,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(stale_handles_never_resolve),
+	    cmocka_unit_test(elements_are_released_once),
 	    cmocka_unit_test(histogram_error_is_bounded),
 	    cmocka_unit_test(names_and_addresses_are_checked),
 	    cmocka_unit_test(ids_are_parsed_strictly),
