Take only an answer on an older connection as proof that one is not silent

Change: libcurl tells before a request is sent which connection it uses; the HTTP client remembers when that was opened, and an answer clears only running attempts whose connection is at least as young.

Seen failing: the table case 'an answer on a newer connection does not show that an old one works', with the comparison taken out (no resend at 31 ms). The existing case of an answering server now states the connections' ages.

--- a/include/bulrushwell/http_client.h
+++ b/include/bulrushwell/http_client.h
@@ -41,9 +41,6 @@
 int http_response_status(const http_response_t *response);
 slice_t http_response_body(const http_response_t *response);
 
-/** http_response_reused() - Whether the connection had been used before. */
-bool http_response_reused(const http_response_t *response);
-
 /**
  * typedef http_done_t - Called when a request has ended.
  * @response: incomplete unless @result is HTTP_ANSWERED
@@ -51,6 +48,12 @@
 typedef void (*http_done_t)(
     void *context, http_result_t result, const http_response_t *response);
 
+/**
+ * typedef http_connected_t - Called before a request is sent on a connection.
+ * @opened_at: when the connection was established
+ */
+typedef void (*http_connected_t)(void *context, usec_t opened_at);
+
 typedef struct {
 	const char *method;  /* "GET", "PUT" or "POST" */
 	const char *address; /* "IP:PORT" */
@@ -59,10 +62,11 @@
 	size_t header_count;
 	body_t *body; /* the client takes its own reference; NULL for none */
 	usec_t timeout;
-	size_t max_response;	   /* bytes of body */
-	bool fresh_connection;	   /* use a new connection */
-	bool close;		   /* close after the response */
-	usec_t max_connection_age; /* older ones are not reused; 0: no limit */
+	size_t max_response;	    /* bytes of body */
+	bool fresh_connection;	    /* use a new connection */
+	bool close;		    /* close after the response */
+	usec_t max_connection_age;  /* older ones are not reused; 0: no limit */
+	http_connected_t connected; /* may be NULL */
 	http_done_t done;
 	void *context;
 	/* Frees @context after @done, or instead of it when the request is
--- a/include/bulrushwell/scheduler.h
+++ b/include/bulrushwell/scheduler.h
@@ -72,7 +72,6 @@
 	attempt_result_t result;
 	int http_status;
 	bool announced_drain; /* the reply carried X-Draining */
-	bool reused;	      /* it ran on a connection that was used before */
 	body_t *body;	      /* borrowed */
 } attempt_outcome_t;
 
@@ -159,6 +158,13 @@
  */
 void scheduler_cancel_query(scheduler_t *scheduler, id128_t query, usec_t now);
 
+/**
+ * scheduler_attempt_connected() - Reports the connection that an attempt uses.
+ * @opened_at: when the connection was established
+ */
+void scheduler_attempt_connected(
+    scheduler_t *scheduler, handle_t attempt, usec_t opened_at);
+
 /**
  * scheduler_attempt_ended() - Reports the outcome of an attempt. A handle to an
  * attempt that has ended already is only counted.
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -12,6 +12,8 @@
 #define MAX_RESPONSE_HEADERS 16
 #define MAX_HEADER_BYTES 256
 #define MAX_IDLE_EASY_HANDLES 1024
+/* Connections whose start is remembered; beyond it all are forgotten. */
+#define MAX_KNOWN_CONNECTIONS (4 * MAX_IDLE_CONNECTIONS)
 
 /* Closes a connection on which sent data stays unacknowledged for this long:
  * the other host is gone. */
@@ -19,7 +21,6 @@
 
 struct http_response {
 	int status;
-	bool reused;
 	GString *body;
 	size_t header_count;
 	struct {
@@ -29,12 +30,14 @@
 };
 
 typedef struct {
+	http_client_t *client;
 	handle_t handle;
 	CURL *easy;
 	struct curl_slist *headers;
 	body_t *body;
 	size_t max_response;
 	bool too_large;
+	http_connected_t connected;
 	http_done_t done;
 	void *context;
 	void (*free_context)(void *context);
@@ -46,12 +49,19 @@
 	http_client_t *client;
 } socket_watch_t;
 
+/* When a connection was established. */
+typedef struct {
+	gint64 key; /* remote address, remote port, local port */
+	usec_t opened_at;
+} known_connection_t;
+
 struct http_client {
 	struct ev_loop *loop;
 	CURLM *multi;
 	ev_timer timer;
 	table_t *transfers;
 	GPtrArray *idle_easy_handles;
+	GHashTable *connections; /* known_connection_t by its key */
 };
 
 const char *
@@ -75,12 +85,6 @@
 	return (slice_t){response->body->str, response->body->len};
 }
 
-bool
-http_response_reused(const http_response_t *response)
-{
-	return response->reused;
-}
-
 static size_t
 on_body(char *data, size_t size, size_t count, void *context)
 {
@@ -134,6 +138,51 @@
 	return CURL_SOCKOPT_OK;
 }
 
+static gint64
+connection_key(const char *remote_address, int remote_port, int local_port)
+{
+	struct in_addr address = {0};
+
+	inet_pton(AF_INET, remote_address, &address);
+	return (gint64)((uint64_t)address.s_addr << 32 |
+	    (uint64_t)(uint16_t)remote_port << 16 | (uint16_t)local_port);
+}
+
+/* Return: 0 when it is not known. */
+static usec_t
+connection_opened_at(http_client_t *client, gint64 key, bool is_new)
+{
+	known_connection_t *connection;
+
+	if (!is_new) {
+		connection = g_hash_table_lookup(client->connections, &key);
+		return connection != NULL ? connection->opened_at : 0;
+	}
+	if (g_hash_table_size(client->connections) >= MAX_KNOWN_CONNECTIONS)
+		g_hash_table_remove_all(client->connections);
+	connection = g_new0(known_connection_t, 1);
+	connection->key = key;
+	connection->opened_at = clock_monotonic();
+	g_hash_table_replace(client->connections, &connection->key, connection);
+	return connection->opened_at;
+}
+
+static int
+on_request_ready(void *context, char *remote_address, char *local_address,
+    int remote_port, int local_port)
+{
+	transfer_t *transfer = context;
+	gint64 key = connection_key(remote_address, remote_port, local_port);
+	long connects = 0;
+	usec_t opened_at;
+
+	curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
+	opened_at = connection_opened_at(transfer->client, key, connects > 0);
+	if (opened_at != 0 && transfer->connected != NULL)
+		transfer->connected(transfer->context, opened_at);
+	return CURL_PREREQFUNC_OK;
+}
+
 static CURL *
 acquire_easy(http_client_t *client)
 {
@@ -196,12 +245,10 @@
 {
 	http_result_t result = classify_result(transfer, code);
 	handle_t handle = transfer->handle;
-	long status = 0, connects = 0;
+	long status = 0;
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
 	transfer->response.status = (int)status;
-	transfer->response.reused = connects == 0;
 	transfer->done(transfer->context, result, &transfer->response);
 	transfer = table_get(client->transfers, handle);
 	if (transfer != NULL)
@@ -308,6 +355,8 @@
 	client->transfers =
 	    table_create(sizeof(transfer_t), HTTP_CLIENT_MAX_RUNNING);
 	client->idle_easy_handles = g_ptr_array_new();
+	client->connections =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	ev_init(&client->timer, on_timer);
 	client->timer.data = client;
 	client->multi = curl_multi_init();
@@ -353,6 +402,7 @@
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->loop, &client->timer);
 	table_destroy(client->transfers);
+	g_hash_table_destroy(client->connections);
 	g_free(client);
 }
 
@@ -410,6 +460,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_request_ready);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 	    (long)MAX(1, request->timeout / USEC_PER_MS));
 	set_connection_rules(easy, request);
@@ -425,10 +477,12 @@
 
 	if (handle == HANDLE_NONE)
 		return HANDLE_NONE;
+	transfer->client = client;
 	transfer->handle = handle;
 	transfer->easy = acquire_easy(client);
 	transfer->body = body_ref(request->body);
 	transfer->max_response = request->max_response;
+	transfer->connected = request->connected;
 	transfer->done = request->done;
 	transfer->context = request->context;
 	transfer->free_context = request->free_context;
--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -114,6 +114,15 @@
 	return ATTEMPT_FAILED;
 }
 
+static void
+on_attempt_connected(void *context, usec_t opened_at)
+{
+	const http_attempt_t *attempt = context;
+
+	scheduler_attempt_connected(
+	    attempt->served->scheduler, attempt->scheduler_attempt, opened_at);
+}
+
 static void
 on_attempt_done(
     void *context, http_result_t result, const http_response_t *response)
@@ -127,7 +136,6 @@
 		result == HTTP_ANSWERED ? http_response_status(response) : 0,
 	    .announced_drain =
 		http_response_header(response, "X-Draining") != NULL,
-	    .reused = http_response_reused(response),
 	};
 
 	if (outcome.result == ATTEMPT_MISMATCH)
@@ -234,6 +242,7 @@
 	     * time. */
 	    .close = action->fresh_connection &&
 		action->job->kind == JOB_RESERVATION,
+	    .connected = on_attempt_connected,
 	    .done = on_attempt_done,
 	};
 
--- a/source/routing/scheduler_hedging.c
+++ b/source/routing/scheduler_hedging.c
@@ -39,15 +39,13 @@
 	return threshold;
 }
 
-/* Whether the server answered on an older connection after the attempt started:
- * then the attempt is slow rather than its connection silent. */
+/* Whether the server has answered on an older connection since the attempt
+ * started: then the attempt is slow rather than its connection silent. */
 static bool
-server_answers_others(const attempt_t *attempt)
+older_connection_answers(const attempt_t *attempt)
 {
-	const server_t *server = attempt->server;
-
-	return server->reused_connection_answer_at > attempt->started &&
-	    server->retire_before <= attempt->started;
+	return attempt->older_connection_answered &&
+	    attempt->server->retire_before <= attempt->started;
 }
 
 /* Age at which an attempt counts as slow: the 95th percentile, and for a server
@@ -185,7 +183,7 @@
 	if (entry == NULL || !scheduler_is_clear(scheduler, entry, now))
 		return;
 	if (may_resend(attempt, entry) && now >= silent_at &&
-	    !server_answers_others(attempt)) {
+	    !older_connection_answers(attempt)) {
 		server_mark_silent(attempt->server, attempt->started, now);
 		try_resend(scheduler, entry, now);
 	}
@@ -263,7 +261,7 @@
 	if (latency_is_known(&scheduler->latency))
 		record_latency_bound(scheduler, attempt, now);
 	if (!attempt->fresh_connection && now >= attempt->deadline &&
-	    !server_answers_others(attempt) &&
+	    !older_connection_answers(attempt) &&
 	    now - attempt->started >= scheduler->latency.p99)
 		server_mark_silent(attempt->server, attempt->started, now);
 }
--- a/source/routing/scheduler_outcomes.c
+++ b/source/routing/scheduler_outcomes.c
@@ -53,6 +53,23 @@
 }
 
 /* Updates the server's record, whether or not the job still exists. */
+/* A connection on which the server answers is not silent. Whatever silenced the
+ * connections of a server has spared none that was as old, so the same holds
+ * for those that were opened later. */
+static void
+clear_younger_connections(const attempt_t *answered)
+{
+	attempt_t *other = answered->server->attempts;
+
+	if (answered->connection_opened_at == 0)
+		return;
+	for (; other != NULL; other = other->next)
+		if (other != answered &&
+		    other->connection_opened_at >=
+			answered->connection_opened_at)
+			other->older_connection_answered = true;
+}
+
 static void
 update_server(scheduler_t *scheduler, attempt_t *attempt,
     const attempt_outcome_t *outcome, usec_t now)
@@ -63,8 +80,7 @@
 	case ATTEMPT_OK:
 		record_latency(scheduler, attempt, now);
 		server_record_answer(server, true, now);
-		if (outcome->reused)
-			server->reused_connection_answer_at = now;
+		clear_younger_connections(attempt);
 		break;
 	case ATTEMPT_VERSION_GONE:
 	case ATTEMPT_WRONG_SHARD:
@@ -167,6 +183,16 @@
 		scheduler_release_attempt(scheduler, attempt, now);
 }
 
+void
+scheduler_attempt_connected(
+    scheduler_t *scheduler, handle_t handle, usec_t opened_at)
+{
+	attempt_t *attempt = table_get(scheduler->attempts, handle);
+
+	if (attempt != NULL)
+		attempt->connection_opened_at = opened_at;
+}
+
 void
 scheduler_attempt_ended(scheduler_t *scheduler, handle_t handle,
     const attempt_outcome_t *outcome, usec_t now)
--- a/source/routing/scheduler_private.h
+++ b/source/routing/scheduler_private.h
@@ -100,7 +100,11 @@
 	bool start_taken; /* the caller has taken its START action */
 	bool fresh_connection;
 	bool hedge;
-	bool alone;		 /* runs a suspect, beside no other attempt */
+	bool alone; /* runs a suspect, beside no other attempt */
+	usec_t connection_opened_at; /* 0: not connected yet, or not known */
+	/* The server has answered another one on a connection at least as old.
+	 */
+	bool older_connection_answered;
 	uint64_t crash_id;	 /* the crash during which it ran; 0: none */
 	heap_node_t charge_node; /* in scheduler.attempts_by_charge_end */
 	heap_node_t check_node;	 /* in scheduler.attempts_by_check */
--- a/source/routing/server.h
+++ b/source/routing/server.h
@@ -66,8 +66,7 @@
 	usec_t probed_at;
 	uint32_t unanswered_count; /* in a row, see SERVER_UNRESPONSIVE_AFTER */
 	usec_t last_unanswered_at;
-	usec_t reused_connection_answer_at; /* the last one */
-	uint32_t refusal_count;		    /* in a row */
+	uint32_t refusal_count; /* in a row */
 	usec_t backoff_from;
 	usec_t backoff_until;
 	uint32_t failure_count; /* in a row */
--- a/tests/lib/scheduler_fixture.c
+++ b/tests/lib/scheduler_fixture.c
@@ -120,7 +120,6 @@
 {
 	body_t *body = body_create("x", 1);
 
-	outcome.reused = true;
 	outcome.body = outcome.result == ATTEMPT_OK ? body : NULL;
 	if (outcome.result == ATTEMPT_OK)
 		outcome.http_status = 200;
@@ -159,6 +158,11 @@
 		    (attempt_outcome_t){.result = (attempt_result_t)step->b,
 			.http_status = 500});
 		break;
+	case CONNECTED:
+		scheduler_attempt_connected(fixture->scheduler,
+		    fixture->attempts[step->a - 1],
+		    fixture->start + MS(step->b));
+		break;
 	case MALFORMED:
 		fixture_end_attempt(fixture, step->a,
 		    (attempt_outcome_t){.result = ATTEMPT_FAILED});
--- a/tests/lib/scheduler_fixture.h
+++ b/tests/lib/scheduler_fixture.h
@@ -14,6 +14,7 @@
 
 typedef enum {
 	END,	       /* a: attempt, b: result */
+	CONNECTED,     /* a: attempt, b: when its connection was opened (ms) */
 	MALFORMED,     /* a: attempt; ATTEMPT_FAILED without an error status */
 	DRAIN,	       /* a: attempt; OK that announces a drain */
 	SUBMIT,	       /* a: tag, b: deadline (ms from the start of the case) */
