Do not take one pause of a server for slowness

A pause of 100 ms gives several samples of 13 typical times each; the estimate rises to 5 or more, is above the cost of another data centre (1.2) for 7 s, and servers pause each 2.4 s, so that the server was chosen almost at random.

Change: attempts that overlap one stall count once, and one stall raises the estimate by a bounded factor; repeated ones still show a slow server.

--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -5,6 +5,12 @@
 
 #define SLOWNESS_WEIGHT 0.35 /* of a new sample */
 #define SLOWNESS_MAX 50.0
+/*
+ * An attempt that takes this many typical times was stalled, as by a pause of
+ * the server. One stall raises the estimate to at most this factor of it, so
+ * that only repeated ones show that the server is slow.
+ */
+#define STALL_RATIO 3.0
 #define FAILURE_WEIGHT 0.4 /* of a new sample */
 /* Time constant of the slowness and failure estimates. */
 #define ESTIMATE_DECAY_TIME SECONDS(5)
@@ -67,6 +73,20 @@
 	    FAILURE_WEIGHT * (sample - health->failure_rate);
 }
 
+/* Attempts that overlap one stall are one observation of it. */
+static void
+add_slowness(server_health_t *health, double ratio, usec_t elapsed, usec_t now)
+{
+	bool stalled = ratio > STALL_RATIO;
+
+	if (stalled && now - elapsed < health->stalled_at)
+		return;
+	if (stalled)
+		health->stalled_at = now;
+	ratio = fmin(ratio, STALL_RATIO * fmax(health->slowness, 1.0));
+	health->slowness += SLOWNESS_WEIGHT * (ratio - health->slowness);
+}
+
 void
 server_health_answered(server_health_t *health, usec_t elapsed, usec_t typical,
     double max_concurrency, usec_t now)
@@ -75,7 +95,7 @@
 
 	decay_estimates(health, now);
 	ratio = fmin(ratio, SLOWNESS_MAX);
-	health->slowness += SLOWNESS_WEIGHT * (ratio - health->slowness);
+	add_slowness(health, ratio, elapsed, now);
 	add_failure(health, 0.0);
 	health->average_load += (double)elapsed / (double)LOAD_AVERAGE_TIME;
 	health->ejections = 0;
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -18,6 +18,7 @@
 /** What a node has measured of one server by its own attempts. */
 typedef struct {
 	double slowness;	  /* duration of attempts / typical one */
+	usec_t stalled_at;	  /* when the last stalled attempt ended */
 	double failure_rate;	  /* recent share of failed attempts, 0..1 */
 	double average_load;	  /* recent mean of running attempts */
 	usec_t decayed_at;	  /* when the estimates last decayed */
--- a/tests/lib/load_model.h
+++ b/tests/lib/load_model.h
@@ -41,6 +41,7 @@
 	double in_time;	     /* share of queries that are answered in time */
 	double useful_per_s; /* queries answered in time per second */
 	double extra_ratio;  /* additional attempts per request */
+	double remote_ratio; /* attempts that left the data centre, of all */
 	uint32_t queries;    /* counted after the warm-up */
 } load_model_result_t;
 
