Derive the soft deadline from what is observed of the way to the client

The median response took 39.98 ms of 40.

Change: the module client_timing works it out from the round trip of the client's connection (TCP_INFO), the time that the client has spent already (it states less than the longest wait of its route; also for retries), the 99th percentile of the timers' lateness, and the size of the route's last response on this VM's link (--link-mbps).

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -7,14 +7,12 @@
 #include "bulrushwell/event.h"
 #include "exchange_private.h"
 
+/* Assumed when the kernel does not tell the round trip to a client. */
+#define DEFAULT_ROUND_TRIP MS(6)
 /*
- * Time reserved for this process and for the response to reach the client.
- * SOFT_DEADLINE_MARGIN_RATIO is a part of the target latency,
- * DEADLINE_MARGIN_RATIO a part of the time that the client waits.
+ * Time reserved for the last response to reach the client, as a part of the
+ * time that it waits.
  */
-#define SOFT_DEADLINE_MARGIN MS(4)
-#define SOFT_DEADLINE_MARGIN_RATIO 0.1
-#define FIRST_REQUEST_MARGIN MS(6) /* time for the client to connect */
 #define DEADLINE_MARGIN_RATIO 0.04
 #define DEADLINE_MARGIN_MIN MS(8)
 #define DEADLINE_MARGIN_MAX MS(100)
@@ -254,6 +252,7 @@
 		if (hedge_at != 0 && task_is_open(&exchange->tasks[i]))
 			next_at = MIN(next_at, hedge_at);
 	}
+	exchange->wake_at = next_at;
 	ev_timer_stop(loop, &exchange->timer);
 	ev_timer_set(&exchange->timer,
 	    (double)MAX(next_at - now, 0) / USEC_PER_SEC, 0.0);
@@ -279,6 +278,8 @@
 	exchange_t *exchange = timer->data;
 	usec_t now = engine_now(exchange->engine);
 
+	client_timing_record_delay(
+	    exchange->engine->timing, clock_monotonic() - exchange->wake_at);
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		task_t *task = &exchange->tasks[i];
 
@@ -288,33 +289,62 @@
 	exchange_reply_if_due(exchange, now);
 }
 
-static void
-set_deadlines(exchange_t *exchange, bool first_on_connection)
+/* How long the client still waits; negative when it does not state that. */
+static int64_t
+stated_wait_ms(const exchange_t *exchange)
 {
 	const header_names_t *names = &exchange->engine->settings.headers;
-	const route_t *route = exchange->route;
-	usec_t timeout = route->timeout;
-	usec_t margin = SOFT_DEADLINE_MARGIN +
-	    (usec_t)(SOFT_DEADLINE_MARGIN_RATIO * route->target_latency);
 	slice_t value;
-	int64_t client_wait_ms = -1;
-
-	if (http_message_find(exchange->request, names->deadline_ms, &value))
-		client_wait_ms = http_parse_number(value);
-	if (client_wait_ms >= 0) {
-		usec_t client_wait = MS(client_wait_ms);
-		usec_t reply_margin =
-		    (usec_t)(DEADLINE_MARGIN_RATIO * client_wait);
-
-		reply_margin = CLAMP(
-		    reply_margin, DEADLINE_MARGIN_MIN, DEADLINE_MARGIN_MAX);
-		timeout = MIN(timeout, MAX(client_wait - reply_margin, MS(1)));
-	}
-	if (first_on_connection)
-		margin += FIRST_REQUEST_MARGIN;
-	exchange->deadline = exchange->received_at + timeout;
+
+	if (!http_message_find(exchange->request, names->deadline_ms, &value))
+		return -1;
+	return http_parse_number(value);
+}
+
+/* The time from now until the latest response of any kind. */
+static usec_t
+final_allowance(const exchange_t *exchange, int64_t wait_ms)
+{
+	usec_t wait = MS(wait_ms);
+	usec_t margin;
+
+	if (wait_ms < 0)
+		return exchange->route->timeout;
+	margin = CLAMP((usec_t)(DEADLINE_MARGIN_RATIO * (double)wait),
+	    DEADLINE_MARGIN_MIN, DEADLINE_MARGIN_MAX);
+	return MIN(exchange->route->timeout, MAX(wait - margin, MS(1)));
+}
+
+static usec_t
+soft_allowance(const exchange_t *exchange,
+    const client_connection_t *connection, int64_t wait_ms)
+{
+	route_state_t *state = exchange->route_state;
+	client_request_t request = {
+	    .target_latency = exchange->route->target_latency,
+	    .round_trip = connection->round_trip > 0 ? connection->round_trip
+						     : DEFAULT_ROUND_TRIP,
+	    .response_bytes = state->response_bytes,
+	};
+
+	if (wait_ms >= 0)
+		request.time_spent =
+		    wait_history_time_spent(&state->waits, MS(wait_ms));
+	if (connection->first_request)
+		request.time_spent =
+		    MAX(request.time_spent, request.round_trip);
+	return client_timing_allowance(exchange->engine->timing, &request);
+}
+
+static void
+set_deadlines(exchange_t *exchange, const client_connection_t *connection)
+{
+	int64_t wait_ms = stated_wait_ms(exchange);
+
+	exchange->deadline =
+	    exchange->received_at + final_allowance(exchange, wait_ms);
 	exchange->soft_deadline = exchange->received_at +
-	    MAX(route->target_latency - margin, route->target_latency / 2);
+	    soft_allowance(exchange, connection, wait_ms);
 	exchange->soft_deadline =
 	    MIN(exchange->soft_deadline, exchange->deadline);
 }
@@ -456,12 +486,13 @@
 }
 
 static void
-start_tasks(exchange_t *exchange, bool first_on_connection, usec_t now)
+start_tasks(
+    exchange_t *exchange, const client_connection_t *connection, usec_t now)
 {
 	exchange_engine_t *engine = exchange->engine;
 
 	exchange->route_state = route_state_get(engine, exchange->route);
-	set_deadlines(exchange, first_on_connection);
+	set_deadlines(exchange, connection);
 	if (is_refused_suspect(exchange, now)) {
 		event_log_sampled(EVENT_SUSPECT_REFUSED,
 		    "request=%.*s fingerprint=%016llx",
@@ -490,7 +521,7 @@
 
 exchange_t *
 exchange_start(exchange_engine_t *engine, const http_message_t *request,
-    bool first_on_connection, exchange_reply_t reply, void *client)
+    const client_connection_t *connection, exchange_reply_t reply, void *client)
 {
 	uint32_t task_count = count_tasks(engine, request);
 	exchange_t *exchange =
@@ -515,7 +546,7 @@
 		reply_error(exchange, error, cause, now);
 	} else {
 		exchange->task_count = task_count;
-		start_tasks(exchange, first_on_connection, now);
+		start_tasks(exchange, connection, now);
 	}
 	exchange->starting = false;
 	if (exchange->done) {
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -74,11 +74,13 @@
  * typedef engine_settings_t - Settings, which are copied.
  * @headers: the strings must outlive the engine
  * @drain_limit: time for which a leaving server still gets requests
+ * @link_mbps: bandwidth of this VM's network link, in Mbit/s
  */
 typedef struct {
 	header_names_t headers;
 	retry_limits_t retries;
 	usec_t drain_limit;
+	double link_mbps;
 } engine_settings_t;
 
 /** engine_create() - Creates an engine without a route table; never NULL. */
@@ -136,10 +138,16 @@
 /** engine_running_count() - Number of exchanges that have not ended. */
 uint32_t engine_running_count(const exchange_engine_t *engine);
 
+/** typedef client_connection_t - The connection that a request came from. */
+typedef struct {
+	usec_t round_trip;  /* 0: not known */
+	bool first_request; /* the client has just spent a round trip on it */
+} client_connection_t;
+
 /**
  * exchange_start() - Starts to process a request.
  * @request: must not change until the response is sent
- * @first_on_connection: the client has already spent a round trip to connect
+ * @connection: copied
  * @reply: called once, unless exchange_client_gone() is called first
  * @client: passed to @reply
  *
@@ -147,7 +155,7 @@
  * @reply was called before this function returned.
  */
 exchange_t *exchange_start(exchange_engine_t *engine,
-    const http_message_t *request, bool first_on_connection,
+    const http_message_t *request, const client_connection_t *connection,
     exchange_reply_t reply, void *client);
 
 /**
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -48,6 +48,7 @@
 	engine->settings = *settings;
 	engine->pool = pool_create(loop, &pool_settings, &handlers);
 	engine->limiter = limiter_create();
+	engine->timing = client_timing_create(settings->link_mbps);
 	engine->suspects = suspect_list_create();
 	engine->route_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, free_route_state);
@@ -61,6 +62,7 @@
 		return;
 	pool_destroy(engine->pool);
 	limiter_destroy(engine->limiter);
+	client_timing_destroy(engine->timing);
 	suspect_list_destroy(engine->suspects);
 	route_table_unref(engine->table);
 	g_hash_table_destroy(engine->route_states);
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushwell/limiter.h"
 #include "bulrushwell/suspect.h"
+#include "client_timing.h"
 #include "exchange.h"
 #include "retry_schedule.h"
 
@@ -43,6 +44,8 @@
 	double *current_weights;    /* ROUTE_WEIGHTED: round robin state */
 	uint32_t current_weight_count;
 	retry_schedule_t retry_schedule; /* for refused clients */
+	wait_history_t waits;		 /* that clients stated */
+	size_t response_bytes;		 /* of the last response */
 };
 
 struct exchange {
@@ -65,6 +68,7 @@
 	usec_t soft_deadline;
 	usec_t deadline; /* latest time of any response */
 	ev_timer timer;
+	usec_t wake_at;		   /* when the timer is due */
 	bool admitted;		   /* counted as running by the limiter */
 	bool succeeded;		   /* fan-out: the response was a success */
 	bool starting;		   /* exchange_start() has not returned */
@@ -81,6 +85,7 @@
 	engine_settings_t settings;
 	pool_t *pool;
 	limiter_t *limiter; /* limits concurrent fan-outs */
+	client_timing_t *timing;
 	suspect_list_t *suspects;
 	suspect_handler_t suspect_handler; /* may be NULL */
 	void *suspect_context;
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -243,6 +243,7 @@
 	buffer_append_text(&head, "\r\nContent-Length: ");
 	buffer_append_number(&head, size);
 	buffer_append(&head, "\r\n", 2);
+	exchange->route_state->response_bytes = head.size + size;
 	exchange_finish(
 	    exchange, &head, (slice_t){(const char *)records->records, size});
 	buffer_free(&head);
--- a/source/gateway/frontend.c
+++ b/source/gateway/frontend.c
@@ -222,12 +222,16 @@
 static void
 start_exchange(client_t *client)
 {
+	const client_connection_t connection = {
+	    .round_trip = http_socket_round_trip(client->fd),
+	    .first_request = client->requests == 0,
+	};
 	exchange_t *exchange;
 
 	client->state = CLIENT_WAITING;
 	client->requests++;
 	exchange = exchange_start(client->frontend->engine, &client->request,
-	    client->requests == 1, on_reply, client);
+	    &connection, on_reply, client);
 	if (exchange != NULL)
 		client->exchange = exchange;
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -274,6 +274,7 @@
 	    .headers = *headers,
 	    .retries = settings->retries,
 	    .drain_limit = settings->drain_limit,
+	    .link_mbps = settings->link_mbps,
 	};
 
 	gateway->settings = *settings;
--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -14,6 +14,7 @@
 #define DEFAULT_RETRY_SLACK "20"
 #define DEFAULT_DRAIN_MS "3000"
 #define DEFAULT_STOP_S "6"
+#define DEFAULT_LINK_MBPS "1000"
 /*
  * drain-ms is the time after which a leaving server must get no more requests.
  * This node reads that the server leaves within DISCOVERY_SHARE of it, and then
@@ -41,6 +42,7 @@
 	SETTING_RETRY_SLACK,
 	SETTING_DRAIN_MS,
 	SETTING_STOP_S,
+	SETTING_LINK_MBPS,
 	SETTING_COUNT
 } setting_t;
 
@@ -80,6 +82,8 @@
 	"time after which a leaving server gets no requests", DEFAULT_DRAIN_MS},
     [SETTING_STOP_S] = {"stop-s", "SECONDS",
 	"time after which a stopping process is killed", DEFAULT_STOP_S},
+    [SETTING_LINK_MBPS] = {"link-mbps", "MBIT/S",
+	"bandwidth of the VM's network link", DEFAULT_LINK_MBPS},
 };
 
 static int
@@ -177,7 +181,9 @@
 	    parse_number(values, SETTING_DRAIN_MS, 0.0, 1e6, &drain_ms, message,
 		message_size) != 0 ||
 	    parse_number(values, SETTING_STOP_S, 1.0, 3600.0, &stop_s, message,
-		message_size) != 0)
+		message_size) != 0 ||
+	    parse_number(values, SETTING_LINK_MBPS, 0.1, 1e6,
+		&settings->link_mbps, message, message_size) != 0)
 		return BW_E_SETTINGS;
 	settings->store_history = (usec_t)(history_s * USEC_PER_SEC);
 	settings->retries.window = (usec_t)(window_s * USEC_PER_SEC);
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -31,6 +31,7 @@
 	usec_t drain_limit; /* a leaving server gets no attempts after this */
 	usec_t discovery_interval; /* between reads of the registry */
 	usec_t stop_limit;	   /* longest duration of a planned stop */
+	double link_mbps; /* bandwidth of the VM's network link, in Mbit/s */
 	bool check_only;
 	bool version_only;
 } gateway_settings_t;
--- a/source/http/http_socket.c
+++ b/source/http/http_socket.c
@@ -76,6 +76,17 @@
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)(limit / USEC_PER_MS));
 }
 
+usec_t
+http_socket_round_trip(int fd)
+{
+	struct tcp_info info = {0};
+	socklen_t size = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+		return 0;
+	return info.tcpi_rtt; /* in microseconds */
+}
+
 int
 http_socket_parse(const char *text, struct sockaddr_in *address)
 {
--- a/source/http/http_socket.h
+++ b/source/http/http_socket.h
@@ -32,6 +32,12 @@
  */
 void http_socket_detect_silence(int fd, usec_t limit);
 
+/**
+ * http_socket_round_trip() - The kernel's estimate of the connection's round
+ * trip time; 0 when it has none.
+ */
+usec_t http_socket_round_trip(int fd);
+
 /** http_socket_parse() - Parses an IPv4 "IP:PORT"; 0 or BW_E_INVALID. */
 int http_socket_parse(const char *text, struct sockaddr_in *address);
 
--- a/tests/test_gateway_engine.c
+++ b/tests/test_gateway_engine.c
@@ -58,7 +58,9 @@
 	    .headers = platform_header_names,
 	    .retries = {.ratio = 0.2, .window = SECONDS(10), .slack = 10},
 	    .drain_limit = SECONDS(1),
+	    .link_mbps = 1000,
 	};
+	const client_connection_t connection = {.round_trip = MS(1)};
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
 	loop_clock_t clock;
 	exchange_engine_t *engine;
@@ -77,7 +79,7 @@
 	limiter_get_stats(engine->limiter, "shard-0", &before);
 	for (int i = 0; i < REQUESTS; i++)
 		assert_null(exchange_start(
-		    engine, &request, false, count_refusal, &refused));
+		    engine, &request, &connection, count_refusal, &refused));
 	limiter_get_stats(engine->limiter, "shard-0", &after);
 	assert_int_equal(refused, REQUESTS);
 	assert_int_equal(after.lowered, before.lowered);
