Date a server's leave back to when the registry last did not list it

After a restart nobody knows since when a server that is listed as draining leaves; it was used for another 1.8 s.

Change: the pool knows until when all changes of the registry are known (own polls, lists, confirmations by relays) and dates a leave back to that time. The last resort ends at 0.75 of the bound after it, however late the news; a server that is first seen draining is not used. Relays send with 0.4 of their VM's link (1,100 datagrams a second at 32 Mbit/s).

Test: test_gateway_leaving, seen failing with the leave dated when it was learned ('late news: the limit is the same').

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -229,6 +229,7 @@
 	if (gateway->peers == NULL)
 		return BW_E_IO;
 	peer_link_set_may_follow(gateway->peers, settings->may_follow_peers);
+	peer_link_set_bandwidth(gateway->peers, settings->link_mbps);
 	engine_set_suspect_handler(
 	    gateway->engine, broadcast_suspect, gateway->peers);
 	return 0;
@@ -356,6 +357,13 @@
 	update_ready(gateway);
 }
 
+void
+gateway_registry_current(gateway_t *gateway, usec_t age)
+{
+	pool_registry_current(
+	    engine_pool(gateway->engine), gateway_now(gateway) - age);
+}
+
 void
 gateway_update_server(gateway_t *gateway, const server_entry_t *entry)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -59,6 +59,12 @@
  * takes its own reference. */
 void gateway_update_config(gateway_t *gateway, route_table_t *table);
 
+/**
+ * gateway_registry_current() - All changes of the server registry up to
+ * @age ago are known.
+ */
+void gateway_registry_current(gateway_t *gateway, usec_t age);
+
 /** gateway_update_server() - Adds or updates a server from its registry entry.
  */
 void gateway_update_server(gateway_t *gateway, const server_entry_t *entry);
--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -17,12 +17,13 @@
 #define DEFAULT_LINK_MBPS "1000"
 /*
  * drain-ms is the time after which a leaving server must get no more requests.
- * This node reads that the server leaves within DISCOVERY_SHARE of it, and then
- * uses the server as a last resort for LAST_RESORT_SHARE. The rest covers a
- * slow store and requests in flight.
+ * This node reads the registry again within DISCOVERY_SHARE of it after a
+ * change, and uses a leaving server as a last resort until LAST_RESORT_SHARE of
+ * it have passed since the server may have begun to leave. The rest covers
+ * requests in flight.
  */
 #define DISCOVERY_SHARE 0.4
-#define LAST_RESORT_SHARE 0.3
+#define LAST_RESORT_SHARE 0.75
 /* Share of drain-ms within which peers must report a leaving server. */
 #define PEER_DELAY_SHARE 0.6
 /* A stop ends this long before the process would be killed. */
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -167,6 +167,12 @@
 		pool->registry_failed_at = now;
 }
 
+void
+pool_registry_current(pool_t *pool, usec_t at)
+{
+	pool->registry_current_at = MAX(pool->registry_current_at, at);
+}
+
 uint32_t
 pool_node_count(const pool_t *pool)
 {
@@ -317,15 +323,23 @@
 	return new->sequence < old->sequence;
 }
 
+/*
+ * A leaving server may be used for a limited time only, so its leave is dated
+ * back to when the registry was last known not to list it.
+ */
 static void
-set_leaving(upstream_server_t *server, bool leaving, usec_t now)
+set_leaving(
+    const pool_t *pool, upstream_server_t *server, bool leaving, usec_t now)
 {
 	if (!leaving) {
 		server->leaving_since = 0;
 	} else if (server->leaving_since == 0) {
-		server->leaving_since = now;
-		event_log(EVENT_SERVER_LEAVING, "server=%s upstream=%s",
-		    server->entry.id, server->upstream->name);
+		server->leaving_since = MAX(pool->registry_current_at, 1);
+		server->leaving_learned_at = now;
+		event_log(EVENT_SERVER_LEAVING,
+		    "server=%s upstream=%s age_ms=%lld", server->entry.id,
+		    server->upstream->name,
+		    (long long)((now - server->leaving_since) / USEC_PER_MS));
 	}
 }
 
@@ -362,16 +376,16 @@
 	server->reported_at = now;
 	server->registered = true;
 	server->warm_up_until = now + entry->warm_up_left;
-	set_leaving(server, entry->draining, now);
+	set_leaving(pool, server, entry->draining, now);
 	pool->handlers.capacity_available(
 	    pool->handlers.context, server->upstream);
 }
 
 static void
-mark_deregistered(upstream_server_t *server, usec_t now)
+mark_deregistered(const pool_t *pool, upstream_server_t *server, usec_t now)
 {
 	server->registered = false;
-	set_leaving(server, true, now);
+	set_leaving(pool, server, true, now);
 }
 
 void
@@ -380,7 +394,7 @@
 	upstream_server_t *server = g_hash_table_lookup(pool->servers, id);
 
 	if (server != NULL)
-		mark_deregistered(server, now);
+		mark_deregistered(pool, server, now);
 }
 
 void
@@ -392,7 +406,17 @@
 	g_hash_table_iter_init(&iter, pool->servers);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		if (!g_hash_table_contains(present, key))
-			mark_deregistered(value, now);
+			mark_deregistered(pool, value, now);
+}
+
+/* Whether the entry may have expired because of a registry outage. */
+static bool
+may_reappear(const pool_t *pool, const upstream_server_t *server, usec_t now)
+{
+	return !server->registered && pool->registry_failed_at != 0 &&
+	    server->leaving_learned_at - pool->registry_failed_at <
+	    OUTAGE_EXPIRY_WINDOW &&
+	    now - server->leaving_learned_at < EXPIRED_ENTRY_GRACE;
 }
 
 /*
@@ -402,15 +426,8 @@
 static bool
 is_drained(const pool_t *pool, const upstream_server_t *server, usec_t now)
 {
-	usec_t limit = pool->settings.drain_limit;
-
-	if (server->leaving_since == 0)
-		return false;
-	if (!server->registered && pool->registry_failed_at != 0 &&
-	    server->leaving_since - pool->registry_failed_at <
-		OUTAGE_EXPIRY_WINDOW)
-		limit = MAX(limit, EXPIRED_ENTRY_GRACE);
-	return now - server->leaving_since >= limit;
+	return server->leaving_since != 0 && !may_reappear(pool, server, now) &&
+	    now - server->leaving_since >= pool->settings.drain_limit;
 }
 
 void
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -104,6 +104,12 @@
  */
 void pool_record_registry_call(pool_t *pool, bool answered, usec_t now);
 
+/**
+ * pool_registry_current() - All changes of the registry up to the time @at are
+ * known. A server that is then found to be leaving has begun to leave later.
+ */
+void pool_registry_current(pool_t *pool, usec_t at);
+
 /** pool_update_server() - Adds or updates a server from its registry entry. */
 void pool_update_server(pool_t *pool, const server_entry_t *entry, usec_t now);
 
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -25,9 +25,12 @@
 	uint32_t node_count;
 	uint32_t node_index;
 	usec_t registry_failed_at; /* last failed call; 0: none */
-	uint32_t spare_opened;	   /* spare connections opened by this sweep */
-	GHashTable *upstreams;	   /* by name */
-	GHashTable *servers;	   /* by server id */
+	/* Until then this node knew of all changes in the registry. 0: it has
+	 * not read the registry yet. */
+	usec_t registry_current_at;
+	uint32_t spare_opened; /* spare connections opened by this sweep */
+	GHashTable *upstreams; /* by name */
+	GHashTable *servers;   /* by server id */
 	GHashTable *removed_servers; /* removed_server_t by server id */
 	ev_timer sweep;
 	uint32_t answered[2]; /* this interval and the last one */
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -47,9 +47,14 @@
 	server_entry_t entry;
 	server_health_t health;
 	usec_t warm_up_until;
-	usec_t reported_at;   /* when its entry was last updated */
-	usec_t leaving_since; /* 0: neither draining nor deregistered */
-	bool registered;      /* the registry has an entry for it */
+	usec_t reported_at; /* when its entry was last updated */
+	/*
+	 * The earliest time at which it may have begun to leave, and when this
+	 * node learned of it. 0: neither draining nor deregistered.
+	 */
+	usec_t leaving_since;
+	usec_t leaving_learned_at;
+	bool registered; /* the registry has an entry for it */
 	uint32_t consecutive_failures;
 	/* Cleared when the server responds or accepts a connection. */
 	interrupted_request_t interrupted[INTERRUPTED_REQUESTS_MAX];
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -16,11 +16,14 @@
 #define DISTRUST_TIME SECONDS(2)
 #define MISSING_REQUEST_INTERVAL SECONDS(1)
 /*
- * Sending all parts to all nodes at once would overrun the link of a small VM.
- * This many datagrams of at most 1.4 KB per interval are less than 6 Mbit/s.
+ * Sending all parts to all nodes at once would overrun the link of a small VM,
+ * so they take this part of its bandwidth.
  */
-#define PACE_DATAGRAMS 8
-#define PACE_INTERVAL_S 0.016
+#define PACE_LINK_SHARE 0.4
+#define PACE_INTERVAL_S 0.008
+#define PACE_DATAGRAMS_MAX 64
+#define BITS_PER_BYTE 8.0
+#define DEFAULT_LINK_MBPS 20.0
 
 struct peer_link {
 	struct ev_loop *loop;
@@ -33,8 +36,9 @@
 	ev_io io;
 	ev_timer tick;
 	ev_timer pace;
-	GQueue unsent_parts; /* peer_changes_t */
-	uint32_t next_peer;  /* index of the one to send the first part to */
+	uint32_t pace_datagrams; /* per interval */
+	GQueue unsent_parts;	 /* peer_changes_t */
+	uint32_t next_peer; /* index of the one to send the first part to */
 	int fd;
 	peer_role_t role;
 	peer_position_t positions[PEER_TOPICS];
@@ -210,8 +214,9 @@
 static void
 send_paced(peer_link_t *link)
 {
-	for (int i = 0;
-	     i < PACE_DATAGRAMS && !g_queue_is_empty(&link->unsent_parts); i++)
+	for (uint32_t i = 0;
+	     i < link->pace_datagrams && !g_queue_is_empty(&link->unsent_parts);
+	     i++)
 		send_next_datagram(link);
 	if (g_queue_is_empty(&link->unsent_parts))
 		return;
@@ -236,8 +241,11 @@
 		const peer_position_t *theirs = &status->positions[i];
 		int64_t own = link->positions[i].revision;
 
-		if (own != 0 && own >= theirs->last_change &&
-		    own < theirs->revision)
+		if (own == 0 || own < theirs->last_change)
+			continue;
+		link->handlers.confirmed(
+		    link->handlers.context, (peer_topic_t)i);
+		if (own < theirs->revision)
 			set_known(link, (peer_topic_t)i, theirs->revision);
 	}
 }
@@ -375,6 +383,7 @@
 	link->suspects = g_array_new(FALSE, TRUE, sizeof(peer_suspect_t));
 	link->own_address = *address;
 	link->may_follow = true;
+	peer_link_set_bandwidth(link, DEFAULT_LINK_MBPS);
 	for (int i = 0; i < PEER_TOPICS; i++)
 		link->batches[i] = peer_batch_create();
 	link->fd = fd;
@@ -424,6 +433,16 @@
 			g_array_append_val(link->nodes, nodes[i]);
 }
 
+void
+peer_link_set_bandwidth(peer_link_t *link, double mbps)
+{
+	double bits = PACE_LINK_SHARE * mbps * 1e6 * PACE_INTERVAL_S;
+	double datagrams = bits / (BITS_PER_BYTE * PEER_DATAGRAM_MAX);
+
+	link->pace_datagrams =
+	    (uint32_t)CLAMP(datagrams, 1.0, PACE_DATAGRAMS_MAX);
+}
+
 void
 peer_link_set_may_follow(peer_link_t *link, bool may_follow)
 {
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -28,6 +28,8 @@
 	    int64_t to, slice_t content);
 	/** All changes of a topic up to @revision are known. */
 	void (*known)(void *context, peer_topic_t topic, int64_t revision);
+	/** A relay has stated that this node lacks no changes of a topic. */
+	void (*confirmed)(void *context, peer_topic_t topic);
 	/**
 	 * This node reads the store itself and lacks changes of a topic that a
 	 * relay knows; they are to be read now.
@@ -66,6 +68,9 @@
  */
 void peer_link_set_may_follow(peer_link_t *link, bool may_follow);
 
+/** peer_link_set_bandwidth() - Sets that of this VM's network link. */
+void peer_link_set_bandwidth(peer_link_t *link, double mbps);
+
 /** peer_link_set_nodes() - Sets the nodes of all data centres; copies them. */
 void peer_link_set_nodes(
     peer_link_t *link, const peer_node_t *nodes, uint32_t count);
--- /dev/null
+++ b/tests/test_gateway_leaving.c
@@ -0,0 +1,134 @@
+/* Guards servers that leave against requests after the time that they
+ * announced, whenever this node learns of it: late, over relays, after a
+ * restart, or around an outage of the registry. Uses no servers and no
+ * processes. */
+#include "lib/runner.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "../source/gateway/pool.h"
+
+#define DRAIN_LIMIT_MS 4500
+#define START_MS 100000 /* of a case, on the monotonic clock */
+#define NEVER (-1)
+
+typedef enum {
+	DRAINING,    /* its entry says that it leaves */
+	DEREGISTERED /* its entry is gone */
+} leave_t;
+
+typedef struct {
+	const char *name;
+	leave_t leave;
+	int current_ms; /* the registry was last known at this time */
+	int failed_ms;	/* the registry last failed to answer; NEVER: not */
+	int learned_ms; /* this node learns that the server leaves */
+	int asked_ms;
+	bool usable;
+} leaving_case_t;
+
+/* Times are in ms from the start of the case. */
+static const leaving_case_t cases[] = {
+    {"news at once: a last resort", DRAINING, 0, NEVER, 10, 4400, true},
+    {"news at once: until the limit", DRAINING, 0, NEVER, 10, 4510, false},
+    {"late news do not prolong it", DRAINING, 0, NEVER, 4000, 4400, true},
+    {"late news: the limit is the same", DRAINING, 0, NEVER, 4000, 4600, false},
+    {"news after the limit", DRAINING, 0, NEVER, 5000, 5001, false},
+    {"after a restart nobody knows since when", DRAINING, NEVER, NEVER, 10, 11,
+	false},
+    {"a removed entry", DEREGISTERED, 0, NEVER, 3000, 4400, true},
+    {"a removed entry: until the limit", DEREGISTERED, 0, NEVER, 3000, 4600,
+	false},
+    {"an entry that may have lapsed in an outage", DEREGISTERED, 0, 6000, 6100,
+	8600, true},
+    {"a lapsed entry that does not reappear", DEREGISTERED, 0, 6000, 6100, 8800,
+	false},
+    {"an outage does not excuse a drain", DRAINING, 0, 6000, 6100, 6200, false},
+};
+
+static void
+ignore_attempt(void *owner, attempt_t *attempt, attempt_outcome_t outcome,
+    const http_message_t *response)
+{
+}
+
+static void
+ignore_capacity(void *context, upstream_t *upstream)
+{
+}
+
+static void
+ignore_crash(void *context, const upstream_server_t *server,
+    const interrupted_request_t *interrupted)
+{
+}
+
+static usec_t
+case_time(int ms)
+{
+	return MS(START_MS + ms);
+}
+
+static bool
+is_usable(const leaving_case_t *leaving)
+{
+	static const pool_settings_t settings = {
+	    .headers = {"X-Id", "X-Not-Run"},
+	    .drain_limit = MS(DRAIN_LIMIT_MS),
+	    .max_response_bytes = 4096,
+	};
+	static const pool_handlers_t handlers = {
+	    .attempt_ended = ignore_attempt,
+	    .capacity_available = ignore_capacity,
+	    .server_crashed = ignore_crash};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	pool_t *pool = pool_create(loop, &settings, &handlers);
+	server_entry_t entry = {
+	    .id = "i-1", .service = "one", .slots = 2, .sequence = 1};
+	bool usable;
+
+	/* After a restart the first report already says that it leaves. */
+	if (leaving->current_ms != NEVER) {
+		pool_update_server(
+		    pool, &entry, case_time(leaving->current_ms));
+		pool_registry_current(pool, case_time(leaving->current_ms));
+	}
+	if (leaving->failed_ms != NEVER)
+		pool_record_registry_call(
+		    pool, false, case_time(leaving->failed_ms));
+	entry.sequence = 2;
+	entry.draining = true;
+	if (leaving->leave == DRAINING)
+		pool_update_server(
+		    pool, &entry, case_time(leaving->learned_ms));
+	else
+		pool_server_deregistered(
+		    pool, entry.id, case_time(leaving->learned_ms));
+	usable = pool_has_usable_server(
+	    pool, pool_get_upstream(pool, "one"), case_time(leaving->asked_ms));
+	pool_destroy(pool);
+	ev_loop_destroy(loop);
+	return usable;
+}
+
+static void
+leaving_servers_are_used_for_a_limited_time(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (is_usable(&cases[i]) != cases[i].usable)
+			fail_msg("%s: usable is not %d", cases[i].name,
+			    cases[i].usable);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(leaving_servers_are_used_for_a_limited_time),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
