--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -37,6 +37,9 @@
 	uint64_t call_count;
 	GHashTable *watch_counts; /* by kind: watches that wait now */
 	GHashTable *poll_counts;  /* by kind: long polls since the start */
+	GHashTable *list_counts;  /* by kind: lists that may not be old */
+	GPtrArray *old_objects;	  /* stored_object_t; NULL: lists are current */
+	json_int_t old_revision;
 };
 
 static void
@@ -104,15 +107,31 @@
 }
 
 static void
-answer_list(object_store_t *store, const char *kind, const char *after,
-    fake_reply_t *reply)
+add_to_count(GHashTable *counts, const char *kind, int change)
+{
+	int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, kind));
+
+	g_hash_table_insert(
+	    counts, g_strdup(kind), GINT_TO_POINTER(count + change));
+}
+
+static void
+answer_list(object_store_t *store, const char *kind,
+    const fake_request_t *request, fake_reply_t *reply)
 {
+	const char *after = fake_request_argument(request, "after");
+	bool may_be_old = fake_request_argument(request, "stale_ok") != NULL;
 	json_t *items = json_array();
-	bool has_more = false;
+	bool has_more = false, is_old;
+	const GPtrArray *objects;
 
 	g_mutex_lock(&store->lock);
-	for (guint i = 0; i < store->objects->len; i++) {
-		const stored_object_t *stored = store->objects->pdata[i];
+	is_old = may_be_old && store->old_objects != NULL;
+	objects = is_old ? store->old_objects : store->objects;
+	if (!may_be_old)
+		add_to_count(store->list_counts, kind, 1);
+	for (guint i = 0; i < objects->len; i++) {
+		const stored_object_t *stored = objects->pdata[i];
 
 		if (strcmp(stored->kind, kind) != 0 || stored->removed ||
 		    (after != NULL && strcmp(stored->name, after) <= 0))
@@ -125,7 +144,7 @@
 	}
 	fake_reply_json(reply, 200,
 	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", has_more,
-		"at_rev", store->revision));
+		"at_rev", is_old ? store->old_revision : store->revision));
 	g_mutex_unlock(&store->lock);
 }
 
@@ -172,15 +191,6 @@
 	return events;
 }
 
-static void
-add_to_count(GHashTable *counts, const char *kind, int change)
-{
-	int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, kind));
-
-	g_hash_table_insert(
-	    counts, g_strdup(kind), GINT_TO_POINTER(count + change));
-}
-
 static void
 answer_watch(object_store_t *store, const char *kind,
     const fake_request_t *request, fake_reply_t *reply)
@@ -203,10 +213,11 @@
 		add_to_count(store->poll_counts, kind, 1);
 	for (;;) {
 		events = changes_since(store, kind, revision, &at_rev);
-		if (revision < store->expired_revision ||
-		    json_array_size(events) > 0 ||
-		    clock_monotonic() >= deadline ||
-		    fake_server_is_stopping(store->http_server))
+		if (fake_server_is_stopping(store->http_server) ||
+		    (store->fault != STORE_HOLDING_WATCHES &&
+			(revision < store->expired_revision ||
+			    json_array_size(events) > 0 ||
+			    clock_monotonic() >= deadline)))
 			break;
 		json_decref(events);
 		g_mutex_unlock(&store->lock);
@@ -265,6 +276,7 @@
 	g_mutex_unlock(&store->lock);
 	switch (fault) {
 	case STORE_SERVING:
+	case STORE_HOLDING_WATCHES:
 		return false;
 	case STORE_BUSY:
 		fake_reply_text(reply, 503, "{}");
@@ -301,8 +313,7 @@
 	else if (fake_request_argument(request, "watch") != NULL)
 		answer_watch(store, parts[2], request, reply);
 	else
-		answer_list(store, parts[2],
-		    fake_request_argument(request, "after"), reply);
+		answer_list(store, parts[2], request, reply);
 	g_strfreev(parts);
 }
 
@@ -317,6 +328,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->poll_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->list_counts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->revision = 1;
 	store->page_size = page_size;
 	harness_find_unused_address(store->address);
@@ -338,6 +351,9 @@
 	g_ptr_array_free(store->objects, TRUE);
 	g_hash_table_destroy(store->watch_counts);
 	g_hash_table_destroy(store->poll_counts);
+	g_hash_table_destroy(store->list_counts);
+	if (store->old_objects != NULL)
+		g_ptr_array_free(store->old_objects, TRUE);
 	g_mutex_clear(&store->lock);
 	g_free(store);
 }
@@ -427,6 +443,32 @@
 	return read_count(store, store->watch_counts, kind);
 }
 
+void
+object_store_freeze_old(object_store_t *store)
+{
+	g_mutex_lock(&store->lock);
+	if (store->old_objects != NULL)
+		g_ptr_array_free(store->old_objects, TRUE);
+	store->old_objects = g_ptr_array_new_with_free_func(free_object);
+	store->old_revision = store->revision;
+	for (guint i = 0; i < store->objects->len; i++) {
+		const stored_object_t *stored = store->objects->pdata[i];
+		stored_object_t *copy = g_memdup2(stored, sizeof(*stored));
+
+		copy->kind = g_strdup(stored->kind);
+		copy->name = g_strdup(stored->name);
+		copy->spec = json_incref(stored->spec);
+		g_ptr_array_add(store->old_objects, copy);
+	}
+	g_mutex_unlock(&store->lock);
+}
+
+uint32_t
+object_store_list_count(object_store_t *store, const char *kind)
+{
+	return read_count(store, store->list_counts, kind);
+}
+
 uint32_t
 object_store_poll_count(object_store_t *store, const char *kind)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -15,8 +15,9 @@
 
 typedef enum {
 	STORE_SERVING,
-	STORE_BUSY,    /* responds with status 503 */
-	STORE_CLOSING, /* closes the connection without a response */
+	STORE_HOLDING_WATCHES, /* watches wait, whatever has changed */
+	STORE_BUSY,	       /* responds with status 503 */
+	STORE_CLOSING,	       /* closes the connection without a response */
 	/* Does not respond; calls received meanwhile get no response later. */
 	STORE_SILENT
 } store_fault_t;
@@ -53,6 +54,16 @@
  */
 void object_store_drop_history(object_store_t *store);
 
+/**
+ * object_store_freeze_old() - From now on, lists that may be old show the
+ * objects of this moment, page by page, at this revision.
+ */
+void object_store_freeze_old(object_store_t *store);
+
+/** object_store_list_count() - Number of list calls of a kind since the start
+ * that may not be old. */
+uint32_t object_store_list_count(object_store_t *store, const char *kind);
+
 /** object_store_call_count() - Number of calls since the start. */
 uint64_t object_store_call_count(object_store_t *store);
 
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -309,6 +309,39 @@
 	world_destroy(world);
 }
 
+/*
+ * A node reads its first list of servers at the low price, so it may be seconds
+ * old. Guards against a node that after a restart takes servers for ready that
+ * have left or are leaving: it is ready only once it knows what has changed.
+ */
+static void
+a_start_knows_what_has_left_meanwhile(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	uint32_t lists = object_store_list_count(world->store, "servers");
+
+	assert_int_equal(lists, 0);
+	for (int i = 0; i < 3; i++) {
+		object_store_freeze_old(world->store);
+		world_register(world, 0, "draining");
+		object_store_remove(world->store, "servers",
+		    plain_server_id(world->servers[2]));
+		harness_kill(world->harness, world->gateway);
+		object_store_set_fault(world->store, STORE_HOLDING_WATCHES);
+		world_start_gateway(world);
+		g_usleep(500 * 1000);
+		harness_wait_status(world->health, "/ready", 503, WAIT_MS);
+		object_store_set_fault(world->store, STORE_SERVING);
+		harness_wait_status(
+		    world->health, "/ready", 200, WORLD_START_MS);
+		assert_int_equal(
+		    count_servers(world, "ready"), WORLD_SERVERS - 2);
+		world_register_all(world);
+	}
+	assert_int_equal(object_store_list_count(world->store, "servers"), 0);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -323,6 +356,7 @@
 	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
 	    HARNESS_TEST(state_page_shows_the_servers_in_use),
+	    HARNESS_TEST(a_start_knows_what_has_left_meanwhile),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
