--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -68,6 +68,11 @@
 	X(PEER_ROLE, 1015, INFO,                                               \
 	    "the node's role in reading the store changed")                    \
 	X(PEERS_TOLD, 1016, INFO, "a relay sent store changes to its peers")   \
+	X(SHARD_GROUPS, 1017, INFO,                                            \
+	    "the shards are divided into another number of groups")            \
+	X(GROUP_RESUMED, 1018, WARN,                                           \
+	    "a node sent the sub-requests of a group that a peer did not "     \
+	    "serve")                                                           \
 	X(STORE_LOST, 1020, WARN, "the store does not answer a watch or call") \
 	X(STORE_FOUND, 1021, INFO, "the store answers again")                  \
 	X(STORE_LISTED, 1022, INFO, "all objects of a kind were read")         \
--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -6,6 +6,7 @@
 #include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
 #include "exchange_private.h"
+#include "hedging.h"
 
 /* Assumed when the kernel does not tell the round trip to a client. */
 #define DEFAULT_ROUND_TRIP MS(6)
@@ -16,6 +17,8 @@
 #define DEADLINE_MARGIN_RATIO 0.04
 #define DEADLINE_MARGIN_MIN MS(8)
 #define DEADLINE_MARGIN_MAX MS(100)
+/* How long copies are held back. */
+#define HEDGE_PAUSE MS(2)
 /* A response sent by the soft deadline's timer is slightly late. */
 #define SOFT_DEADLINE_TOLERANCE MS(3)
 
@@ -41,7 +44,7 @@
 
 	if (!exchange->admitted)
 		return;
-	if (client_gone)
+	if (client_gone || exchange->peer_failed)
 		outcome = LIMITER_OTHER;
 	else if (exchange->succeeded &&
 	    now <= exchange->soft_deadline + SOFT_DEADLINE_TOLERANCE)
@@ -62,6 +65,7 @@
 		task_leave_queue(&exchange->tasks[i]);
 	for (uint32_t i = 0; i < exchange->task_count; i++)
 		task_release(&exchange->tasks[i], client_gone);
+	groups_release(exchange, client_gone);
 	gather_records_destroy(exchange->records);
 	buffer_free(&exchange->common_head);
 	buffer_free(&exchange->failure_head);
@@ -147,12 +151,12 @@
 	release_if_done(exchange);
 }
 
-static gather_state_t
-get_gather_state(const exchange_t *exchange)
+gather_state_t
+exchange_gather_state(const exchange_t *exchange)
 {
 	gather_state_t state = {
 	    .total = exchange->task_count,
-	    .min_share = exchange->route->min_share,
+	    .min_share = exchange->min_share,
 	    .soft_deadline = exchange->soft_deadline,
 	    .deadline = exchange->deadline,
 	};
@@ -174,7 +178,7 @@
 
 	if (exchange->route->kind != ROUTE_FANOUT)
 		return true;
-	state = get_gather_state(exchange);
+	state = exchange_gather_state(exchange);
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		const task_t *task = &exchange->tasks[i];
 
@@ -188,8 +192,12 @@
 static void
 reply_fanout_if_due(exchange_t *exchange, usec_t now)
 {
-	gather_state_t state = get_gather_state(exchange);
+	gather_state_t state = exchange_gather_state(exchange);
 
+	if (exchange->is_for_peer) {
+		group_reply_if_due(exchange, now);
+		return;
+	}
 	switch (gather_decide(&state, now)) {
 	case GATHER_WAIT:
 		break;
@@ -211,7 +219,7 @@
 exchange_end(exchange_t *exchange)
 {
 	usec_t now = engine_now(exchange->engine);
-	gather_state_t state = get_gather_state(exchange);
+	gather_state_t state = exchange_gather_state(exchange);
 
 	if (exchange->route->kind == ROUTE_FANOUT &&
 	    gather_has_min_share(&state))
@@ -252,6 +260,7 @@
 		if (hedge_at != 0 && task_is_open(&exchange->tasks[i]))
 			next_at = MIN(next_at, hedge_at);
 	}
+	next_at = MIN(next_at, groups_next_check(exchange));
 	exchange->wake_at = next_at;
 	ev_timer_stop(loop, &exchange->timer);
 	ev_timer_set(&exchange->timer,
@@ -272,20 +281,50 @@
 		set_timer(exchange, now);
 }
 
+static bool
+is_delayed_here(const exchange_t *exchange, usec_t delay, usec_t now)
+{
+	hedge_state_t state = {
+	    .shards = exchange->task_count, .timer_delay = delay};
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const task_t *task = &exchange->tasks[i];
+
+		state.late +=
+		    task->state == TASK_RUNNING && now >= task->late_at;
+	}
+	return hedging_holds_back(&state);
+}
+
+/* Sends the copies that are due, or holds them back for a while. */
 static void
-on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+hedge_due_tasks(exchange_t *exchange, usec_t delay, usec_t now)
 {
-	exchange_t *exchange = timer->data;
-	usec_t now = engine_now(exchange->engine);
+	bool delayed_here = is_delayed_here(exchange, delay, now);
 
-	client_timing_record_delay(
-	    exchange->engine->timing, clock_monotonic() - exchange->wake_at);
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		task_t *task = &exchange->tasks[i];
 
-		if (task->hedge_at != 0 && now >= task->hedge_at)
+		if (task->hedge_at == 0 || now < task->hedge_at)
+			continue;
+		if (delayed_here)
+			task->hedge_at = now + HEDGE_PAUSE;
+		else
 			task_hedge(task, now);
 	}
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	exchange_t *exchange = timer->data;
+	usec_t now = engine_now(exchange->engine);
+
+	usec_t delay = clock_monotonic() - exchange->wake_at;
+
+	client_timing_record_delay(exchange->engine->timing, delay);
+	hedge_due_tasks(exchange, now - exchange->wake_at, now);
+	groups_check(exchange, now);
 	exchange_reply_if_due(exchange, now);
 }
 
@@ -336,6 +375,18 @@
 	return client_timing_allowance(exchange->engine->timing, &request);
 }
 
+/* A receiving node states the time that it leaves to this node. */
+static void
+set_peer_deadlines(exchange_t *exchange, const group_request_t *group)
+{
+	int64_t wait_ms = stated_wait_ms(exchange);
+
+	exchange->deadline = exchange->received_at +
+	    MIN(exchange->route->timeout, MS(MAX(wait_ms, 1)));
+	exchange->soft_deadline = MIN(
+	    exchange->received_at + group->soft_allowance, exchange->deadline);
+}
+
 static void
 set_deadlines(exchange_t *exchange, const client_connection_t *connection)
 {
@@ -356,7 +407,9 @@
 	pool_t *pool = exchange->engine->pool;
 
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
-		const char *service = route->targets[i].service;
+		uint32_t target =
+		    exchange->shard_first + i * exchange->shard_step;
+		const char *service = route->targets[target].service;
 
 		if (route->kind == ROUTE_WEIGHTED)
 			service = route_state_next_target(
@@ -377,7 +430,7 @@
 	const pool_t *pool = exchange->engine->pool;
 	gather_state_t state = {
 	    .total = exchange->task_count,
-	    .min_share = exchange->route->min_share,
+	    .min_share = exchange->min_share,
 	};
 	uint32_t without_server = 0;
 
@@ -426,7 +479,8 @@
 }
 
 static uint32_t
-count_tasks(const exchange_engine_t *engine, const http_message_t *request)
+count_tasks(const exchange_engine_t *engine, const http_message_t *request,
+    const group_request_t *group)
 {
 	const route_t *route;
 	slice_t host = {0};
@@ -436,9 +490,37 @@
 	http_message_find(request, "Host", &host);
 	route = route_table_match(
 	    engine->table, host, http_message_target(request));
-	return route != NULL && route->kind == ROUTE_FANOUT
-	    ? route->target_count
-	    : 1;
+	if (route == NULL || route->kind != ROUTE_FANOUT)
+		return 1;
+	if (group == NULL)
+		return route->target_count;
+	return MAX(
+	    shard_group_size(route->target_count, group->group, group->groups),
+	    1);
+}
+
+/*
+ * Limits the exchange to the shards that a receiving node asks for. Returns 0,
+ * or the error with which to refuse it.
+ */
+static int
+select_group(
+    exchange_t *exchange, const group_request_t *group, const char **cause)
+{
+	const route_t *route = exchange->route;
+
+	if (group == NULL || route->kind != ROUTE_FANOUT ||
+	    route->targets_hash != group->targets_hash ||
+	    group->group >= route->target_count || exchange->interim == NULL) {
+		*cause = "other_shards";
+		return BW_E_NOT_READY;
+	}
+	exchange->shard_first = group->group;
+	exchange->shard_step = group->groups;
+	/* The receiving node decides which share is enough. */
+	exchange->min_share = 0.0;
+	exchange->engine->counters.groups_served++;
+	return 0;
 }
 
 /*
@@ -450,7 +532,8 @@
 {
 	exchange_engine_t *engine = exchange->engine;
 
-	if (exchange->route->kind != ROUTE_FANOUT)
+	/* The receiving node has admitted the query. */
+	if (exchange->route->kind != ROUTE_FANOUT || exchange->is_for_peer)
 		return false;
 	exchange->admitted =
 	    limiter_admit(engine->limiter, limiter_key(exchange),
@@ -486,13 +569,16 @@
 }
 
 static void
-start_tasks(
-    exchange_t *exchange, const client_connection_t *connection, usec_t now)
+start_tasks(exchange_t *exchange, const client_connection_t *connection,
+    const group_request_t *group, usec_t now)
 {
 	exchange_engine_t *engine = exchange->engine;
 
 	exchange->route_state = route_state_get(engine, exchange->route);
-	set_deadlines(exchange, connection);
+	if (group != NULL)
+		set_peer_deadlines(exchange, group);
+	else
+		set_deadlines(exchange, connection);
 	if (is_refused_suspect(exchange, now)) {
 		event_log_sampled(EVENT_SUSPECT_REFUSED,
 		    "request=%.*s fingerprint=%016llx",
@@ -515,15 +601,22 @@
 		exchange->records =
 		    gather_records_create(exchange->route->top_records);
 	head_build_common(exchange);
+	groups_ask(exchange, now);
 	for (uint32_t i = 0; i < exchange->task_count; i++)
-		task_start(&exchange->tasks[i], now);
+		if (exchange->tasks[i].state != TASK_ASKED)
+			task_start(&exchange->tasks[i], now);
 }
 
 exchange_t *
 exchange_start(exchange_engine_t *engine, const http_message_t *request,
     const client_connection_t *connection, exchange_reply_t reply, void *client)
 {
-	uint32_t task_count = count_tasks(engine, request);
+	group_request_t group_request;
+	const group_request_t *group =
+	    connection->is_peer && group_request_read(request, &group_request)
+	    ? &group_request
+	    : NULL;
+	uint32_t task_count = count_tasks(engine, request, group);
 	exchange_t *exchange =
 	    g_malloc0(sizeof(*exchange) + task_count * sizeof(task_t));
 	usec_t now = engine_now(engine);
@@ -537,17 +630,24 @@
 	exchange->received_at = now;
 	exchange->request_id = slice_from("-");
 	exchange->starting = true;
+	exchange->shard_step = 1;
+	exchange->is_for_peer = connection->is_peer;
+	exchange->interim = connection->interim;
 	ev_timer_init(&exchange->timer, on_timer, 0.0, 0.0);
 	exchange->timer.data = exchange;
 	engine->running++;
 	engine->counters.requests++;
 	error = find_route(exchange, &cause);
-	if (error != 0) {
-		reply_error(exchange, error, cause, now);
-	} else {
+	if (error == 0) {
 		exchange->task_count = task_count;
-		start_tasks(exchange, connection, now);
+		exchange->min_share = exchange->route->min_share;
 	}
+	if (error == 0 && connection->is_peer)
+		error = select_group(exchange, group, &cause);
+	if (error != 0)
+		reply_error(exchange, error, cause, now);
+	else
+		start_tasks(exchange, connection, group, now);
 	exchange->starting = false;
 	if (exchange->done) {
 		release_exchange(exchange, false);
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 
 #include "../http/http_message.h"
+#include "../peers/peer_group.h"
 #include "gather.h"
 #include "pool.h"
 #include "route_table.h"
@@ -43,6 +44,9 @@
  * @client_gone: clients that disconnected before the response
  * @hedges: parallel attempts sent because an earlier one was late
  * @budget_denied: attempts that the retry budget did not allow
+ * @groups_served: groups of shards that receiving nodes asked this node for
+ * @groups_asked: groups that this node asked its peers for
+ * @groups_resumed: of these, groups that it served itself after all
  */
 typedef struct {
 	uint64_t requests;
@@ -55,6 +59,9 @@
 	uint64_t hedges;
 	uint64_t retries;
 	uint64_t budget_denied;
+	uint64_t groups_served;
+	uint64_t groups_asked;
+	uint64_t groups_resumed;
 } exchange_counters_t;
 
 typedef struct route_state route_state_t;
@@ -75,12 +82,14 @@
  * @headers: the strings must outlive the engine
  * @drain_limit: time for which a leaving server still gets requests
  * @link_mbps: bandwidth of this VM's network link, in Mbit/s
+ * @node: name of this node; copied
  */
 typedef struct {
 	header_names_t headers;
 	retry_limits_t retries;
 	usec_t drain_limit;
 	double link_mbps;
+	const char *node;
 } engine_settings_t;
 
 /** engine_create() - Creates an engine without a route table; never NULL. */
@@ -96,6 +105,17 @@
 /** engine_set_table() - New requests use this table; adds a reference. */
 void engine_set_table(exchange_engine_t *engine, route_table_t *table);
 
+/** engine_set_nodes() - Sets the gateway nodes of all data centres. */
+void engine_set_nodes(
+    exchange_engine_t *engine, const peer_node_t *nodes, uint32_t count);
+
+/** engine_is_peer() - Whether a node of this data centre has the IP address. */
+bool engine_is_peer(
+    const exchange_engine_t *engine, const struct sockaddr_in *address);
+
+/** engine_group_count() - Number of groups that shards are divided into. */
+uint32_t engine_group_count(const exchange_engine_t *engine);
+
 /** engine_table() - The current table, or NULL; adds no reference. */
 route_table_t *engine_table(const exchange_engine_t *engine);
 
@@ -142,6 +162,10 @@
 typedef struct {
 	usec_t round_trip;  /* 0: not known */
 	bool first_request; /* the client has just spent a round trip on it */
+	bool is_peer;	    /* a receiving node asks for a group of shards */
+	/** Sends an interim response to a receiving node. @head: as for
+	 * exchange_reply_t */
+	void (*interim)(void *client, const buffer_t *head);
 } client_connection_t;
 
 /**
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -11,12 +11,26 @@
 	return loop_clock_now(engine->loop);
 }
 
+static void
+ignore_capacity(void *context, upstream_t *upstream)
+{
+}
+
+/* A request to a peer crashes no peer; servers that it crashes are seen by the
+ * peer. */
+static void
+ignore_crash(void *context, const upstream_server_t *server,
+    const interrupted_request_t *interrupted)
+{
+}
+
 static void
 free_route_state(void *data)
 {
 	route_state_t *state = data;
 
 	latency_model_destroy(state->latency);
+	latency_model_destroy(state->group_latency);
 	histogram_destroy(state->answer_times);
 	histogram_destroy(state->failure_times);
 	g_free(state->current_weights);
@@ -44,8 +58,18 @@
 	    .context = engine,
 	};
 
+	const pool_handlers_t peer_handlers = {
+	    .attempt_ended = groups_on_attempt_ended,
+	    .attempt_interim = groups_on_interim,
+	    .capacity_available = ignore_capacity,
+	    .server_crashed = ignore_crash,
+	    .context = engine,
+	};
+
 	engine->loop = loop;
 	engine->settings = *settings;
+	engine->peers = serving_peers_create(
+	    loop, settings->node, settings->headers.request_id, &peer_handlers);
 	engine->pool = pool_create(loop, &pool_settings, &handlers);
 	engine->limiter = limiter_create();
 	engine->timing = client_timing_create(settings->link_mbps);
@@ -60,6 +84,7 @@
 {
 	if (engine == NULL)
 		return;
+	serving_peers_destroy(engine->peers);
 	pool_destroy(engine->pool);
 	limiter_destroy(engine->limiter);
 	client_timing_destroy(engine->timing);
@@ -76,12 +101,66 @@
 	return engine->pool;
 }
 
+/* The fewest connections that a server of a shard accepts; 0: no shards. */
+static uint32_t
+fewest_connections(const exchange_engine_t *engine)
+{
+	const route_table_t *table = engine->table;
+	uint32_t fewest = 0;
+
+	for (uint32_t i = 0; i < route_table_route_count(table); i++) {
+		const route_t *route = route_table_route(table, i);
+
+		if (route->kind != ROUTE_FANOUT)
+			continue;
+		for (uint32_t j = 0; j < route->target_count; j++) {
+			const upstream_t *upstream = pool_get_upstream(
+			    engine->pool, route->targets[j].service);
+
+			if (fewest == 0 || upstream->max_connections < fewest)
+				fewest = upstream->max_connections;
+		}
+	}
+	return fewest;
+}
+
+static void
+apply_groups(exchange_engine_t *engine)
+{
+	pool_set_groups(engine->pool, serving_peers_group_count(engine->peers),
+	    serving_peers_own_group(engine->peers));
+}
+
 void
 engine_set_table(exchange_engine_t *engine, route_table_t *table)
 {
 	route_table_unref(engine->table);
 	engine->table = route_table_ref(table);
 	pool_apply_route_table(engine->pool, table);
+	serving_peers_set_max_connections(
+	    engine->peers, fewest_connections(engine));
+	apply_groups(engine);
+}
+
+void
+engine_set_nodes(
+    exchange_engine_t *engine, const peer_node_t *nodes, uint32_t count)
+{
+	serving_peers_set_nodes(engine->peers, nodes, count);
+	apply_groups(engine);
+}
+
+bool
+engine_is_peer(
+    const exchange_engine_t *engine, const struct sockaddr_in *address)
+{
+	return serving_peers_is_listed(engine->peers, address);
+}
+
+uint32_t
+engine_group_count(const exchange_engine_t *engine)
+{
+	return serving_peers_group_count(engine->peers);
 }
 
 route_table_t *
@@ -173,6 +252,7 @@
 	state = g_new0(route_state_t, 1);
 	state->name = g_strdup(route->name);
 	state->latency = latency_model_create(route->target_latency);
+	state->group_latency = latency_model_create(route->target_latency);
 	state->answer_times = histogram_create();
 	state->failure_times = histogram_create();
 	g_hash_table_insert(engine->route_states, state->name, state);
--- /dev/null
+++ b/source/gateway/exchange_groups.c
@@ -0,0 +1,562 @@
+/* Requests between receiving nodes and serving nodes of groups of shards. */
+#include <stdio.h>
+
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "exchange_private.h"
+
+/* In a request: "GROUP GROUPS TARGETS_HASH SOFT_US". */
+#define GROUP_HEADER "Gateway-Shard-Group"
+/* In a response: the positions in the group of the shards that answered. */
+#define SHARDS_HEADER "Gateway-Shards"
+/* In an interim response: the records of these shards in hexadecimal. */
+#define RECORDS_HEADER "Gateway-Records"
+#define MAX_INTERIM_RECORDS 64
+/* Fewer than HTTP_MAX_INTERIMS, as one says that the request was accepted. */
+#define MAX_INTERIMS (HTTP_MAX_INTERIMS - 2)
+/* Peers with a higher recent share of failed requests are not asked. */
+#define MAX_PEER_FAILURE_RATE 0.3
+#define GROUP_TEXT_MAX 96
+/* A peer keeps idle connections for longer than this. */
+#define KEEP_ALIVE_TEXT "Keep-Alive: timeout=60\r\n"
+/* A peer that has not accepted a request after this time is not waited for: at
+ * least, in usual delays of a timer, and as a part of the time until the soft
+ * deadline. */
+#define ACCEPT_TIME_MIN MS(8)
+#define ACCEPT_DELAYS 2
+#define ACCEPT_TIME_RATIO 0.4
+/* Part of the time until the soft deadline that a response needs to come back,
+ * in typical delays of a timer. */
+#define RETURN_TIME_MIN MS(1)
+#define STATUS_OK 200
+#define STATUS_SERVER_ERROR 500
+
+bool
+group_header_is_internal(slice_t name)
+{
+	return http_header_is(name, GROUP_HEADER) ||
+	    http_header_is(name, SHARDS_HEADER) ||
+	    http_header_is(name, RECORDS_HEADER) ||
+	    http_header_is(name, SERVING_PEERS_NOT_RUN_HEADER);
+}
+
+bool
+group_request_read(const http_message_t *request, group_request_t *group)
+{
+	char text[GROUP_TEXT_MAX];
+	unsigned long long hash;
+	long long soft_us;
+	slice_t value;
+
+	if (!http_message_find(request, GROUP_HEADER, &value) ||
+	    value.size >= sizeof(text))
+		return false;
+	memcpy(text, value.data, value.size);
+	text[value.size] = '\0';
+	if (sscanf(text, "%u %u %llx %lld", &group->group, &group->groups,
+		&hash, &soft_us) != 4)
+		return false;
+	group->targets_hash = hash;
+	group->soft_allowance = soft_us;
+	return group->groups > 0 && group->group < group->groups &&
+	    soft_us >= 0;
+}
+
+static void
+add_group_header(
+    const exchange_t *exchange, uint32_t group, usec_t now, buffer_t *head)
+{
+	const route_t *route = exchange->route;
+	usec_t return_time =
+	    MAX(client_timing_delay(exchange->engine->timing), RETURN_TIME_MIN);
+	usec_t soft = MAX(exchange->soft_deadline - now - return_time, 0);
+	char text[GROUP_TEXT_MAX];
+
+	snprintf(text, sizeof(text), GROUP_HEADER ": %u %u %llx %lld\r\n",
+	    group, exchange->group_count,
+	    (unsigned long long)route->targets_hash, (long long)soft);
+	buffer_append_text(head, text);
+}
+
+/* Calls @visit for each task of the group that still waits for its peer. */
+static void
+visit_asked_tasks(const group_attempt_t *group,
+    void (*visit)(task_t *task, void *context), void *context)
+{
+	exchange_t *exchange = group->exchange;
+
+	for (uint32_t i = group->group; i < exchange->task_count;
+	     i += exchange->group_count)
+		if (exchange->tasks[i].state == TASK_ASKED)
+			visit(&exchange->tasks[i], context);
+}
+
+typedef struct {
+	peer_use_t use;
+	usec_t now;
+} resume_t;
+
+static void
+resume_task(task_t *task, void *context)
+{
+	const resume_t *resume = context;
+
+	task_resume(task, resume->use, resume->now);
+}
+
+/* Serves the group here, with one attempt for each shard. */
+static void
+resume_group(group_attempt_t *group, const upstream_server_t *peer,
+    peer_use_t use, const char *cause, usec_t now)
+{
+	exchange_t *exchange = group->exchange;
+	resume_t resume = {use, now};
+
+	exchange->engine->counters.groups_resumed++;
+	event_log_sampled(EVENT_GROUP_RESUMED,
+	    "request=%.*s group=%u peer=%s cause=%s",
+	    (int)exchange->request_id.size, exchange->request_id.data,
+	    group->group, peer->entry.id, cause);
+	visit_asked_tasks(group, resume_task, &resume);
+}
+
+/* How long a peer may take to accept a request. */
+static usec_t
+accept_time(const exchange_t *exchange, usec_t now)
+{
+	usec_t delay = client_timing_delay(exchange->engine->timing);
+	double left = (double)(exchange->soft_deadline - now);
+
+	return MAX(MAX(ACCEPT_DELAYS * delay, ACCEPT_TIME_MIN),
+	    (usec_t)(ACCEPT_TIME_RATIO * left));
+}
+
+static void
+ask_peer(group_attempt_t *group, usec_t now)
+{
+	exchange_t *exchange = group->exchange;
+	exchange_engine_t *engine = exchange->engine;
+	latency_model_t *latency = exchange->route_state->group_latency;
+	upstream_server_t *peer = serving_peers_choose(
+	    engine->peers, group->group, latency_model_typical(latency), now);
+	buffer_t *head = &engine->attempt_head;
+	pool_request_t request = {
+	    .head = head,
+	    .body = {exchange->request->body.data,
+		exchange->request->body.size},
+	    .request_id = exchange->request_id,
+	    .expires_at = exchange->deadline,
+	    .latency = latency,
+	};
+
+	if (peer == NULL || peer->health.failure_rate > MAX_PEER_FAILURE_RATE)
+		return;
+	head_build_unfinished(exchange, now, head);
+	add_group_header(exchange, group->group, now, head);
+	buffer_append(head, "\r\n", 2);
+	group->attempt = pool_start_attempt(
+	    serving_peers_pool(engine->peers), peer, &request, group, now);
+	if (group->attempt == NULL)
+		return;
+	engine->counters.groups_asked++;
+	group->accept_by = now + accept_time(exchange, now);
+	for (uint32_t i = group->group; i < exchange->task_count;
+	     i += exchange->group_count)
+		exchange->tasks[i].state = TASK_ASKED;
+}
+
+void
+groups_ask(exchange_t *exchange, usec_t now)
+{
+	const serving_peers_t *peers = exchange->engine->peers;
+	uint32_t count = serving_peers_group_count(peers);
+
+	if (exchange->route->kind != ROUTE_FANOUT || exchange->is_for_peer ||
+	    exchange->is_suspect || count <= 1 || exchange->task_count <= count)
+		return;
+	exchange->groups = g_new0(group_attempt_t, count);
+	exchange->group_count = count;
+	for (uint32_t i = 0; i < count; i++) {
+		exchange->groups[i].exchange = exchange;
+		exchange->groups[i].group = i;
+		if (i != serving_peers_own_group(peers))
+			ask_peer(&exchange->groups[i], now);
+	}
+}
+
+static void
+fail_asked_task(task_t *task, void *context)
+{
+	const char *cause = context;
+
+	task->may_have_run = true;
+	task_fail(task, cause);
+}
+
+/*
+ * Ends the shards that the peer has not answered. It has or may have sent each
+ * to as many servers as the route allows: no further server may get it for this
+ * request.
+ */
+static void
+fail_group(group_attempt_t *group, const char *cause)
+{
+	char *text = g_strdup(cause);
+
+	visit_asked_tasks(group, fail_asked_task, text);
+	g_free(text);
+}
+
+/*
+ * The peer has not accepted the request in time. One whose VM has not even
+ * received it will not. Any other may have just begun, and is given until the
+ * soft deadline.
+ */
+static void
+check_group(group_attempt_t *group, usec_t now)
+{
+	exchange_t *exchange = group->exchange;
+	pool_t *pool = serving_peers_pool(exchange->engine->peers);
+	attempt_t *attempt = group->attempt;
+	upstream_server_t *peer = attempt->server;
+
+	group->accept_by = 0;
+	if (pool_attempt_accepted(attempt))
+		return;
+	if (!pool_attempt_arrived(attempt)) {
+		group->attempt = NULL;
+		resume_group(group, peer, PEER_NOT_ACCEPTED, "silent", now);
+		pool_attempt_withdraw(pool, attempt, now);
+		return;
+	}
+	server_health_failed(&peer->health, now);
+	if (now < exchange->soft_deadline) {
+		group->accept_by = exchange->soft_deadline;
+		return;
+	}
+	group->attempt = NULL;
+	exchange->peer_failed = true;
+	fail_group(group, "not_accepted");
+	pool_attempt_cancel(pool, attempt);
+}
+
+void
+groups_check(exchange_t *exchange, usec_t now)
+{
+	for (uint32_t i = 0; i < exchange->group_count; i++) {
+		group_attempt_t *group = &exchange->groups[i];
+
+		if (group->attempt != NULL && group->accept_by != 0 &&
+		    now >= group->accept_by)
+			check_group(group, now);
+	}
+}
+
+usec_t
+groups_next_check(const exchange_t *exchange)
+{
+	usec_t next = INT64_MAX;
+
+	for (uint32_t i = 0; i < exchange->group_count; i++) {
+		const group_attempt_t *group = &exchange->groups[i];
+
+		if (group->attempt != NULL && group->accept_by != 0)
+			next = MIN(next, group->accept_by);
+	}
+	return next;
+}
+
+void
+groups_release(exchange_t *exchange, bool client_gone)
+{
+	pool_t *pool = serving_peers_pool(exchange->engine->peers);
+
+	for (uint32_t i = 0; i < exchange->group_count; i++) {
+		attempt_t *attempt = exchange->groups[i].attempt;
+
+		if (attempt == NULL)
+			continue;
+		if (client_gone)
+			pool_attempt_cancel(pool, attempt);
+		else
+			pool_attempt_abandon(attempt);
+	}
+	g_free(exchange->groups);
+	exchange->groups = NULL;
+	exchange->group_count = 0;
+}
+
+/* Takes the next element of a comma-separated list; false at its end. */
+static bool
+next_element(slice_t *list, slice_t *element)
+{
+	const char *comma;
+
+	while (list->size > 0 && (*list->data == ' ' || *list->data == ',')) {
+		list->data++;
+		list->size--;
+	}
+	if (list->size == 0)
+		return false;
+	comma = memchr(list->data, ',', list->size);
+	*element = *list;
+	if (comma != NULL)
+		element->size = (size_t)(comma - list->data);
+	list->data += element->size;
+	list->size -= element->size;
+	while (element->size > 0 && element->data[element->size - 1] == ' ')
+		element->size--;
+	return element->size > 0;
+}
+
+/* The task of the shard at @position in the group, if its peer may answer it.
+ */
+static task_t *
+find_asked_task(const group_attempt_t *group, slice_t position)
+{
+	exchange_t *exchange = group->exchange;
+	int64_t number = http_parse_number(position);
+	int64_t index;
+
+	if (number < 0)
+		return NULL;
+	index = group->group + number * exchange->group_count;
+	if (index >= exchange->task_count ||
+	    exchange->tasks[index].state != TASK_ASKED)
+		return NULL;
+	return &exchange->tasks[index];
+}
+
+/*
+ * Checks the lists of shards and stamps, or applies them. Both lists are in the
+ * same order, and no shard is named twice.
+ */
+static bool
+walk_shards(
+    const group_attempt_t *group, slice_t shards, slice_t stamps, bool apply)
+{
+	int64_t last = -1;
+	slice_t shard, stamp;
+
+	while (next_element(&shards, &shard)) {
+		task_t *task = find_asked_task(group, shard);
+
+		if (task == NULL || http_parse_number(shard) <= last ||
+		    !next_element(&stamps, &stamp))
+			return false;
+		last = http_parse_number(shard);
+		if (!apply)
+			continue;
+		task->state = TASK_ANSWERED;
+		task->may_have_run = true;
+		task->response_stamp = g_strndup(stamp.data, stamp.size);
+	}
+	return !next_element(&stamps, &stamp);
+}
+
+/* Returns false, without effect, for a response that makes no sense. */
+static bool
+take_shards(const group_attempt_t *group, const http_message_t *response,
+    slice_t records)
+{
+	exchange_t *exchange = group->exchange;
+	const header_names_t *names = &exchange->engine->settings.headers;
+	slice_t shards, stamps = {0};
+
+	if (!http_message_find(response, SHARDS_HEADER, &shards))
+		return false;
+	http_message_find(response, names->part_stamps, &stamps);
+	if (!walk_shards(group, shards, stamps, false))
+		return false;
+	walk_shards(group, shards, stamps, true);
+	gather_records_add(exchange->records, records);
+	return true;
+}
+
+/* The request to the peer ended without a response that can be used. */
+static void
+handle_failure(group_attempt_t *group, const attempt_t *attempt,
+    const char *cause, usec_t now)
+{
+	server_health_failed(&attempt->server->health, now);
+	group->exchange->peer_failed = true;
+	if (attempt->accepted)
+		fail_group(group, cause);
+	else
+		resume_group(
+		    group, attempt->server, PEER_NOT_ACCEPTED, cause, now);
+}
+
+static void
+handle_response(group_attempt_t *group, const attempt_t *attempt,
+    const http_message_t *response, usec_t now)
+{
+	slice_t records = {response->body.data, response->body.size};
+
+	if (attempt->accepted &&
+	    http_message_status(response) >= STATUS_SERVER_ERROR)
+		fail_group(group, "failed_at_peer");
+	else if (http_message_status(response) == STATUS_OK &&
+	    take_shards(group, response, records))
+		fail_group(group, "left_out_by_peer");
+	else
+		handle_failure(group, attempt, "bad_answer", now);
+}
+
+/* Reads bytes in hexadecimal. Return: their number; 0 if malformed. */
+static size_t
+read_hex(slice_t text, char *bytes, size_t capacity)
+{
+	if (text.size % 2 != 0 || text.size / 2 > capacity)
+		return 0;
+	for (size_t i = 0; i < text.size / 2; i++) {
+		int high = g_ascii_xdigit_value(text.data[2 * i]);
+		int low = g_ascii_xdigit_value(text.data[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return 0;
+		bytes[i] = (char)(high << 4 | low);
+	}
+	return text.size / 2;
+}
+
+void
+groups_on_interim(void *owner, const http_message_t *response)
+{
+	group_attempt_t *group = owner;
+	exchange_t *exchange = group->exchange;
+	char bytes[MAX_INTERIM_RECORDS * GATHER_RECORD_BYTES] = {0};
+	slice_t text, records = {.data = bytes};
+
+	group->accept_by = 0;
+	if (!http_message_find(response, RECORDS_HEADER, &text))
+		return;
+	records.size = read_hex(text, bytes, sizeof(bytes));
+	if (!take_shards(group, response, records)) {
+		event_log_sampled(EVENT_PEER_BAD_MESSAGE,
+		    "request=%.*s group=%u", (int)exchange->request_id.size,
+		    exchange->request_id.data, group->group);
+		return;
+	}
+	exchange_reply_if_due(exchange, engine_now(exchange->engine));
+}
+
+void
+groups_on_attempt_ended(void *owner, attempt_t *attempt,
+    attempt_outcome_t outcome, const http_message_t *response)
+{
+	group_attempt_t *group = owner;
+	exchange_t *exchange = group->exchange;
+	usec_t now = engine_now(exchange->engine);
+
+	group->attempt = NULL;
+	switch (outcome) {
+	case ATTEMPT_ANSWERED:
+		handle_response(group, attempt, response, now);
+		break;
+	case ATTEMPT_NOT_RUN:
+		resume_group(
+		    group, attempt->server, PEER_SENT_NONE, "not_run", now);
+		break;
+	case ATTEMPT_UNKNOWN:
+		handle_failure(group, attempt, "lost", now);
+		break;
+	}
+	exchange_reply_if_due(exchange, now);
+}
+
+void
+group_response_add(const exchange_t *exchange, buffer_t *head)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	bool first = true;
+
+	buffer_append_text(head, names->request_id);
+	buffer_append(head, ": ", 2);
+	buffer_append(
+	    head, exchange->request_id.data, exchange->request_id.size);
+	buffer_append_text(head, "\r\n" SHARDS_HEADER ": ");
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const task_t *task = &exchange->tasks[i];
+
+		if (task->state != TASK_ANSWERED || task->reported)
+			continue;
+		if (!first)
+			buffer_append(head, ",", 1);
+		buffer_append_number(head, i);
+		first = false;
+	}
+	buffer_append_text(head, "\r\n" KEEP_ALIVE_TEXT);
+}
+
+/* Marks the answered shards as known to the receiving node. */
+static void
+mark_reported(exchange_t *exchange)
+{
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		if (exchange->tasks[i].state == TASK_ANSWERED)
+			exchange->tasks[i].reported = true;
+	gather_records_clear(exchange->records);
+}
+
+static bool
+has_unreported(const exchange_t *exchange)
+{
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		if (exchange->tasks[i].state == TASK_ANSWERED &&
+		    !exchange->tasks[i].reported)
+			return true;
+	return false;
+}
+
+static void
+add_hex(buffer_t *head, const unsigned char *bytes, size_t size)
+{
+	static const char digits[] = "0123456789abcdef";
+
+	for (size_t i = 0; i < size; i++) {
+		buffer_append(head, &digits[bytes[i] >> 4], 1);
+		buffer_append(head, &digits[bytes[i] & 15], 1);
+	}
+}
+
+/* Reports the shards that have answered so far. */
+static void
+send_interim(exchange_t *exchange)
+{
+	const gather_records_t *records = exchange->records;
+	buffer_t head = {0};
+
+	if (exchange->interim_count == MAX_INTERIMS ||
+	    records->count > MAX_INTERIM_RECORDS || !has_unreported(exchange))
+		return;
+	exchange->interim_count++;
+	buffer_append_text(&head, "HTTP/1.1 103 Early Hints\r\n");
+	reply_add_stamps(exchange, &head);
+	group_response_add(exchange, &head);
+	buffer_append_text(&head, RECORDS_HEADER ": ");
+	add_hex(&head, records->records[0],
+	    (size_t)records->count * GATHER_RECORD_BYTES);
+	buffer_append(&head, "\r\n", 2);
+	mark_reported(exchange);
+	exchange->interim(exchange->client, &head);
+	buffer_free(&head);
+}
+
+void
+group_reply_if_due(exchange_t *exchange, usec_t now)
+{
+	gather_state_t state = exchange_gather_state(exchange);
+
+	if (state.pending > 0 && now < exchange->deadline) {
+		if (now >= exchange->soft_deadline)
+			send_interim(exchange);
+		return;
+	}
+	if (state.answered > 0)
+		reply_fanout(exchange, state.answered, now);
+	else
+		reply_error(exchange,
+		    state.pending > 0 ? BW_E_DEADLINE : BW_E_OVERLOADED,
+		    "no_shard", now);
+}
--- a/source/gateway/exchange_head.c
+++ b/source/gateway/exchange_head.c
@@ -42,7 +42,8 @@
 is_replaced_for_servers(const header_names_t *names, slice_t name)
 {
 	return http_header_is(name, names->deadline_ms) ||
-	    http_header_is(name, names->expected_server);
+	    http_header_is(name, names->expected_server) ||
+	    group_header_is_internal(name);
 }
 
 void
@@ -73,8 +74,7 @@
 }
 
 void
-head_build_attempt(exchange_t *exchange, const upstream_server_t *server,
-    usec_t now, buffer_t *out)
+head_build_unfinished(exchange_t *exchange, usec_t now, buffer_t *out)
 {
 	const header_names_t *names = &exchange->engine->settings.headers;
 	usec_t left = exchange->deadline - now;
@@ -87,6 +87,15 @@
 	buffer_append_number(
 	    out, (unsigned long long)MAX(left / USEC_PER_MS, 1));
 	buffer_append(out, "\r\n", 2);
+}
+
+void
+head_build_attempt(exchange_t *exchange, const upstream_server_t *server,
+    usec_t now, buffer_t *out)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+
+	head_build_unfinished(exchange, now, out);
 	add_header(out, names->expected_server, slice_from(server->entry.id));
 	buffer_append(out, "\r\n", 2);
 }
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -6,6 +6,8 @@
 #include "client_timing.h"
 #include "exchange.h"
 #include "retry_schedule.h"
+#include "serving_peers.h"
+#include "shard_groups.h"
 
 /** DOC: Internal types and functions of the exchange_*.c files */
 
@@ -14,6 +16,7 @@
 typedef enum {
 	TASK_WAITING, /* queued until a server can take an attempt */
 	TASK_RUNNING,
+	TASK_ASKED, /* a peer was asked to serve its group */
 	TASK_ANSWERED,
 	TASK_FAILED
 } task_state_t;
@@ -32,6 +35,7 @@
 	bool queued;	   /* in the waiting list of the upstream */
 	bool retry_denied; /* the retry budget denied an attempt */
 	bool may_have_run; /* a server may have run the request */
+	bool reported;	   /* its answer was sent to the receiving node */
 	char *response_stamp; /* fan-out: stamp of the shard's response */
 } task_t;
 
@@ -39,19 +43,39 @@
 struct route_state {
 	char *name;
 	latency_model_t *latency;
-	histogram_t *answer_times;  /* response times of successes */
-	histogram_t *failure_times; /* response times of errors */
-	double *current_weights;    /* ROUTE_WEIGHTED: round robin state */
+	latency_model_t *group_latency; /* of requests to peers */
+	histogram_t *answer_times;	/* response times of successes */
+	histogram_t *failure_times;	/* response times of errors */
+	double *current_weights;	/* ROUTE_WEIGHTED: round robin state */
 	uint32_t current_weight_count;
 	retry_schedule_t retry_schedule; /* for refused clients */
 	wait_history_t waits;		 /* that clients stated */
 	size_t response_bytes;		 /* of the last response */
 };
 
+/** typedef group_request_t - The shards that a receiving node asks for. */
+typedef struct {
+	uint32_t group;
+	uint32_t groups;
+	uint64_t targets_hash; /* of the route's shards */
+	usec_t
+	    soft_allowance; /* until the receiving node needs what there is */
+} group_request_t;
+
+/** typedef group_attempt_t - A request of a receiving node to a peer. */
+typedef struct {
+	exchange_t *exchange;
+	uint32_t group;
+	attempt_t *attempt; /* NULL: it has ended, or none was made */
+	usec_t accept_by;   /* 0: the peer has accepted it */
+} group_attempt_t;
+
 struct exchange {
 	exchange_engine_t *engine;
 	const http_message_t *request;
 	exchange_reply_t reply;
+	void (*interim)(void *client, const buffer_t *head); /* to a peer */
+	uint32_t interim_count;
 	void *client;
 	route_table_t *table;
 	const route_t *route;
@@ -68,14 +92,22 @@
 	usec_t soft_deadline;
 	usec_t deadline; /* latest time of any response */
 	ev_timer timer;
-	usec_t wake_at;		   /* when the timer is due */
-	bool admitted;		   /* counted as running by the limiter */
-	bool succeeded;		   /* fan-out: the response was a success */
-	bool starting;		   /* exchange_start() has not returned */
-	bool done;		   /* replied, or the client has disconnected */
+	usec_t wake_at; /* when the timer is due */
+	/* Of the route's shards, every @shard_step-th from @shard_first on. */
+	uint32_t shard_first;
+	uint32_t shard_step;
+	double min_share; /* of these, for a response at the soft deadline */
+	bool peer_failed; /* a serving node failed, which shows no overload */
+	bool is_for_peer; /* the client is a receiving node */
+	bool admitted;	  /* counted as running by the limiter */
+	bool succeeded;	  /* fan-out: the response was a success */
+	bool starting;	  /* exchange_start() has not returned */
+	bool done;	  /* replied, or the client has disconnected */
 	gather_records_t *records; /* fan-out: merged so far */
 	buffer_t failure_head;	   /* last error response of a server */
 	buffer_t failure_body;
+	group_attempt_t *groups; /* by group; NULL: no peer was asked */
+	uint32_t group_count;
 	uint32_t task_count;
 	task_t tasks[];
 };
@@ -86,6 +118,7 @@
 	pool_t *pool;
 	limiter_t *limiter; /* limits concurrent fan-outs */
 	client_timing_t *timing;
+	serving_peers_t *peers;
 	suspect_list_t *suspects;
 	suspect_handler_t suspect_handler; /* may be NULL */
 	void *suspect_context;
@@ -112,6 +145,18 @@
 /** task_hedge() - Sends an attempt in parallel to a late one, if allowed. */
 void task_hedge(task_t *task, usec_t now);
 
+/** typedef peer_use_t - What a peer has done with the shards of its group. */
+typedef enum {
+	PEER_SENT_NONE,	  /* it has refused the request */
+	PEER_NOT_ACCEPTED /* it has sent none as far as is known */
+} peer_use_t;
+
+/** task_resume() - Sends a task whose peer did not answer it. */
+void task_resume(task_t *task, peer_use_t use, usec_t now);
+
+/** task_fail() - Ends the task without an answer. */
+void task_fail(task_t *task, const char *cause);
+
 /** task_on_attempt_ended() - Pool handler; may free the exchange. */
 void task_on_attempt_ended(void *owner, attempt_t *attempt,
     attempt_outcome_t outcome, const http_message_t *response);
@@ -122,6 +167,50 @@
 /** task_is_open() - Whether the task may still be answered. */
 bool task_is_open(const task_t *task);
 
+/** exchange_gather_state() - Progress of a fan-out. */
+gather_state_t exchange_gather_state(const exchange_t *exchange);
+
+/**
+ * groups_ask() - Asks peers for the groups of shards that this node does not
+ * serve. Tasks of groups without a usable peer stay as they are.
+ */
+void groups_ask(exchange_t *exchange, usec_t now);
+
+/** groups_check() - Resumes the groups whose peer has not accepted in time. */
+void groups_check(exchange_t *exchange, usec_t now);
+
+/** groups_next_check() - When groups_check() is due; INT64_MAX: never. */
+usec_t groups_next_check(const exchange_t *exchange);
+
+/** groups_release() - Detaches all requests to peers of an ended exchange. */
+void groups_release(exchange_t *exchange, bool client_gone);
+
+/** groups_on_attempt_ended() - Pool handler; may free the exchange. */
+void groups_on_attempt_ended(void *owner, attempt_t *attempt,
+    attempt_outcome_t outcome, const http_message_t *response);
+
+/** group_request_read() - Reads the request of a receiving node; false when it
+ * has none, or not a valid one. */
+bool group_request_read(const http_message_t *request, group_request_t *group);
+
+/** groups_on_interim() - Pool handler; may free the exchange. */
+void groups_on_interim(void *owner, const http_message_t *response);
+
+/**
+ * group_reply_if_due() - Reports to the receiving node: once all shards have
+ * ended or the deadline has passed with a response, from the soft deadline on
+ * with interim responses.
+ */
+void group_reply_if_due(exchange_t *exchange, usec_t now);
+
+/** group_response_add() - Appends the headers that name the shards in a
+ * response to a receiving node. */
+void group_response_add(const exchange_t *exchange, buffer_t *head);
+
+/** group_header_is_internal() - Whether a header is one that only gateways
+ * exchange. */
+bool group_header_is_internal(slice_t name);
+
 /** exchange_task_answered() - Ends the task; may free the exchange. */
 void exchange_task_answered(
     task_t *task, const attempt_t *attempt, const http_message_t *response);
@@ -160,6 +249,10 @@
 void head_build_attempt(exchange_t *exchange, const upstream_server_t *server,
     usec_t now, buffer_t *out);
 
+/** head_build_unfinished() - Like head_build_attempt(), but without the server
+ * and the blank line at its end. */
+void head_build_unfinished(exchange_t *exchange, usec_t now, buffer_t *out);
+
 /**
  * head_build_forwarded() - Appends a response head with the headers of a
  * server, without the blank line at its end.
@@ -197,6 +290,10 @@
 /** reply_fanout() - Sends the merged responses of @answered shards. */
 void reply_fanout(exchange_t *exchange, uint32_t answered, usec_t now);
 
+/** reply_add_stamps() - Appends the header with the stamps of the shards that
+ * have answered and were not reported yet. */
+void reply_add_stamps(const exchange_t *exchange, buffer_t *head);
+
 /** exchange_finish() - Sends the response and marks the exchange as done. */
 void exchange_finish(exchange_t *exchange, const buffer_t *head, slice_t body);
 
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -36,7 +36,8 @@
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		const task_t *task = &exchange->tasks[i];
 
-		if (task->may_have_run || task->running_count > 0)
+		if (task->may_have_run || task->running_count > 0 ||
+		    task->state == TASK_ASKED)
 			return true;
 	}
 	return false;
@@ -148,6 +149,9 @@
 	size = MIN(size, (int)sizeof(body) - 1);
 	head_build_local(
 	    status, retry_after(exchange, status, now), (size_t)size, &head);
+	if (exchange->is_for_peer && error_is_not_run(reported))
+		buffer_append_text(
+		    &head, SERVING_PEERS_NOT_RUN_HEADER ": 1\r\n");
 	exchange_finish(exchange, &head, (slice_t){body, (size_t)size});
 	buffer_free(&head);
 }
@@ -197,8 +201,8 @@
 	exchange_finish(exchange, &exchange->failure_head, body);
 }
 
-static void
-add_stamps(const exchange_t *exchange, buffer_t *head)
+void
+reply_add_stamps(const exchange_t *exchange, buffer_t *head)
 {
 	bool first = true;
 
@@ -208,7 +212,7 @@
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		const task_t *task = &exchange->tasks[i];
 
-		if (task->state != TASK_ANSWERED)
+		if (task->state != TASK_ANSWERED || task->reported)
 			continue;
 		if (!first)
 			buffer_append(head, ", ", 2);
@@ -235,7 +239,7 @@
 	    answered < exchange->task_count ? "partial" : "whole", now);
 	record_latency(exchange, true, now);
 	buffer_append_text(&head, "HTTP/1.1 200 OK\r\n");
-	add_stamps(exchange, &head);
+	reply_add_stamps(exchange, &head);
 	buffer_append_text(
 	    &head, exchange->engine->settings.headers.missing_parts);
 	buffer_append(&head, ": ", 2);
@@ -243,6 +247,8 @@
 	buffer_append_text(&head, "\r\nContent-Length: ");
 	buffer_append_number(&head, size);
 	buffer_append(&head, "\r\n", 2);
+	if (exchange->is_for_peer)
+		group_response_add(exchange, &head);
 	exchange->route_state->response_bytes = head.size + size;
 	exchange_finish(
 	    exchange, &head, (slice_t){(const char *)records->records, size});
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -28,11 +28,12 @@
 bool
 task_is_open(const task_t *task)
 {
-	return task->state == TASK_WAITING || task->state == TASK_RUNNING;
+	return task->state == TASK_WAITING || task->state == TASK_RUNNING ||
+	    task->state == TASK_ASKED;
 }
 
-static void
-fail_task(task_t *task, const char *cause)
+void
+task_fail(task_t *task, const char *cause)
 {
 	exchange_t *exchange = task->exchange;
 
@@ -104,7 +105,7 @@
 	head_build_attempt(exchange, server, now, &engine->attempt_head);
 	attempt = pool_start_attempt(engine->pool, server, &request, task, now);
 	if (attempt == NULL) {
-		fail_task(task, "no_socket");
+		task_fail(task, "no_socket");
 		return;
 	}
 	engine->counters.attempts++;
@@ -156,7 +157,7 @@
 	usec_t typical = latency_model_typical(exchange->route_state->latency);
 
 	if (now + expected_wait(task) + typical > exchange->deadline) {
-		fail_task(task, "overloaded");
+		task_fail(task, "overloaded");
 		return;
 	}
 	task->state = TASK_WAITING;
@@ -181,7 +182,7 @@
 	else if (busy)
 		return false;
 	else if (task->running_count == 0)
-		fail_task(task, "no_server");
+		task_fail(task, "no_server");
 	return true;
 }
 
@@ -202,8 +203,9 @@
 	exchange_engine_t *engine = task->exchange->engine;
 
 	if (retry_budget_take(&task->upstream->retry_budget,
-		&engine->settings.retries, pool_node_count(engine->pool),
-		reserved_share, now))
+		&engine->settings.retries,
+		pool_budget_nodes(engine->pool, task->upstream), reserved_share,
+		now))
 		return true;
 	engine->counters.budget_denied++;
 	task->retry_denied = true;
@@ -306,11 +308,11 @@
 	if (task->running_count > 0 || !task_is_open(task))
 		return;
 	if (!may_send_again(task) || now >= task->exchange->deadline) {
-		fail_task(task, cause);
+		task_fail(task, cause);
 		return;
 	}
 	if (costs_budget && !take_budget(task, 0.0, now)) {
-		fail_task(task, "retry_budget");
+		task_fail(task, "retry_budget");
 		return;
 	}
 	engine->counters.retries++;
@@ -318,6 +320,19 @@
 		enqueue(task, now);
 }
 
+void
+task_resume(task_t *task, peer_use_t use, usec_t now)
+{
+	task->state = TASK_WAITING;
+	if (use == PEER_NOT_ACCEPTED) {
+		/* It may have sent each shard once before it saw that nobody
+		 * waits. */
+		task->may_have_run = true;
+		task->sent_count = 1;
+	}
+	task_start(task, now);
+}
+
 static bool
 is_shard_answer(const exchange_t *exchange, const http_message_t *response)
 {
--- a/source/gateway/frontend.c
+++ b/source/gateway/frontend.c
@@ -24,6 +24,8 @@
  * could cause a reset that truncates the response.
  */
 #define LINGER_TIMEOUT MS(500)
+/* Longer than a peer keeps an idle connection. */
+#define PEER_IDLE_TIMEOUT SECONDS(70)
 
 typedef enum {
 	CLIENT_READING,	 /* idle, or reading a request */
@@ -54,6 +56,7 @@
 	ev_io listener;
 	ev_timer timeout_check;
 	int fd;
+	frontend_kind_t kind;
 	exchange_engine_t *engine;
 	GHashTable *clients; /* set of client_t */
 	bool stopping;
@@ -104,9 +107,9 @@
 	shutdown(client->fd, SHUT_WR);
 }
 
-/* Sends pending output. Returns false when the client was closed. */
+/* Sends pending output. Returns false when the connection is broken. */
 static bool
-flush_output(client_t *client)
+write_output(client_t *client)
 {
 	buffer_t *output = &client->output;
 
@@ -118,17 +121,28 @@
 			ev_io_start(client->frontend->loop, &client->writable);
 			return true;
 		}
-		if (n < 0 && errno != EINTR) {
-			close_client(client);
+		if (n < 0 && errno != EINTR)
 			return false;
-		}
 		if (n > 0)
 			client->output_sent += (size_t)n;
 	}
 	ev_io_stop(client->frontend->loop, &client->writable);
 	buffer_clear(output);
 	client->output_sent = 0;
-	if (client->close_after && client->state != CLIENT_LINGERING)
+	return true;
+}
+
+/* Like write_output(), and closes a broken connection, or one that has had its
+ * last response. Returns false when the client was closed. */
+static bool
+flush_output(client_t *client)
+{
+	if (!write_output(client)) {
+		close_client(client);
+		return false;
+	}
+	if (client->output.size == 0 && client->close_after &&
+	    client->state != CLIENT_LINGERING)
 		begin_linger(client);
 	return true;
 }
@@ -199,6 +213,7 @@
 		return 413;
 	case HTTP_FEED_MORE:
 	case HTTP_FEED_DONE:
+	case HTTP_FEED_INTERIM:
 	case HTTP_FEED_BAD:
 		break;
 	}
@@ -219,17 +234,59 @@
 	flush_output(client);
 }
 
+/* The exchange goes on after this, so a broken connection is closed later. */
+static void
+on_interim(void *context, const buffer_t *head)
+{
+	client_t *client = context;
+
+	buffer_append(&client->output, head->data, head->size);
+	buffer_append(&client->output, "\r\n", 2);
+	if (!write_output(client))
+		ev_io_start(client->frontend->loop, &client->writable);
+}
+
+/* Tells a peer that its request is being processed. */
+static void
+accept_request(client_t *client)
+{
+	buffer_append_text(&client->output, "HTTP/1.1 102 Processing\r\n\r\n");
+	flush_output(client);
+}
+
+/* A request may have waited while this process was paused; its client may have
+ * left and sent it elsewhere. */
+static bool
+has_left(const client_t *client)
+{
+	char byte;
+
+	return recv(client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 start_exchange(client_t *client)
 {
+	bool is_peer = client->frontend->kind == FRONTEND_PEERS;
 	const client_connection_t connection = {
 	    .round_trip = http_socket_round_trip(client->fd),
 	    .first_request = client->requests == 0,
+	    .is_peer = is_peer,
+	    .interim = on_interim,
 	};
 	exchange_t *exchange;
 
+	if (has_left(client)) {
+		close_client(client);
+		return;
+	}
 	client->state = CLIENT_WAITING;
 	client->requests++;
+	/* Before anything is sent to servers, see groups_check(). */
+	if (is_peer)
+		accept_request(client);
+	if (client->closed)
+		return;
 	exchange = exchange_start(client->frontend->engine, &client->request,
 	    &connection, on_reply, client);
 	if (exchange != NULL)
@@ -341,6 +398,23 @@
 	ev_io_start(frontend->loop, &client->readable);
 }
 
+/* Only listed nodes may connect as peers. */
+static bool
+is_allowed(const frontend_t *frontend, int fd)
+{
+	struct sockaddr_in address = {0};
+	socklen_t size = sizeof(address);
+
+	if (frontend->kind == FRONTEND_CLIENTS)
+		return true;
+	if (getpeername(fd, (struct sockaddr *)&address, &size) == 0 &&
+	    engine_is_peer(frontend->engine, &address))
+		return true;
+	event_log_sampled(EVENT_PEER_REJECTED, "address=%08x:%u connection=1",
+	    ntohl(address.sin_addr.s_addr), ntohs(address.sin_port));
+	return false;
+}
+
 /* Returns false when no client was waiting. */
 static bool
 accept_clients(frontend_t *frontend)
@@ -356,6 +430,10 @@
 			close(fd);
 			continue;
 		}
+		if (!is_allowed(frontend, fd)) {
+			close(fd);
+			continue;
+		}
 		add_client(frontend, fd);
 	}
 	return true;
@@ -369,12 +447,16 @@
 
 /*
  * Whether the client has had the response to each of its requests. On a
- * connection without any, the first request is still on its way.
+ * client's connection without any, the first request is still on its way; peers
+ * open connections ahead of use.
  */
 static bool
 is_idle(const client_t *client)
 {
-	return client->requests > 0 && client->state == CLIENT_READING &&
+	bool sends_first =
+	    client->requests == 0 && client->frontend->kind == FRONTEND_CLIENTS;
+
+	return !sends_first && client->state == CLIENT_READING &&
 	    !client->request.started && client->output.size == 0;
 }
 
@@ -382,6 +464,9 @@
 enforce_timeouts(client_t *client, const client_limits_t *limits, usec_t now)
 {
 	usec_t age = now - client->state_since;
+	usec_t idle_timeout = client->frontend->kind == FRONTEND_PEERS
+	    ? PEER_IDLE_TIMEOUT
+	    : limits->idle_timeout;
 
 	if (client->state == CLIENT_LINGERING) {
 		if (age > LINGER_TIMEOUT)
@@ -396,7 +481,7 @@
 				  ? limits->idle_timeout
 				  : limits->header_timeout))
 			reject(client, 408);
-	} else if (age > limits->idle_timeout) {
+	} else if (age > idle_timeout) {
 		close_client(client);
 	}
 }
@@ -415,8 +500,8 @@
 }
 
 frontend_t *
-frontend_create(struct ev_loop *loop, const struct sockaddr_in *address,
-    exchange_engine_t *engine, int *error)
+frontend_create(struct ev_loop *loop, frontend_kind_t kind,
+    const struct sockaddr_in *address, exchange_engine_t *engine, int *error)
 {
 	int fd = http_socket_listen(address);
 	frontend_t *frontend;
@@ -428,6 +513,7 @@
 	frontend = g_new0(frontend_t, 1);
 	frontend->loop = loop;
 	frontend->fd = fd;
+	frontend->kind = kind;
 	frontend->engine = engine;
 	frontend->clients = g_hash_table_new(NULL, NULL);
 	ev_io_init(&frontend->listener, on_accept, fd, EV_READ);
@@ -460,14 +546,19 @@
 void
 frontend_stop(frontend_t *frontend)
 {
+	if (frontend == NULL)
+		return;
 	frontend->stopping = true;
 }
 
 void
 frontend_close_idle(frontend_t *frontend)
 {
-	GList *clients = g_hash_table_get_keys(frontend->clients);
+	GList *clients;
 
+	if (frontend == NULL)
+		return;
+	clients = g_hash_table_get_keys(frontend->clients);
 	for (GList *link = clients; link != NULL; link = link->next)
 		if (is_idle(link->data))
 			close_client(link->data);
@@ -477,8 +568,11 @@
 void
 frontend_end_requests(frontend_t *frontend)
 {
-	GList *clients = g_hash_table_get_keys(frontend->clients);
+	GList *clients;
 
+	if (frontend == NULL)
+		return;
+	clients = g_hash_table_get_keys(frontend->clients);
 	for (GList *link = clients; link != NULL; link = link->next) {
 		const client_t *client = link->data;
 
@@ -491,7 +585,7 @@
 void
 frontend_close_listener(frontend_t *frontend)
 {
-	if (frontend->fd < 0)
+	if (frontend == NULL || frontend->fd < 0)
 		return;
 	while (accept_clients(frontend))
 		;
@@ -503,5 +597,5 @@
 uint32_t
 frontend_connections(const frontend_t *frontend)
 {
-	return g_hash_table_size(frontend->clients);
+	return frontend != NULL ? g_hash_table_size(frontend->clients) : 0;
 }
--- a/source/gateway/frontend.h
+++ b/source/gateway/frontend.h
@@ -14,7 +14,13 @@
  * When a client disconnects, its running request is cancelled.
  */
 
-typedef struct frontend frontend_t;
+typedef struct frontend frontend_t; /* functions but _create accept NULL */
+
+/** typedef frontend_kind_t - Who connects. */
+typedef enum {
+	FRONTEND_CLIENTS,
+	FRONTEND_PEERS /* receiving nodes of this data centre; no others */
+} frontend_kind_t;
 
 /**
  * frontend_create() - Listens on @address.
@@ -23,7 +29,7 @@
  *
  * Return: NULL on failure.
  */
-frontend_t *frontend_create(struct ev_loop *loop,
+frontend_t *frontend_create(struct ev_loop *loop, frontend_kind_t kind,
     const struct sockaddr_in *address, exchange_engine_t *engine, int *error);
 
 /** frontend_destroy() - Closes all connections; accepts NULL. */
@@ -36,7 +42,7 @@
 void frontend_stop(frontend_t *frontend);
 
 /** frontend_close_idle() - Closes connections on which each request has been
- * answered. Those that have not sent any stay open. */
+ * answered. Clients that have not sent any stay connected. */
 void frontend_close_idle(frontend_t *frontend);
 
 /** frontend_end_requests() - Responds at once to all requests that run, see
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -35,6 +35,7 @@
 	loop_clock_t clock;
 	exchange_engine_t *engine;
 	frontend_t *frontend;
+	frontend_t *peer_frontend; /* NULL: no link to other gateways */
 	admin_t *health;
 	admin_t *metrics;
 	peer_link_t *peers; /* NULL: no link to other gateways */
@@ -125,7 +126,15 @@
 serves_clients(const gateway_t *gateway)
 {
 	return engine_running_count(gateway->engine) > 0 ||
-	    frontend_connections(gateway->frontend) > 0;
+	    frontend_connections(gateway->frontend) > 0 ||
+	    frontend_connections(gateway->peer_frontend) > 0;
+}
+
+static void
+close_listeners(gateway_t *gateway)
+{
+	frontend_close_listener(gateway->frontend);
+	frontend_close_listener(gateway->peer_frontend);
 }
 
 /*
@@ -143,10 +152,13 @@
 		return;
 	engine_refuse_requests(gateway->engine);
 	frontend_close_idle(gateway->frontend);
+	frontend_close_idle(gateway->peer_frontend);
 	if (elapsed >= limit - STOP_LISTEN_MARGIN || !serves_clients(gateway))
-		frontend_close_listener(gateway->frontend);
-	if (elapsed >= limit)
+		close_listeners(gateway);
+	if (elapsed >= limit) {
 		frontend_end_requests(gateway->frontend);
+		frontend_end_requests(gateway->peer_frontend);
+	}
 	if (elapsed >= limit + STOP_FLUSH_TIME || !serves_clients(gateway))
 		finish_stop(gateway);
 }
@@ -172,6 +184,7 @@
 	event_log(EVENT_GATEWAY_STOPPING, "signal=%d running=%u",
 	    watcher->signum, engine_running_count(gateway->engine));
 	frontend_stop(gateway->frontend);
+	frontend_stop(gateway->peer_frontend);
 	update_ready(gateway);
 }
 
@@ -223,7 +236,12 @@
 open_peers(gateway_t *gateway)
 {
 	const gateway_settings_t *settings = &gateway->settings;
+	int error = 0;
 
+	gateway->peer_frontend = frontend_create(gateway->loop, FRONTEND_PEERS,
+	    &settings->peer_address, gateway->engine, &error);
+	if (gateway->peer_frontend == NULL)
+		return error;
 	gateway->peers = peer_link_create(
 	    gateway->loop, settings->node, &settings->peer_address);
 	if (gateway->peers == NULL)
@@ -242,8 +260,8 @@
 	const char *flag = "clients";
 	int error = 0;
 
-	gateway->frontend = frontend_create(
-	    gateway->loop, &settings->client_address, gateway->engine, &error);
+	gateway->frontend = frontend_create(gateway->loop, FRONTEND_CLIENTS,
+	    &settings->client_address, gateway->engine, &error);
 	if (error == 0) {
 		flag = "health";
 		gateway->health = admin_create(gateway->loop,
@@ -276,6 +294,7 @@
 	    .retries = settings->retries,
 	    .drain_limit = settings->drain_limit,
 	    .link_mbps = settings->link_mbps,
+	    .node = settings->node,
 	};
 
 	gateway->settings = *settings;
@@ -298,6 +317,7 @@
 	if (gateway == NULL)
 		return;
 	frontend_destroy(gateway->frontend);
+	frontend_destroy(gateway->peer_frontend);
 	admin_destroy(gateway->health);
 	admin_destroy(gateway->metrics);
 	peer_link_destroy(gateway->peers);
@@ -364,6 +384,12 @@
 	    engine_pool(gateway->engine), gateway_now(gateway) - age);
 }
 
+void
+gateway_set_peers(gateway_t *gateway, const peer_node_t *nodes, uint32_t count)
+{
+	engine_set_nodes(gateway->engine, nodes, count);
+}
+
 void
 gateway_update_server(gateway_t *gateway, const server_entry_t *entry)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -65,6 +65,10 @@
  */
 void gateway_registry_current(gateway_t *gateway, usec_t age);
 
+/** gateway_set_peers() - Sets the gateway nodes of all data centres. */
+void gateway_set_peers(
+    gateway_t *gateway, const peer_node_t *nodes, uint32_t count);
+
 /** gateway_update_server() - Adds or updates a server from its registry entry.
  */
 void gateway_update_server(gateway_t *gateway, const server_entry_t *entry);
--- a/source/gateway/gateway_metrics.c
+++ b/source/gateway/gateway_metrics.c
@@ -75,6 +75,9 @@
 	    {"hedges_total", counters->hedges},
 	    {"retries_total", counters->retries},
 	    {"retry_budget_denied_total", counters->budget_denied},
+	    {"groups_served_total", counters->groups_served},
+	    {"groups_asked_total", counters->groups_asked},
+	    {"groups_resumed_total", counters->groups_resumed},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
@@ -128,6 +131,7 @@
 	write_value(out, "store_failures_total", "", input->store_failures);
 	write_value(out, "running_requests", "", engine_running_count(engine));
 	write_value(out, "nodes", "", pool_node_count(engine_pool(engine)));
+	write_value(out, "shard_groups", "", engine_group_count(engine));
 	write_value(out, "servers", "", pool_server_count(engine_pool(engine)));
 	write_value(out, "config_version", "",
 	    table != NULL ? (unsigned long long)route_table_version(table) : 0);
--- a/source/gateway/gather.c
+++ b/source/gateway/gather.c
@@ -55,6 +55,12 @@
 	return records;
 }
 
+void
+gather_records_clear(gather_records_t *records)
+{
+	records->count = 0;
+}
+
 void
 gather_records_destroy(gather_records_t *records)
 {
--- a/source/gateway/gather.h
+++ b/source/gateway/gather.h
@@ -59,6 +59,9 @@
  */
 gather_records_t *gather_records_create(uint32_t capacity);
 
+/** gather_records_clear() - Removes all records. */
+void gather_records_clear(gather_records_t *records);
+
 /** gather_records_destroy() - Frees a list, or NULL. */
 void gather_records_destroy(gather_records_t *records);
 
--- a/source/gateway/placement.c
+++ b/source/gateway/placement.c
@@ -33,6 +33,7 @@
 #define REMOTE_COST 1.2 /* typical times */
 /* A server assigned to other nodes is used only when this node's are slow. */
 #define UNASSIGNED_COST 1.0 /* typical times */
+#define RANK_COST 0.1	    /* typical times */
 #define STUCK_RATIO 2.5	    /* expected durations until it seems stuck */
 #define STUCK_TIME_MIN MS(4)
 /* Of the attempt's age: a stuck server stays so about as long again. */
@@ -201,6 +202,7 @@
 		time += UNASSIGNED_COST * (double)typical;
 	if (!candidate->same_data_centre)
 		time += REMOTE_COST * (double)typical;
+	time += RANK_COST * candidate->rank * (double)typical;
 	return time;
 }
 
--- a/source/gateway/placement.h
+++ b/source/gateway/placement.h
@@ -76,6 +76,7 @@
 	bool assigned; /* a server that this node uses by default */
 	bool leaving;  /* draining, or deregistered */
 	bool excluded; /* must not be selected */
+	uint32_t rank; /* equally good ones are used in this order */
 } placement_candidate_t;
 
 #define PLACEMENT_NONE (-1)
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -4,6 +4,7 @@
 
 #include "bulrushwell/event.h"
 #include "pool_private.h"
+#include "shard_groups.h"
 
 /*
  * Share of the connections that a server accepts which all nodes together use;
@@ -21,6 +22,11 @@
 #define EXPIRED_ENTRY_GRACE MS(2600)
 /* Entries removed this soon after a failed registry call may have expired. */
 #define OUTAGE_EXPIRY_WINDOW SECONDS(3)
+/*
+ * Part of the retry budget of a shard that the nodes of its group may use; the
+ * rest is for nodes of other groups, when their peers fail.
+ */
+#define GROUP_BUDGET_SHARE 0.45
 /* Attempts at once on a server, before there are samples. */
 #define INITIAL_CONCURRENCY_LIMIT 4.0
 
@@ -60,6 +66,7 @@
 	pool->settings = *settings;
 	pool->handlers = *handlers;
 	pool->node_count = DEFAULT_NODE_COUNT;
+	pool->groups = 1;
 	pool->upstreams = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, destroy_upstream);
 	pool->servers =
@@ -121,12 +128,30 @@
 	for (uint32_t i = 0; i < route_table_route_count(table); i++) {
 		const route_t *route = route_table_route(table, i);
 
-		for (uint32_t j = 0; j < route->target_count; j++)
-			pool_get_upstream(pool, route->targets[j].service)
-			    ->routed = true;
+		for (uint32_t j = 0; j < route->target_count; j++) {
+			upstream_t *upstream =
+			    pool_get_upstream(pool, route->targets[j].service);
+
+			upstream->routed = true;
+			if (route->kind != ROUTE_FANOUT || upstream->is_shard)
+				continue;
+			upstream->is_shard = true;
+			upstream->shard = j;
+		}
 	}
 }
 
+static void
+reassign_all_servers(pool_t *pool)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, pool->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_assign_servers(pool, value);
+}
+
 void
 pool_apply_route_table(pool_t *pool, const route_table_t *table)
 {
@@ -134,8 +159,10 @@
 	void *value;
 
 	g_hash_table_iter_init(&iter, pool->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((upstream_t *)value)->routed = false;
+		((upstream_t *)value)->is_shard = false;
+	}
 	for (uint32_t i = 0; i < route_table_service_count(table); i++) {
 		const service_spec_t *spec = route_table_service(table, i);
 
@@ -143,21 +170,62 @@
 		    spec->max_connections;
 	}
 	mark_routed(pool, table);
+	if (pool->groups > 1)
+		reassign_all_servers(pool);
 }
 
 void
 pool_set_nodes(pool_t *pool, uint32_t nodes, uint32_t index)
 {
-	GHashTableIter iter;
-	void *value;
-
 	if (pool->node_count == MAX(nodes, 1) && pool->node_index == index)
 		return;
 	pool->node_count = MAX(nodes, 1);
 	pool->node_index = index;
-	g_hash_table_iter_init(&iter, pool->upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		pool_assign_servers(pool, value);
+	reassign_all_servers(pool);
+}
+
+void
+pool_set_groups(pool_t *pool, uint32_t groups, uint32_t own_group)
+{
+	if (pool->groups == groups && pool->own_group == own_group)
+		return;
+	pool->groups = groups;
+	pool->own_group = own_group;
+	reassign_all_servers(pool);
+}
+
+static bool
+is_divided(const pool_t *pool, const upstream_t *upstream)
+{
+	return pool->groups > 1 && upstream->is_shard;
+}
+
+/* Whether this node serves the upstream; if not, peers do. */
+static bool
+is_served(const pool_t *pool, const upstream_t *upstream)
+{
+	return !is_divided(pool, upstream) ||
+	    shard_group_of(upstream->shard, pool->groups) == pool->own_group;
+}
+
+/* Nodes that share the connections to the servers of the upstream. */
+static double
+serving_nodes(const pool_t *pool, const upstream_t *upstream)
+{
+	double nodes = pool->node_count;
+
+	return is_divided(pool, upstream) ? MAX(nodes / pool->groups, 1.0)
+					  : nodes;
+}
+
+double
+pool_budget_nodes(const pool_t *pool, const upstream_t *upstream)
+{
+	if (!is_divided(pool, upstream))
+		return pool->node_count;
+	if (is_served(pool, upstream))
+		return serving_nodes(pool, upstream) / GROUP_BUDGET_SHARE;
+	return pool->node_count / (1.0 - GROUP_BUDGET_SHARE);
 }
 
 void
@@ -184,13 +252,26 @@
 connection_share(const pool_t *pool, const upstream_t *upstream)
 {
 	return upstream->max_connections * CONNECTION_UTILIZATION /
-	    pool->node_count;
+	    serving_nodes(pool, upstream);
 }
 
 bool
 pool_connections_scarce(const pool_t *pool, const upstream_t *upstream)
 {
-	return connection_share(pool, upstream) < 1.0;
+	return !is_served(pool, upstream) ||
+	    connection_share(pool, upstream) < 1.0;
+}
+
+bool
+pool_keeps_connected(const pool_t *pool, const upstream_server_t *server)
+{
+	const upstream_t *upstream = server->upstream;
+
+	if (!is_served(pool, upstream))
+		return false;
+	if (pool->settings.connected_ranks > 0)
+		return server->rank < pool->settings.connected_ranks;
+	return server->preferred || pool_connection_limit(pool, upstream) > 1;
 }
 
 uint32_t
@@ -198,7 +279,7 @@
 {
 	double share = connection_share(pool, upstream);
 
-	return share < 1.0 ? 1 : (uint32_t)share;
+	return share < 1.0 || !is_served(pool, upstream) ? 1 : (uint32_t)share;
 }
 
 /* Servers of this node's data centre come first, then by id. */
@@ -219,7 +300,8 @@
 {
 	uint32_t count = upstream->servers->len;
 
-	if (!pool_connections_scarce(pool, upstream))
+	if (!pool_connections_scarce(pool, upstream) ||
+	    !is_served(pool, upstream))
 		return count;
 	return MAX((uint32_t)(connection_share(pool, upstream) * count), 1);
 }
@@ -231,7 +313,10 @@
 	uint32_t assigned = assigned_count(pool, upstream);
 	placement_order_t order = {
 	    .count = servers->len,
-	    .rotation = pool->node_index + g_str_hash(upstream->name),
+	    .rotation =
+		(is_divided(pool, upstream) ? pool->node_index / pool->groups
+					    : pool->node_index) +
+		g_str_hash(upstream->name),
 	};
 
 	g_ptr_array_sort(servers, compare_by_proximity);
@@ -244,6 +329,7 @@
 		upstream_server_t *server = servers->pdata[i];
 		uint32_t rank = placement_rank(&order, i);
 
+		server->rank = rank;
 		server->assigned = rank < assigned;
 		server->preferred = rank == 0;
 	}
@@ -492,12 +578,15 @@
 	*candidate = (placement_candidate_t){
 	    .health = &server->health,
 	    .slots = server->entry.slots,
-	    .nodes_per_server =
-		(double)pool->node_count / server->upstream->servers->len,
+	    .nodes_per_server = serving_nodes(pool, server->upstream) /
+		server->upstream->servers->len,
 	    .same_data_centre = server->entry.same_data_centre,
-	    .warming_up = now < server->warm_up_until,
-	    .assigned = server->assigned,
-	    .leaving = server->leaving_since != 0,
+	    .warming_up =
+		now<server->warm_up_until, .assigned = server->assigned,
+		    .leaving = server->leaving_since != 0,
+		    .rank = pool->settings.connected_ranks> 0
+		? server->rank
+		: 0,
 	};
 	if (is_drained(pool, server, now))
 		candidate->excluded = true;
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -39,6 +39,7 @@
 	usec_t started_at;
 	usec_t expires_at;     /* deadline that the server was given */
 	bool may_have_arrived; /* at least a byte of it was sent */
+	bool accepted; /* at its end: the server sent an interim response */
 	char request_id[REQUEST_ID_MAX];
 	uint64_t fingerprint; /* of the request, same in each attempt */
 	uint64_t crash_id;    /* identifies the crash it may cause */
@@ -60,6 +61,8 @@
 	 */
 	void (*attempt_ended)(void *owner, attempt_t *attempt,
 	    attempt_outcome_t outcome, const http_message_t *response);
+	/** The server has sent an interim response; may be NULL. */
+	void (*attempt_interim)(void *owner, const http_message_t *response);
 	/** A server of the upstream may take another attempt. */
 	void (*capacity_available)(void *context, upstream_t *upstream);
 	/** A server crashed while it was running the request. */
@@ -72,6 +75,12 @@
 	pool_headers_t headers;
 	usec_t drain_limit; /* a leaving server gets no attempts after this */
 	size_t max_response_bytes;
+	/*
+	 * Servers of an upstream that are kept connected, and used in the order
+	 * of their ranks. 0: as many as the connections suffice for, and all
+	 * alike.
+	 */
+	uint32_t connected_ranks;
 } pool_settings_t;
 
 /** pool_create() - A pool without servers; copies the settings. */
@@ -95,9 +104,21 @@
  */
 void pool_set_nodes(pool_t *pool, uint32_t nodes, uint32_t index);
 
-/** pool_node_count() - Number of gateway nodes that share each server. */
+/** pool_node_count() - Number of gateway nodes. */
 uint32_t pool_node_count(const pool_t *pool);
 
+/**
+ * pool_set_groups() - Sets which upstreams that are shards this node serves,
+ * see shard_groups.h. To the others it keeps no connections.
+ */
+void pool_set_groups(pool_t *pool, uint32_t groups, uint32_t own_group);
+
+/**
+ * pool_budget_nodes() - Number of nodes among which the retry budget of an
+ * upstream is divided, as seen by this node.
+ */
+double pool_budget_nodes(const pool_t *pool, const upstream_t *upstream);
+
 /**
  * pool_record_registry_call() - Records whether the server registry answered.
  * Entries that expired during an outage are expected to reappear after it.
@@ -167,6 +188,20 @@
  */
 void pool_attempt_abandon(attempt_t *attempt);
 
+/** pool_attempt_accepted() - Whether the server has sent an interim response.
+ */
+bool pool_attempt_accepted(const attempt_t *attempt);
+
+/** pool_attempt_arrived() - Whether the server's kernel has all of the request.
+ */
+bool pool_attempt_arrived(const attempt_t *attempt);
+
+/**
+ * pool_attempt_withdraw() - Like pool_attempt_cancel(), for a request that has
+ * not arrived: it is lost, and the server counts as unreachable.
+ */
+void pool_attempt_withdraw(pool_t *pool, attempt_t *attempt, usec_t now);
+
 /** pool_attempt_cancel() - Frees an attempt without a report and closes its
  * connection, so that the server stops. */
 void pool_attempt_cancel(pool_t *pool, attempt_t *attempt);
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -141,6 +141,7 @@
 		record_interrupted_request(server, attempt, pool_now(pool));
 	if (attempt != NULL) {
 		pool->connection_failures[0]++;
+		attempt->accepted = pool_attempt_accepted(attempt);
 		attempt->connection = NULL;
 		attempt->may_have_arrived = may_have_arrived;
 		end_attempt(pool, attempt,
@@ -247,6 +248,18 @@
 	    server->entry.id, server->upstream->name);
 }
 
+static void
+on_interim(void *owner, http_connection_t *http, const http_message_t *response)
+{
+	const pool_connection_t *connection = owner;
+	const pool_handlers_t *handlers = &connection->pool->handlers;
+	const attempt_t *attempt = connection->attempt;
+
+	if (handlers->attempt_interim != NULL && attempt != NULL &&
+	    attempt->owner != NULL && belongs_to_attempt(connection, response))
+		handlers->attempt_interim(attempt->owner, response);
+}
+
 static bool
 on_responded(
     void *owner, http_connection_t *http, const http_message_t *response)
@@ -274,6 +287,7 @@
 	connection->attempt = NULL;
 	connection->in_callback = true;
 	connection->idle_since = pool_now(pool);
+	attempt->accepted = pool_attempt_accepted(attempt);
 	attempt->connection = NULL;
 	attempt->may_have_arrived = true;
 	pool->answered[0]++;
@@ -298,6 +312,7 @@
 static const http_connection_handlers_t connection_handlers = {
     .connected = on_connected,
     .responded = on_responded,
+    .interim = on_interim,
     .closed = on_closed,
 };
 
@@ -375,6 +390,26 @@
 	attempt->owner = NULL;
 }
 
+bool
+pool_attempt_accepted(const attempt_t *attempt)
+{
+	return http_connection_got_interim(attempt->connection->http);
+}
+
+bool
+pool_attempt_arrived(const attempt_t *attempt)
+{
+	return !http_connection_unacknowledged(attempt->connection->http);
+}
+
+void
+pool_attempt_withdraw(pool_t *pool, attempt_t *attempt, usec_t now)
+{
+	server_health_connection_failed(&attempt->server->health, now);
+	http_connection_discard_unsent(attempt->connection->http);
+	pool_attempt_cancel(pool, attempt);
+}
+
 void
 pool_attempt_cancel(pool_t *pool, attempt_t *attempt)
 {
@@ -417,7 +452,7 @@
 	const upstream_server_t *server = connection->server;
 
 	if (pool_connections_scarce(connection->pool, server->upstream) &&
-	    !server->preferred)
+	    !pool_keeps_connected(connection->pool, server))
 		return MIN(SCARCE_IDLE_LIMIT, connection->idle_limit);
 	return connection->idle_limit;
 }
@@ -445,7 +480,6 @@
 	return true;
 }
 
-/* Where connections are scarce, only the preferred server has a spare one. */
 static bool
 wants_spare(const pool_t *pool, const upstream_server_t *server)
 {
@@ -456,9 +490,7 @@
 		return false;
 	if (server->health.unproven || server->interrupted_count > 0)
 		return true; /* nothing else shows whether it is up */
-	if (pool_connection_limit(pool, upstream) > 1)
-		return true;
-	return server->preferred;
+	return pool_keeps_connected(pool, server);
 }
 
 /* Keeps a connection ready to each server in use, at a limited rate. */
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -24,6 +24,8 @@
 	pool_handlers_t handlers;
 	uint32_t node_count;
 	uint32_t node_index;
+	uint32_t groups; /* of shards */
+	uint32_t own_group;
 	usec_t registry_failed_at; /* last failed call; 0: none */
 	/* Until then this node knew of all changes in the registry. 0: it has
 	 * not read the registry yet. */
@@ -46,6 +48,10 @@
  * each server of the upstream. */
 bool pool_connections_scarce(const pool_t *pool, const upstream_t *upstream);
 
+/** pool_keeps_connected() - Whether a connection to the server is kept ready.
+ */
+bool pool_keeps_connected(const pool_t *pool, const upstream_server_t *server);
+
 /** pool_assign_servers() - Selects the servers that a node uses by default. */
 void pool_assign_servers(pool_t *pool, upstream_t *upstream);
 
--- a/source/gateway/retry_budget.c
+++ b/source/gateway/retry_budget.c
@@ -45,13 +45,13 @@
 
 bool
 retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-    uint32_t node_count, double reserved_share, usec_t now)
+    double nodes, double reserved_share, usec_t now)
 {
 	double allowed;
 
 	advance_window(budget, limits, now);
 	allowed = limits->ratio * sum_buckets(budget->requests) +
-	    limits->slack / (node_count > 0 ? node_count : 1);
+	    limits->slack / (nodes > 1.0 ? nodes : 1.0);
 	allowed *= USABLE_SHARE * (1.0 - reserved_share);
 	if (sum_buckets(budget->extra_requests) + 1 > allowed)
 		return false;
--- a/source/gateway/retry_budget.h
+++ b/source/gateway/retry_budget.h
@@ -38,12 +38,12 @@
 
 /**
  * retry_budget_take() - Takes one extra request from the budget.
- * @node_count: number of nodes that share the slack
+ * @nodes: number of nodes that share the slack
  * @reserved_share: share of the budget to leave for more important uses, 0..1
  *
  * Return: whether the extra request may be sent; it is counted if so.
  */
 bool retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-    uint32_t node_count, double reserved_share, usec_t now);
+    double nodes, double reserved_share, usec_t now);
 
 #endif
--- a/source/gateway/route_table.c
+++ b/source/gateway/route_table.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 const client_limits_t client_limits_default = {
     .max_header_bytes = 16384,
@@ -75,6 +76,19 @@
 	g_free(table);
 }
 
+static uint64_t
+hash_targets(const route_t *route)
+{
+	uint64_t hash = 0;
+
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		const char *service = route->targets[i].service;
+
+		hash = XXH64(service, strlen(service) + 1, hash);
+	}
+	return hash;
+}
+
 void
 route_table_add(route_table_t *table, const route_t *route)
 {
@@ -83,6 +97,7 @@
 	char *key = g_strconcat(host, " ", route->prefix, NULL);
 
 	*copy = *route;
+	copy->targets_hash = hash_targets(route);
 	g_free(host);
 	g_ptr_array_add(table->routes, copy);
 	if (g_hash_table_contains(table->by_host_prefix, key))
--- a/source/gateway/route_table.h
+++ b/source/gateway/route_table.h
@@ -42,6 +42,7 @@
 	double min_share;     /* ROUTE_FANOUT: share of shards needed */
 	route_target_t *targets;
 	uint32_t target_count;
+	uint64_t targets_hash; /* of the services' names, set by the table */
 } route_t;
 
 /** An upstream service and its limits. */
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -63,6 +63,7 @@
 	GPtrArray *connections;
 	bool assigned;	      /* used while all are healthy */
 	bool preferred;	      /* the assigned one of rank 0, always connected */
+	uint32_t rank;	      /* in the order in which this node uses them */
 	usec_t next_spare_at; /* earliest time of a spare connection */
 };
 
@@ -71,6 +72,8 @@
 	char *name;
 	uint32_t max_connections; /* to each server, from all nodes */
 	bool routed;		  /* a route of the current table uses it */
+	bool is_shard;		  /* a fan-out of the current table uses it */
+	uint32_t shard;		  /* its position in that fan-out */
 	GPtrArray *servers;
 	/* Tasks that wait for capacity, most urgent first. */
 	GQueue waiting_tasks;
--- a/source/http/http_connection.c
+++ b/source/http/http_connection.c
@@ -9,6 +9,8 @@
 #include "http_socket.h"
 
 #define RECEIVE_BYTES 16384
+/* Other connections are served after this many reads from one. */
+#define MAX_READS_PER_EVENT 8
 #define MAX_RESPONSE_HEADER_BYTES 32768
 
 struct http_connection {
@@ -134,6 +136,20 @@
 	return !final;
 }
 
+/* Return: whether the connection still waits for the final response. */
+static bool
+deliver_interim(http_connection_t *connection)
+{
+	if (connection->handlers->interim != NULL)
+		connection->handlers->interim(
+		    connection->owner, connection, &connection->response);
+	if (connection->destroyed ||
+	    connection->state == HTTP_CONNECTION_CLOSED)
+		return false;
+	http_message_skip_interim(&connection->response);
+	return true;
+}
+
 static void
 parse_bytes(http_connection_t *connection, const char *data, size_t size)
 {
@@ -151,6 +167,11 @@
 		size -= used;
 		if (fed == HTTP_FEED_MORE)
 			return;
+		if (fed == HTTP_FEED_INTERIM) {
+			if (!deliver_interim(connection))
+				return;
+			continue;
+		}
 		if (fed != HTTP_FEED_DONE) {
 			end_connection(connection, HTTP_CLOSED_MALFORMED);
 			return;
@@ -175,6 +196,7 @@
 receive(http_connection_t *connection)
 {
 	char data[RECEIVE_BYTES];
+	int reads = 0;
 	ssize_t n;
 
 	do {
@@ -190,7 +212,7 @@
 		}
 		parse_bytes(connection, data, (size_t)n);
 	} while (!connection->destroyed && connection->fd >= 0 &&
-	    (size_t)n == sizeof(data));
+	    (size_t)n == sizeof(data) && ++reads < MAX_READS_PER_EVENT);
 }
 
 static void
@@ -305,6 +327,32 @@
 	return connection->state;
 }
 
+bool
+http_connection_unacknowledged(const http_connection_t *connection)
+{
+	return connection->fd >= 0 &&
+	    (connection->state == HTTP_CONNECTION_CONNECTING ||
+		http_socket_unacknowledged(connection->fd));
+}
+
+void
+http_connection_discard_unsent(http_connection_t *connection)
+{
+	if (connection->fd >= 0)
+		http_socket_reset_on_close(connection->fd);
+}
+
+bool
+http_connection_got_interim(const http_connection_t *connection)
+{
+	char byte;
+
+	if (connection->response.interims > 0)
+		return true;
+	return connection->fd >= 0 &&
+	    recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool
 http_connection_sent_any(const http_connection_t *connection)
 {
--- a/source/http/http_connection.h
+++ b/source/http/http_connection.h
@@ -39,6 +39,9 @@
 	 */
 	bool (*responded)(void *owner, http_connection_t *connection,
 	    const http_message_t *response);
+	/** An interim response has arrived; may be NULL. */
+	void (*interim)(void *owner, http_connection_t *connection,
+	    const http_message_t *response);
 	/** The connection has ended; not called after a destroy. */
 	void (*closed)(void *owner, http_connection_t *connection,
 	    http_close_reason_t reason);
@@ -78,6 +81,18 @@
 /** http_connection_sent_any() - Whether any byte of the request was sent. */
 bool http_connection_sent_any(const http_connection_t *connection);
 
+/** http_connection_got_interim() - Whether an interim response (1xx) to the
+ * last request has arrived, or bytes that have not been read yet. */
+bool http_connection_got_interim(const http_connection_t *connection);
+
+/** http_connection_unacknowledged() - Whether the peer has not acknowledged the
+ * whole request. */
+bool http_connection_unacknowledged(const http_connection_t *connection);
+
+/** http_connection_discard_unsent() - When it is closed, bytes that have not
+ * arrived are lost. */
+void http_connection_discard_unsent(http_connection_t *connection);
+
 /** http_connection_reusable() - Whether another request may be sent now. */
 bool http_connection_reusable(const http_connection_t *connection);
 
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -176,6 +176,7 @@
 	message->keep_alive = false;
 	message->ends_at_close = false;
 	message->no_body = false;
+	message->interims = 0;
 	message->in_value = false;
 }
 
@@ -197,18 +198,15 @@
 http_message_feed(
     http_message_t *message, const char *data, size_t size, size_t *used)
 {
-	bool no_body = message->no_body;
-
 	*used = 0;
 	while (*used < size) {
 		message->started = true;
 		*used += http_parser_execute(
 		    &message->parser, &callbacks, data + *used, size - *used);
-		if (message->complete && is_interim(message)) {
-			http_message_reset(message);
-			message->no_body = no_body;
-			continue;
-		}
+		if (message->complete && is_interim(message))
+			return ++message->interims > HTTP_MAX_INTERIMS
+			    ? HTTP_FEED_BAD
+			    : HTTP_FEED_INTERIM;
 		if (message->complete)
 			return HTTP_FEED_DONE;
 		if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK)
@@ -217,6 +215,17 @@
 	return HTTP_FEED_MORE;
 }
 
+void
+http_message_skip_interim(http_message_t *message)
+{
+	uint32_t interims = message->interims;
+	bool no_body = message->no_body;
+
+	http_message_reset(message);
+	message->interims = interims;
+	message->no_body = no_body;
+}
+
 http_feed_t
 http_message_finish(http_message_t *message)
 {
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -16,11 +16,13 @@
  */
 
 #define HTTP_MAX_HEADERS 96
+#define HTTP_MAX_INTERIMS 32 /* of one response; more are not valid */
 
 typedef enum {
-	HTTP_FEED_MORE, /* all bytes were used; the message is incomplete */
-	HTTP_FEED_DONE, /* the message is complete */
-	HTTP_FEED_BAD,	/* not valid HTTP */
+	HTTP_FEED_MORE,	   /* all bytes were used; the message is incomplete */
+	HTTP_FEED_DONE,	   /* the message is complete */
+	HTTP_FEED_INTERIM, /* an interim response is complete */
+	HTTP_FEED_BAD,	   /* not valid HTTP */
 	HTTP_FEED_HEADERS_TOO_LARGE,
 	HTTP_FEED_BODY_TOO_LARGE
 } http_feed_t;
@@ -47,6 +49,7 @@
 	bool keep_alive;    /* the connection can be reused */
 	bool ends_at_close; /* no length: the body ends with the connection */
 	bool no_body;	    /* response to HEAD; set by the user after reset */
+	uint32_t interims;  /* interim responses (1xx) that were skipped */
 	bool in_value;	    /* the parser is in a header value */
 } http_message_t;
 
@@ -65,12 +68,20 @@
 void http_message_free(http_message_t *message);
 
 /**
- * http_message_feed() - Parses bytes. Interim responses (1xx) are skipped.
+ * http_message_feed() - Parses bytes.
  * @used: set to the number of bytes that belong to this message
+ *
+ * After an interim response (1xx) http_message_skip_interim() must be called
+ * before more bytes are parsed.
  */
 http_feed_t http_message_feed(
     http_message_t *message, const char *data, size_t size, size_t *used);
 
+/** http_message_skip_interim() - Prepares for the response after an interim
+ * one.
+ */
+void http_message_skip_interim(http_message_t *message);
+
 /**
  * http_message_finish() - Signals an orderly end of the connection, which
  * completes a body without a length.
--- a/source/http/http_socket.c
+++ b/source/http/http_socket.c
@@ -1,8 +1,10 @@
 #include "http_socket.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -87,6 +89,22 @@
 	return info.tcpi_rtt; /* in microseconds */
 }
 
+bool
+http_socket_unacknowledged(int fd)
+{
+	int bytes = 0;
+
+	return ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+void
+http_socket_reset_on_close(int fd)
+{
+	const struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 int
 http_socket_parse(const char *text, struct sockaddr_in *address)
 {
--- a/source/http/http_socket.h
+++ b/source/http/http_socket.h
@@ -38,6 +38,16 @@
  */
 usec_t http_socket_round_trip(int fd);
 
+/**
+ * http_socket_unacknowledged() - Whether the peer's kernel has not acknowledged
+ * all that was sent; false when this is not known.
+ */
+bool http_socket_unacknowledged(int fd);
+
+/** http_socket_reset_on_close() - Makes close() reset the connection, so that
+ * bytes that have not arrived are lost. */
+void http_socket_reset_on_close(int fd);
+
 /** http_socket_parse() - Parses an IPv4 "IP:PORT"; 0 or BW_E_INVALID. */
 int http_socket_parse(const char *text, struct sockaddr_in *address);
 
--- a/tests/lib/gateway_fleet.c
+++ b/tests/lib/gateway_fleet.c
@@ -17,10 +17,11 @@
 }
 
 void
-fleet_create(gateway_fleet_t *fleet, gateway_world_t *world)
+fleet_prepare(gateway_fleet_t *fleet, gateway_world_t *world, int count)
 {
 	fleet->world = world;
-	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+	fleet->count = count;
+	for (int i = 0; i < count; i++) {
 		fleet_gateway_t *node = &fleet->gateways[i];
 
 		snprintf(node->name, sizeof(node->name), "g%d", i);
@@ -30,13 +31,26 @@
 		harness_find_unused_address(node->health);
 		harness_find_unused_address(node->metrics);
 		harness_find_unused_address(node->peers);
-		fleet_start(fleet, i);
 	}
-	for (int i = 0; i < FLEET_GATEWAYS; i++)
+}
+
+void
+fleet_start_all(gateway_fleet_t *fleet)
+{
+	for (int i = 0; i < fleet->count; i++)
+		fleet_start(fleet, i);
+	for (int i = 0; i < fleet->count; i++)
 		harness_wait_status(
 		    fleet->gateways[i].health, "/ready", 200, WORLD_START_MS);
 }
 
+void
+fleet_create(gateway_fleet_t *fleet, gateway_world_t *world)
+{
+	fleet_prepare(fleet, world, FLEET_GATEWAYS);
+	fleet_start_all(fleet);
+}
+
 gateway_world_t
 fleet_gateway_world(const gateway_fleet_t *fleet, int gateway)
 {
@@ -52,7 +66,7 @@
 void
 fleet_destroy(gateway_fleet_t *fleet)
 {
-	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+	for (int i = 0; i < fleet->count; i++) {
 		harness_kill(fleet->world->harness, fleet->gateways[i].process);
 		proxy_destroy(fleet->gateways[i].store_proxy);
 	}
--- a/tests/lib/gateway_fleet.h
+++ b/tests/lib/gateway_fleet.h
@@ -14,6 +14,7 @@
  */
 
 #define FLEET_GATEWAYS 5 /* two relays and three followers */
+#define FLEET_MAX 8
 
 typedef struct {
 	/* g0, g1, ...; the first two that reach the store are relays */
@@ -30,12 +31,20 @@
 
 typedef struct {
 	gateway_world_t *world;
-	fleet_gateway_t gateways[FLEET_GATEWAYS];
+	int count;
+	fleet_gateway_t gateways[FLEET_MAX];
 } gateway_fleet_t;
 
-/** fleet_create() - Starts all gateways and waits until they are ready. */
+/** fleet_create() - Starts FLEET_GATEWAYS gateways and waits until they are
+ * ready. */
 void fleet_create(gateway_fleet_t *fleet, gateway_world_t *world);
 
+/** fleet_prepare() - Chooses the addresses of @count gateways. */
+void fleet_prepare(gateway_fleet_t *fleet, gateway_world_t *world, int count);
+
+/** fleet_start_all() - Starts all gateways and waits until they are ready. */
+void fleet_start_all(gateway_fleet_t *fleet);
+
 /**
  * fleet_start() - Starts a gateway whose process has ended, without waiting
  * until it is ready.
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -12,6 +12,7 @@
 #define STORE_PAGE 5 /* so that the list of servers has several pages */
 #define POLL_STEP_MS 20
 #define DEFAULT_TIMEOUT_MS 2000
+#define DEFAULT_MAX_CONNECTIONS 40
 #define SERVER_START_TIME 1000 /* in the registry entries */
 
 static const char *const service_names[WORLD_SHARDS + 2] = {
@@ -28,8 +29,8 @@
 	}
 }
 
-static void
-start_gateway(gateway_world_t *world)
+void
+world_start_gateway(gateway_world_t *world)
 {
 	const char *arguments[] = {"--node=n1", "--data-centre=dc1",
 	    "--clients", world->clients, "--health", world->health, "--metrics",
@@ -47,12 +48,13 @@
 
 	world->harness = harness;
 	world->timeout_ms = DEFAULT_TIMEOUT_MS;
+	world->max_connections = DEFAULT_MAX_CONNECTIONS;
 	world->store = object_store_create(STORE_PAGE);
 	create_servers(world);
 	harness_find_unused_address(world->clients);
 	harness_find_unused_address(world->health);
 	harness_find_unused_address(world->metrics);
-	start_gateway(world);
+	world_start_gateway(world);
 	return world;
 }
 
@@ -158,14 +160,14 @@
 }
 
 static json_t *
-build_services(void)
+build_services(const gateway_world_t *world)
 {
 	json_t *list = json_array();
 
 	for (int i = 0; i < WORLD_SHARDS + 2; i++)
 		json_array_append_new(list,
 		    json_pack("{s:s,s:i}", "name", service_names[i],
-			"max_connections", 40));
+			"max_connections", world->max_connections));
 	return list;
 }
 
@@ -180,9 +182,10 @@
 	world->version += 3; /* versions may skip numbers */
 	object_store_put(world->store, "config", "main",
 	    json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version",
-		world->version, "routes", routes, "services", build_services(),
-		"limits", "max_header_bytes", 4096, "max_body_bytes", 8192,
-		"header_timeout_ms", 1000, "idle_timeout_ms", 15000));
+		world->version, "routes", routes, "services",
+		build_services(world), "limits", "max_header_bytes", 4096,
+		"max_body_bytes", 8192, "header_timeout_ms", 1000,
+		"idle_timeout_ms", 15000));
 }
 
 plain_server_t *
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -32,6 +32,7 @@
 	address_t metrics;
 	int version;	       /* of the last configuration written */
 	int timeout_ms;	       /* of all routes */
+	int max_connections;   /* that each server accepts from all gateways */
 	uint32_t polls_before; /* the store's poll count before a check */
 } gateway_world_t;
 
@@ -43,6 +44,10 @@
  * until the gateway is ready.
  */
 gateway_world_t *world_create_empty(harness_t *harness);
+
+/** world_start_gateway() - Starts the gateway after its process has ended. */
+void world_start_gateway(gateway_world_t *world);
+
 /** world_destroy() - Kills the gateway, stops the stand-ins, frees @world. */
 void world_destroy(gateway_world_t *world);
 
--- a/tests/test_gateway_engine.c
+++ b/tests/test_gateway_engine.c
@@ -59,6 +59,7 @@
 	    .retries = {.ratio = 0.2, .window = SECONDS(10), .slack = 10},
 	    .drain_limit = SECONDS(1),
 	    .link_mbps = 1000,
+	    .node = "n1",
 	};
 	const client_connection_t connection = {.round_trip = MS(1)};
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -298,6 +298,10 @@
 		fed = http_message_feed(
 		    message, bytes + at, MIN(piece, size - at), &used);
 		at += used;
+		if (fed != HTTP_FEED_INTERIM)
+			continue;
+		http_message_skip_interim(message);
+		fed = HTTP_FEED_MORE;
 	}
 	return fed;
 }
--- /dev/null
+++ b/tests/test_process_gateway_groups.c
@@ -0,0 +1,410 @@
+/* Guards queries whose shards are served by several gateways: each client gets
+ * a whole answer while a serving node is killed, paused, stopped or restarted,
+ * and whatever a peer answers. */
+#include "lib/gateway_fleet.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define GATEWAYS 6
+#define GROUPS 2
+#define FEW_CONNECTIONS 4 /* too few for each node to have some */
+#define DEADLINE_MS 1500
+#define SETTLE_TIMEOUT_MS 12000
+#define POLL_STEP_MS 20
+#define QUERIES 60
+#define QUERIES_WITHOUT_ONE (QUERIES / GATEWAYS * (GATEWAYS - 1))
+#define CLIENTS 4
+
+static gateway_world_t *
+create_world(harness_t *harness)
+{
+	gateway_world_t *world = world_create_empty(harness);
+
+	world->max_connections = FEW_CONNECTIONS;
+	world_register_all(world);
+	world_configure(world);
+	harness_wait_status(world->health, "/ready", 200, WORLD_START_MS);
+	return world;
+}
+
+static bool
+has_groups(gateway_world_t *view)
+{
+	return world_metric(view, "shard_groups") == GROUPS;
+}
+
+/* Waits until all gateways have divided the shards. */
+static void
+wait_for_groups(const gateway_fleet_t *fleet)
+{
+	for (int i = 0; i < fleet->count; i++) {
+		gateway_world_t view = fleet_gateway_world(fleet, i);
+
+		if (!world_wait(has_groups, &view, SETTLE_TIMEOUT_MS))
+			fail_msg("g%d has %lld groups", i,
+			    (long long)world_metric(&view, "shard_groups"));
+	}
+}
+
+static int64_t
+sum_metric(const gateway_fleet_t *fleet, const char *name)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i < fleet->count; i++) {
+		gateway_world_t view = fleet_gateway_world(fleet, i);
+
+		sum += MAX(world_metric(&view, name), 0);
+	}
+	return sum;
+}
+
+typedef struct {
+	int whole;    /* all shards answered */
+	int partial;  /* some were left out */
+	int repeated; /* failed once; the client has sent it again */
+	int failed;
+} counts_t;
+
+/* Clients send a failed query once more, at any gateway. */
+static void
+count_query(gateway_world_t *view, counts_t *counts)
+{
+	http_reply_t result =
+	    world_request(view, "GET", "/all/x", DEADLINE_MS, NULL);
+	const char *missing;
+
+	if (result.status == 502 || result.status == 503) {
+		http_reply_clear(&result);
+		counts->repeated++;
+		result =
+		    world_request(view, "GET", "/all/x", DEADLINE_MS, NULL);
+	}
+	missing = http_reply_header(&result, "bulrushwell-missing-parts");
+	if (result.status != 200)
+		counts->failed++;
+	else if (missing != NULL && strcmp(missing, "0") == 0)
+		counts->whole++;
+	else
+		counts->partial++;
+	http_reply_clear(&result);
+}
+
+typedef struct {
+	const gateway_fleet_t *fleet;
+	int without; /* this gateway gets no queries; -1: all do */
+	counts_t counts;
+} client_t;
+
+static gpointer
+run_client(gpointer context)
+{
+	client_t *client = context;
+
+	for (int i = 0; i < QUERIES; i++) {
+		int gateway = i % client->fleet->count;
+		gateway_world_t view;
+
+		if (gateway == client->without)
+			continue;
+		view = fleet_gateway_world(client->fleet, gateway);
+		count_query(&view, &client->counts);
+	}
+	return NULL;
+}
+
+/* Sends queries from several clients; @during is called meanwhile. */
+static counts_t
+run_queries(gateway_fleet_t *fleet, int without,
+    void (*during)(gateway_fleet_t *fleet, int gateway))
+{
+	client_t clients[CLIENTS];
+	GThread *threads[CLIENTS];
+	counts_t sum = {0};
+
+	for (int i = 0; i < CLIENTS; i++) {
+		clients[i] = (client_t){.fleet = fleet, .without = without};
+		threads[i] = g_thread_new("client", run_client, &clients[i]);
+	}
+	if (during != NULL)
+		during(fleet, without);
+	for (int i = 0; i < CLIENTS; i++) {
+		g_thread_join(threads[i]);
+		sum.whole += clients[i].counts.whole;
+		sum.partial += clients[i].counts.partial;
+		sum.repeated += clients[i].counts.repeated;
+		sum.failed += clients[i].counts.failed;
+	}
+	print_message("whole %d, partial %d, repeated %d, failed %d\n",
+	    sum.whole, sum.partial, sum.repeated, sum.failed);
+	return sum;
+}
+
+static void
+register_node(gateway_world_t *world, const char *name, const char *address)
+{
+	object_store_put(world->store, "nodes", name,
+	    json_pack("{s:s,s:s,s:i}", "data_centre", "dc1", "peer_address",
+		address, "renewals", 0));
+}
+
+/* The nodes are listed before they start, so that all know of each other. */
+static void
+start_fleet(gateway_fleet_t *fleet, harness_t *harness)
+{
+	gateway_world_t *world = create_world(harness);
+
+	fleet_prepare(fleet, world, GATEWAYS);
+	for (int i = 0; i < GATEWAYS; i++)
+		register_node(
+		    world, fleet->gateways[i].name, fleet->gateways[i].peers);
+	fleet_start_all(fleet);
+	wait_for_groups(fleet);
+}
+
+static void
+stop_fleet(gateway_fleet_t *fleet)
+{
+	fleet_destroy(fleet);
+	world_destroy(fleet->world);
+}
+
+static void
+queries_are_divided_among_nodes(void **state)
+{
+	gateway_fleet_t fleet = {0};
+	counts_t counts;
+
+	start_fleet(&fleet, *state);
+	counts = run_queries(&fleet, -1, NULL);
+	assert_int_equal(counts.whole, CLIENTS * QUERIES);
+	assert_int_equal(
+	    sum_metric(&fleet, "groups_asked_total"), CLIENTS * QUERIES);
+	assert_int_equal(
+	    sum_metric(&fleet, "groups_served_total"), CLIENTS * QUERIES);
+	stop_fleet(&fleet);
+}
+
+static void
+kill_gateway(gateway_fleet_t *fleet, int gateway)
+{
+	g_usleep(50 * 1000);
+	harness_kill(fleet->world->harness, fleet->gateways[gateway].process);
+}
+
+static void
+pause_gateway(gateway_fleet_t *fleet, int gateway)
+{
+	g_usleep(50 * 1000);
+	harness_signal(
+	    fleet->world->harness, fleet->gateways[gateway].process, SIGSTOP);
+}
+
+static void
+stop_gateway(gateway_fleet_t *fleet, int gateway)
+{
+	int status;
+
+	g_usleep(50 * 1000);
+	harness_signal(
+	    fleet->world->harness, fleet->gateways[gateway].process, SIGTERM);
+	status = harness_wait_exit(
+	    fleet->world->harness, fleet->gateways[gateway].process, 8000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
+static void
+restart_gateway(gateway_fleet_t *fleet, int gateway)
+{
+	kill_gateway(fleet, gateway);
+	fleet_start(fleet, gateway);
+	harness_wait_status(
+	    fleet->gateways[gateway].health, "/ready", 200, WORLD_START_MS);
+}
+
+/* A serving node fails in one of several ways while others ask it. */
+static void
+a_failing_serving_node_costs_no_answer(void **state)
+{
+	static const struct {
+		const char *name;
+		void (*fail)(gateway_fleet_t *fleet, int gateway);
+	} cases[] = {
+	    {"killed", kill_gateway},
+	    {"paused", pause_gateway},
+	    {"stopped", stop_gateway},
+	    {"restarted", restart_gateway},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gateway_fleet_t fleet = {0};
+		counts_t counts;
+
+		print_message("%s: ", cases[i].name);
+		start_fleet(&fleet, *state);
+		counts = run_queries(&fleet, 1, cases[i].fail);
+		assert_int_equal(counts.failed, 0);
+		/* A target latency of 400 ms leaves time for the others. */
+		assert_int_equal(counts.partial, 0);
+		/* At most those that were running fail once. */
+		assert_true(counts.repeated <= CLIENTS);
+		counts = run_queries(&fleet, 1, NULL);
+		assert_int_equal(counts.whole, CLIENTS * QUERIES_WITHOUT_ONE);
+		stop_fleet(&fleet);
+	}
+}
+
+#define STUBS 5
+
+/* Registers stand-ins as the other nodes of the data centre. */
+static void
+register_stubs(gateway_world_t *world, plain_server_t **stubs)
+{
+	for (int i = 0; i < STUBS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "stub-%d", i);
+		stubs[i] = plain_server_create(name);
+		register_node(world, name, plain_server_address(stubs[i]));
+	}
+}
+
+/* The stand-ins know nothing of groups: whatever they answer or not, the
+ * receiving node serves the group itself. */
+static void
+whatever_a_peer_answers_the_query_is_whole(void **state)
+{
+	static const struct {
+		const char *name;
+		plain_fault_t fault;
+	} cases[] = {
+	    {"an answer without the shards", PLAIN_ANSWER},
+	    {"a refusal", PLAIN_OVERLOADED},
+	    {"an error", PLAIN_FAIL},
+	    {"a reset", PLAIN_RESET},
+	    {"a cut answer", PLAIN_TRUNCATE},
+	    {"no HTTP", PLAIN_GARBAGE},
+	    {"no answer", PLAIN_HANG},
+	    {"a second answer", PLAIN_EXTRA},
+	};
+	gateway_world_t *world = create_world(*state);
+	plain_server_t *stubs[STUBS];
+	gateway_fleet_t fleet = {0};
+	gateway_world_t view;
+
+	register_stubs(world, stubs);
+	fleet_prepare(&fleet, world, 1);
+	fleet_start_all(&fleet);
+	wait_for_groups(&fleet);
+	view = fleet_gateway_world(&fleet, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		counts_t counts = {0};
+
+		for (int j = 0; j < STUBS; j++)
+			plain_server_set_fault(stubs[j], cases[i].fault, 1000);
+		for (int j = 0; j < 10; j++)
+			count_query(&view, &counts);
+		if (counts.whole != 10)
+			fail_msg("%s: whole %d, partial %d, failed %d",
+			    cases[i].name, counts.whole, counts.partial,
+			    counts.failed);
+	}
+	assert_true(world_metric(&view, "groups_resumed_total") > 0);
+	fleet_destroy(&fleet);
+	for (int i = 0; i < STUBS; i++)
+		plain_server_destroy(stubs[i]);
+	world_destroy(world);
+}
+
+/* Sends a request to the peers' port of a gateway; the caller frees the
+ * response. */
+static char *
+ask_group(const gateway_fleet_t *fleet, const char *group)
+{
+	gateway_world_t view = fleet_gateway_world(fleet, 0);
+	char *text =
+	    g_strdup_printf(WORLD_HEAD("GET", "/all/x") "%s" WORLD_END, group);
+	char *response;
+	int fd;
+
+	memcpy(view.clients, fleet->gateways[0].peers, sizeof(view.clients));
+	fd = world_connect(&view);
+	world_send_text(fd, text);
+	response = world_receive(fd, "Gateway-Not-Run", DEADLINE_MS);
+	close(fd);
+	g_free(text);
+	return response;
+}
+
+static void
+group_requests_that_make_no_sense_are_refused(void **state)
+{
+	static const char *const headers[] = {
+	    "",
+	    "Gateway-Shard-Group: \r\n",
+	    "Gateway-Shard-Group: x\r\n",
+	    "Gateway-Shard-Group: 0 0 0 0\r\n",
+	    "Gateway-Shard-Group: 2 2 0 0\r\n",
+	    "Gateway-Shard-Group: 0 2 0 -5\r\n",
+	    "Gateway-Shard-Group: 0 2 abc 1000\r\n", /* other shards */
+	    "Gateway-Shard-Group: 0 2\r\n",
+	    "Gateway-Shard-Group: 99999999999 99999999999 1 1\r\n",
+	    "Gateway-Shard-Group: 0 2 11111111111111111111111111111111111111"
+	    "111111111111111111111111111111111111111111111111111 1000\r\n",
+	};
+	gateway_fleet_t fleet = {0};
+
+	start_fleet(&fleet, *state);
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+		char *response = ask_group(&fleet, headers[i]);
+
+		if (strstr(response, "HTTP/1.1 503") == NULL ||
+		    strstr(response, "Gateway-Not-Run") == NULL)
+			fail_msg("case %zu: \"%s\"", i, response);
+		free(response);
+	}
+	stop_fleet(&fleet);
+}
+
+/* A client can't choose shards, and servers see no header of the gateways. */
+static void
+clients_can_not_ask_for_a_group(void **state)
+{
+	gateway_world_t *world = create_world(*state);
+	plain_server_record_t record;
+	int fd = world_connect(world);
+	char *response;
+
+	world_send_text(fd,
+	    WORLD_REQUEST(
+		"GET", "/all/x", "Gateway-Shard-Group: 0 2 0 100000\r\n"));
+	response = world_receive(fd, "\r\n\r\n", DEADLINE_MS);
+	assert_non_null(strstr(response, "HTTP/1.1 200"));
+	assert_non_null(strstr(response, "Bulrushwell-Missing-Parts: 0"));
+	assert_null(strstr(response, "Gateway-Shards"));
+	plain_server_get_record(world_replica(world, 0, 0), &record);
+	assert_true(record.requests == 1);
+	assert_null(strstr(record.last_head, "Gateway-"));
+	free(response);
+	close(fd);
+	world_destroy(world);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(queries_are_divided_among_nodes),
+	    HARNESS_TEST(a_failing_serving_node_costs_no_answer),
+	    HARNESS_TEST(whatever_a_peer_answers_the_query_is_whole),
+	    HARNESS_TEST(group_requests_that_make_no_sense_are_refused),
+	    HARNESS_TEST(clients_can_not_ask_for_a_group),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
