--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -104,7 +104,8 @@
 	bool starting;	  /* exchange_start() has not returned */
 	bool done;	  /* replied, or the client has disconnected */
 	gather_records_t *records; /* fan-out: merged so far */
-	buffer_t failure_head;	   /* last error response of a server */
+	int failure_status;
+	buffer_t failure_head; /* last error response of a server */
 	buffer_t failure_body;
 	group_attempt_t *groups; /* by group; NULL: no peer was asked */
 	uint32_t group_count;
@@ -284,6 +285,15 @@
 void reply_forward(exchange_t *exchange, const attempt_t *attempt,
     const http_message_t *response, usec_t now);
 
+/**
+ * reply_status() - The status with which a server's response is forwarded.
+ *
+ * To clients, 408, 421, 429 and 503 mean that the request was not run. A server
+ * that sends them without the header that states "not run" gives no such
+ * guarantee, so they are replaced by 502.
+ */
+int reply_status(const http_message_t *response);
+
 /** reply_last_failure() - Forwards the last error response of a server. */
 void reply_last_failure(exchange_t *exchange, usec_t now);
 
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -19,15 +19,14 @@
  */
 #define DEFAULT_SLOT_INTERVAL MS(20)
 
-/*
- * To clients, 408, 421, 429 and 503 mean that the request was not run. A
- * server that sends them without the header that states "not run" gives no such
- * guarantee, so they are replaced by 502.
- */
-static bool
-promises_not_run(int status)
+int
+reply_status(const http_message_t *response)
 {
-	return status == 408 || status == 421 || status == 429 || status == 503;
+	int status = http_message_status(response);
+
+	if (status == 408 || status == 421 || status == 429 || status == 503)
+		return 502;
+	return status;
 }
 
 static bool
@@ -170,11 +169,9 @@
 {
 	const header_names_t *names = &exchange->engine->settings.headers;
 	buffer_t head = {0};
-	int status = http_message_status(response);
-	bool status_replaced = promises_not_run(status);
+	int status = reply_status(response);
+	bool status_replaced = status != http_message_status(response);
 
-	if (status_replaced)
-		status = 502;
 	if (status < 500) {
 		exchange->engine->counters.answered++;
 		clear_suspect(exchange, now);
@@ -196,7 +193,7 @@
 	    exchange->failure_body.data, exchange->failure_body.size};
 
 	exchange->engine->counters.failed++;
-	log_reply(exchange, 500, "server_failure", now);
+	log_reply(exchange, exchange->failure_status, "server_failure", now);
 	record_latency(exchange, false, now);
 	exchange_finish(exchange, &exchange->failure_head, body);
 }
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -378,8 +378,10 @@
 	buffer_clear(&exchange->failure_body);
 	buffer_append(
 	    &exchange->failure_body, response->body.data, response->body.size);
-	head_build_forwarded(names, response, true,
-	    http_message_status(response), response->body.size,
+	exchange->failure_status = reply_status(response);
+	head_build_forwarded(names, response,
+	    exchange->failure_status == http_message_status(response),
+	    exchange->failure_status, response->body.size,
 	    &exchange->failure_head);
 }
 
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -211,6 +211,20 @@
 		    SECONDS(http_parse_number(value)) - IDLE_MARGIN;
 }
 
+static uint32_t
+count_running(const upstream_server_t *server)
+{
+	uint32_t running = 0;
+
+	for (guint i = 0; i < server->connections->len; i++) {
+		const pool_connection_t *connection =
+		    server->connections->pdata[i];
+
+		running += connection->attempt != NULL;
+	}
+	return running;
+}
+
 static void
 record_response(pool_connection_t *connection, const http_message_t *response,
     bool not_run, usec_t now)
@@ -226,7 +240,7 @@
 	server->interrupted_count = 0;
 	if (not_run) {
 		server_health_overloaded(
-		    &server->health, server->connections->len, now);
+		    &server->health, count_running(server), now);
 	} else if (http_message_status(response) >= 500) {
 		server_health_failed(&server->health, now);
 	} else {
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -438,8 +438,6 @@
 
 	message.suspect.fingerprint = action->fingerprint;
 	message.suspect.crash_id = action->crash_id;
-	event_log(EVENT_SUSPECT_ADDED, "fingerprint %016llx",
-	    (unsigned long long)action->fingerprint);
 	peer_broadcast(node, &message);
 }
 
--- a/source/tool/tool_contract_command.c
+++ b/source/tool/tool_contract_command.c
@@ -274,11 +274,17 @@
 	g_free(text);
 	if (json_is_object(context->contract))
 		return 0;
-	snprintf(context->message, sizeof(context->message),
-	    "the file given with --file is not a JSON object (line %d, column "
-	    "%d); correct it there, or compare it with the files under "
-	    "examples",
-	    error.line, error.column);
+	if (context->contract != NULL)
+		snprintf(context->message, sizeof(context->message),
+		    "the file given with --file holds JSON, but not an object; "
+		    "compare it with the files under examples");
+	else
+		snprintf(context->message, sizeof(context->message),
+		    "the file given with --file is not a JSON object (line %d, "
+		    "column "
+		    "%d); correct it there, or compare it with the files under "
+		    "examples",
+		    error.line, error.column);
 	return BW_E_INVALID;
 }
 
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -237,15 +237,18 @@
     int deadline_ms, const char *body)
 {
 	static int serial; /* atomic: several threads may send requests */
-	char id[64], deadline[64];
-	const char *headers[] = {"Host: example.test", id, deadline, NULL};
+	char id[32], id_line[64], deadline[64];
+	const char *headers[] = {"Host: example.test", id_line, deadline, NULL};
+	http_reply_t result;
 
-	snprintf(id, sizeof(id), "Bulrushwell-Request-Id: q%06d",
-	    g_atomic_int_add(&serial, 1) + 1);
+	snprintf(id, sizeof(id), "q%06d", g_atomic_int_add(&serial, 1) + 1);
+	snprintf(id_line, sizeof(id_line), "Bulrushwell-Request-Id: %s", id);
 	snprintf(deadline, sizeof(deadline), "Bulrushwell-Deadline-Ms: %d",
 	    deadline_ms);
-	return harness_http(
+	result = harness_http(
 	    method, world->clients, path, headers, body, deadline_ms + 2000);
+	g_strlcpy(result.sent_id, id, sizeof(result.sent_id));
+	return result;
 }
 
 int64_t
--- a/tests/lib/harness.h
+++ b/tests/lib/harness.h
@@ -136,6 +136,7 @@
 	GHashTable *headers; /* lower-case name -> value */
 	json_t *json;	     /* NULL when the body is not JSON */
 	usec_t elapsed;	     /* from the request to the end of the response */
+	char sent_id[32];    /* of world_request(): the id of the request */
 } http_reply_t;
 
 /**
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -94,6 +94,24 @@
 	world_destroy(world);
 }
 
+/*
+ * A server's 503, 429 or 408 without the mark does not say that the request was
+ * not run, so the client must not be told so when all servers send it.
+ */
+static void
+an_unmarked_refusal_is_no_promise(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_reply_t result;
+
+	world_fault_service(world, WORLD_ONE, PLAIN_OVERLOADED, 10);
+	result = world_request(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_true(world_run_count(world, WORLD_ONE) > 0);
+	assert_int_equal(result.status, 502);
+	http_reply_clear(&result);
+	world_destroy(world);
+}
+
 /* An unsolicited response must not be taken for that of the next request. */
 static void
 drops_a_late_second_response(void **state)
@@ -104,14 +122,12 @@
 	for (int i = 0; i < 20; i++) {
 		http_reply_t result =
 		    world_request(world, "GET", "/one/x", DEADLINE_MS, NULL);
-		char expected[32];
 		const char *id;
 
-		snprintf(expected, sizeof(expected), "q");
 		id = http_reply_header(&result, "bulrushwell-request-id");
 		assert_int_equal(result.status, 200);
 		assert_non_null(id);
-		assert_true(id[0] == expected[0]);
+		assert_string_equal(id, result.sent_id);
 		http_reply_clear(&result);
 		if (i % 3 == 0)
 			g_usleep(40 * 1000);
@@ -399,6 +415,7 @@
 	    HARNESS_TEST(asks_all_shards),
 	    HARNESS_TEST(leaves_out_a_shard_that_is_down),
 	    HARNESS_TEST(answers_through_a_fault_of_one_server),
+	    HARNESS_TEST(an_unmarked_refusal_is_no_promise),
 	    HARNESS_TEST(drops_a_late_second_response),
 	    HARNESS_TEST(never_runs_twice_and_never_denies_a_run),
 	    HARNESS_TEST(forwards_body_and_deadline),
