--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -12,11 +12,13 @@
 
 #define REQUEST_MAX_BYTES 65536
 #define HANG_CHECK_MS 20
+#define ENDLESS_BLOCK_BYTES 8192
 #define EXTRA_DELAY_MS 30
 #define CRASH_DURATION_MS 700
 #define RECORD_BYTES 16
 
 struct plain_server {
+	int drip_ms; /* between bytes of PLAIN_ENDLESS_*; 0: none */
 	char id[64];
 	char address[64];
 	int listener;
@@ -247,6 +249,64 @@
 	g_mutex_unlock(&server->lock);
 }
 
+/* What is sent once, and then again and again. */
+static const struct {
+	const char *begin;
+	const char *repeated;
+} endless_texts[] = {
+    [PLAIN_ENDLESS_HEADER] = {"HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaa"},
+    [PLAIN_ENDLESS_HEADERS] = {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    [PLAIN_ENDLESS_INTERIMS] = {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    [PLAIN_ENDLESS_CHUNK_SIZE] =
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000"},
+    [PLAIN_ENDLESS_CHUNKS] =
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "8\r\nabcdefgh\r\n"},
+    [PLAIN_ENDLESS_BODY] = {"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n"
+			    "\r\n",
+	"abcdefgh"},
+    [PLAIN_ENDLESS_UNFRAMED] = {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"},
+    [PLAIN_ENDLESS_TRAILERS] =
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	    "X-A: b\r\n"},
+    [PLAIN_ENDLESS_LINE] = {"", "abcdefgh"},
+};
+
+static bool
+try_send(const plain_connection_t *connection, const char *text, size_t size)
+{
+	return send(connection->fd, text, size, MSG_NOSIGNAL) == (ssize_t)size;
+}
+
+/* Sends until the client closes, which is counted, or the server stops. */
+static void
+send_endlessly(plain_connection_t *connection, plain_fault_t fault)
+{
+	const char *repeated = endless_texts[fault].repeated;
+	plain_server_t *server = connection->server;
+	GString *block = g_string_new(NULL);
+	bool open = true;
+	size_t at = 0;
+
+	send_text(connection, endless_texts[fault].begin,
+	    strlen(endless_texts[fault].begin));
+	while (block->len < ENDLESS_BLOCK_BYTES)
+		g_string_append(block, repeated);
+	while (open && !is_stopping(server)) {
+		if (server->drip_ms == 0) {
+			open = try_send(connection, block->str, block->len);
+			continue;
+		}
+		open = try_send(connection, block->str + at, 1);
+		at = (at + 1) % strlen(repeated);
+		g_usleep((gulong)server->drip_ms * 1000);
+	}
+	g_string_free(block, TRUE);
+	g_mutex_lock(&server->lock);
+	server->record.disconnects += !open;
+	g_mutex_unlock(&server->lock);
+}
+
 /* Returns whether the connection stays open. */
 static bool
 respond(plain_connection_t *connection, plain_fault_t fault)
@@ -304,6 +364,17 @@
 	case PLAIN_CRASH:
 		crash(connection->server);
 		return false;
+	case PLAIN_ENDLESS_HEADER:
+	case PLAIN_ENDLESS_HEADERS:
+	case PLAIN_ENDLESS_INTERIMS:
+	case PLAIN_ENDLESS_CHUNK_SIZE:
+	case PLAIN_ENDLESS_CHUNKS:
+	case PLAIN_ENDLESS_BODY:
+	case PLAIN_ENDLESS_UNFRAMED:
+	case PLAIN_ENDLESS_TRAILERS:
+	case PLAIN_ENDLESS_LINE:
+		send_endlessly(connection, fault);
+		return false;
 	}
 	return false;
 }
@@ -491,6 +562,14 @@
 	g_mutex_unlock(&server->lock);
 }
 
+void
+plain_server_set_drip(plain_server_t *server, int ms)
+{
+	g_mutex_lock(&server->lock);
+	server->drip_ms = ms;
+	g_mutex_unlock(&server->lock);
+}
+
 void
 plain_server_set_delay(plain_server_t *server, int ms)
 {
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -29,7 +29,17 @@
 	PLAIN_INTERIM,	      /* a 103 response before the final one */
 	PLAIN_ENCODED,	      /* a Content-Encoding that was not accepted */
 	PLAIN_HANG,	      /* reads the request and never responds */
-	PLAIN_CRASH	      /* closes and refuses connections for 700 ms */
+	PLAIN_CRASH,	      /* closes and refuses connections for 700 ms */
+	/* Bytes without end, until the caller closes; see endless_texts. */
+	PLAIN_ENDLESS_HEADER,	  /* a header line */
+	PLAIN_ENDLESS_HEADERS,	  /* header lines */
+	PLAIN_ENDLESS_INTERIMS,	  /* interim responses */
+	PLAIN_ENDLESS_CHUNK_SIZE, /* the size of a chunk */
+	PLAIN_ENDLESS_CHUNKS,
+	PLAIN_ENDLESS_BODY,	/* beyond its length */
+	PLAIN_ENDLESS_UNFRAMED, /* a body without a length */
+	PLAIN_ENDLESS_TRAILERS,
+	PLAIN_ENDLESS_LINE /* bytes that never form a line */
 } plain_fault_t;
 
 typedef struct plain_server plain_server_t;
@@ -39,7 +49,7 @@
 	uint32_t requests; /* requests received */
 	uint32_t runs; /* requests run: all but PLAIN_NOT_RUN, _MISDIRECTED */
 	uint32_t crashes;
-	uint32_t disconnects; /* by the client, during PLAIN_HANG */
+	uint32_t disconnects; /* by the client, during PLAIN_HANG, _ENDLESS_* */
 	int64_t last_deadline_ms;
 	char last_head[2048];
 	char last_body[2048];
@@ -61,6 +71,12 @@
  */
 void plain_server_set_delay(plain_server_t *server, int ms);
 
+/**
+ * plain_server_set_drip() - PLAIN_ENDLESS_* send one byte in @ms milliseconds;
+ * 0: as fast as they can.
+ */
+void plain_server_set_drip(plain_server_t *server, int ms);
+
 /** plain_server_run_count() - How often the request with this id was run. */
 uint32_t plain_server_run_count(plain_server_t *server, const char *request_id);
 
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -266,7 +266,7 @@
 register_stubs(gateway_world_t *world, plain_server_t **stubs)
 {
 	for (int i = 0; i < STUBS; i++) {
-		char name[16];
+		char name[32];
 
 		snprintf(name, sizeof(name), "stub-%d", i);
 		stubs[i] = plain_server_create(name);
