--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -65,7 +65,7 @@
     [SETTING_METRICS] = {"metrics", "IP:PORT", "listen address for metrics",
 	""},
     [SETTING_PEERS] = {"peers", "IP:PORT",
-	"listen address for datagrams of other gateways", ""},
+	"listen address for other gateways (UDP and TCP)", ""},
     [SETTING_STORE] = {"store", "IP:PORT", "address of the platform's store",
 	NULL},
     [SETTING_STORE_HISTORY_S] = {"store-history-s", "SECONDS",
