--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -212,6 +212,22 @@
  * exchange. */
 bool group_header_is_internal(slice_t name);
 
+/** exchange_init_timer() - Must be called before the exchange is continued. */
+void exchange_init_timer(exchange_t *exchange);
+
+/**
+ * exchange_continue() - Sends a reply that is due already, or waits for more.
+ *
+ * Return: the exchange, or NULL when it has ended and was freed.
+ */
+exchange_t *exchange_continue(exchange_t *exchange, usec_t now);
+
+/**
+ * exchange_limiter_key() - Key of the concurrency limit: fan-outs over the same
+ * shards share the one of their first shard.
+ */
+const char *exchange_limiter_key(const exchange_t *exchange);
+
 /** exchange_task_answered() - Ends the task; may free the exchange. */
 void exchange_task_answered(
     task_t *task, const attempt_t *attempt, const http_message_t *response);
--- /dev/null
+++ b/source/gateway/exchange_start.c
@@ -0,0 +1,338 @@
+/* Start of an exchange: its route, its deadlines, whether it is refused, and
+ * the tasks that it needs. */
+#include "bulrushwell/error.h"
+#include "bulrushwell/event.h"
+#include "exchange_private.h"
+
+/* Assumed when the kernel does not tell the round trip to a client. */
+#define DEFAULT_ROUND_TRIP MS(6)
+/*
+ * Time reserved for the last response to reach the client, as a part of the
+ * time that it waits.
+ */
+#define DEADLINE_MARGIN_RATIO 0.04
+#define DEADLINE_MARGIN_MIN MS(8)
+#define DEADLINE_MARGIN_MAX MS(100)
+
+/* How long the client still waits; negative when it does not state that. */
+static int64_t
+stated_wait_ms(const exchange_t *exchange)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	slice_t value;
+
+	if (!http_message_find(exchange->request, names->deadline_ms, &value))
+		return -1;
+	return http_parse_number(value);
+}
+
+/* The time from now until the latest response of any kind. */
+static usec_t
+final_allowance(const exchange_t *exchange, int64_t wait_ms)
+{
+	usec_t wait = MS(wait_ms);
+	usec_t margin;
+
+	if (wait_ms < 0)
+		return exchange->route->timeout;
+	margin = CLAMP((usec_t)(DEADLINE_MARGIN_RATIO * (double)wait),
+	    DEADLINE_MARGIN_MIN, DEADLINE_MARGIN_MAX);
+	return MIN(exchange->route->timeout, MAX(wait - margin, MS(1)));
+}
+
+static usec_t
+soft_allowance(const exchange_t *exchange,
+    const client_connection_t *connection, int64_t wait_ms)
+{
+	route_state_t *state = exchange->route_state;
+	client_request_t request = {
+	    .target_latency = exchange->route->target_latency,
+	    .round_trip = connection->round_trip > 0 ? connection->round_trip
+						     : DEFAULT_ROUND_TRIP,
+	    .response_bytes = state->response_bytes,
+	};
+
+	if (wait_ms >= 0)
+		request.time_spent =
+		    wait_history_time_spent(&state->waits, MS(wait_ms));
+	if (connection->first_request)
+		request.time_spent =
+		    MAX(request.time_spent, request.round_trip);
+	return client_timing_allowance(exchange->engine->timing, &request);
+}
+
+/* A receiving node states the time that it leaves to this node. */
+static void
+set_peer_deadlines(exchange_t *exchange, const group_request_t *group)
+{
+	int64_t wait_ms = stated_wait_ms(exchange);
+
+	exchange->deadline = exchange->received_at +
+	    MIN(exchange->route->timeout, MS(MAX(wait_ms, 1)));
+	exchange->soft_deadline = MIN(
+	    exchange->received_at + group->soft_allowance, exchange->deadline);
+}
+
+static void
+set_deadlines(exchange_t *exchange, const client_connection_t *connection)
+{
+	int64_t wait_ms = stated_wait_ms(exchange);
+
+	exchange->deadline =
+	    exchange->received_at + final_allowance(exchange, wait_ms);
+	exchange->soft_deadline = exchange->received_at +
+	    soft_allowance(exchange, connection, wait_ms);
+	exchange->soft_deadline =
+	    MIN(exchange->soft_deadline, exchange->deadline);
+}
+
+static void
+assign_tasks(exchange_t *exchange)
+{
+	const route_t *route = exchange->route;
+	pool_t *pool = exchange->engine->pool;
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		uint32_t target =
+		    exchange->shard_first + i * exchange->shard_step;
+		const char *service = route->targets[target].service;
+
+		if (route->kind == ROUTE_WEIGHTED)
+			service = route_state_next_target(
+			    exchange->route_state, route);
+		exchange->tasks[i].exchange = exchange;
+		exchange->tasks[i].upstream = pool_get_upstream(pool, service);
+	}
+}
+
+/*
+ * Whether too few shards have a server to reach the minimum share. Requests to
+ * the shards that have one would be wasted, and after them the error response
+ * could not state "not run".
+ */
+static bool
+has_too_few_servers(const exchange_t *exchange, usec_t now)
+{
+	const pool_t *pool = exchange->engine->pool;
+	gather_state_t state = {
+	    .total = exchange->task_count,
+	    .min_share = exchange->min_share,
+	};
+	uint32_t without_server = 0;
+
+	if (exchange->route->kind != ROUTE_FANOUT)
+		return false;
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		without_server += !pool_has_usable_server(
+		    pool, exchange->tasks[i].upstream, now);
+	return gather_fails_without(&state, without_server);
+}
+
+/* Returns 0, or the error with which to refuse the request. */
+static int
+find_route(exchange_t *exchange, const char **cause)
+{
+	const http_message_t *request = exchange->request;
+	exchange_engine_t *engine = exchange->engine;
+	slice_t host = {0};
+
+	if (engine->table == NULL) {
+		*cause = "no_configuration";
+		return BW_E_NOT_READY;
+	}
+	if (engine->refusing_requests) {
+		*cause = "stopping";
+		return BW_E_STOPPING;
+	}
+	if (!http_message_find(request, engine->settings.headers.request_id,
+		&exchange->request_id) ||
+	    exchange->request_id.size == 0 ||
+	    exchange->request_id.size >= REQUEST_ID_MAX) {
+		*cause = "no_request_id";
+		exchange->request_id = slice_from("-");
+		return BW_E_INVALID;
+	}
+	http_message_find(request, "Host", &host);
+	exchange->table = route_table_ref(engine->table);
+	exchange->route = route_table_match(
+	    engine->table, host, http_message_target(request));
+	if (exchange->route == NULL || exchange->route->target_count == 0) {
+		exchange->route = NULL;
+		*cause = "no_route";
+		return BW_E_NOT_FOUND;
+	}
+	return 0;
+}
+
+static uint32_t
+count_tasks(const exchange_engine_t *engine, const http_message_t *request,
+    const group_request_t *group)
+{
+	const route_t *route;
+	slice_t host = {0};
+
+	if (engine->table == NULL)
+		return 1;
+	http_message_find(request, "Host", &host);
+	route = route_table_match(
+	    engine->table, host, http_message_target(request));
+	if (route == NULL || route->kind != ROUTE_FANOUT)
+		return 1;
+	if (group == NULL)
+		return route->target_count;
+	return MAX(
+	    shard_group_size(route->target_count, group->group, group->groups),
+	    1);
+}
+
+/*
+ * Limits the exchange to the shards that a receiving node asks for. Returns 0,
+ * or the error with which to refuse it.
+ */
+static int
+select_group(
+    exchange_t *exchange, const group_request_t *group, const char **cause)
+{
+	const route_t *route = exchange->route;
+
+	if (group == NULL || route->kind != ROUTE_FANOUT ||
+	    route->targets_hash != group->targets_hash ||
+	    group->group >= route->target_count || exchange->interim == NULL) {
+		*cause = "other_shards";
+		return BW_E_NOT_READY;
+	}
+	exchange->shard_first = group->group;
+	exchange->shard_step = group->groups;
+	/* The receiving node decides which share is enough. */
+	exchange->min_share = 0.0;
+	exchange->engine->counters.groups_served++;
+	return 0;
+}
+
+/*
+ * Whether the limit of concurrent fan-outs is reached. If not, the exchange is
+ * counted as running.
+ */
+static bool
+is_refused_by_limiter(exchange_t *exchange, usec_t now)
+{
+	exchange_engine_t *engine = exchange->engine;
+
+	/* The receiving node has admitted the query. */
+	if (exchange->route->kind != ROUTE_FANOUT || exchange->is_for_peer)
+		return false;
+	exchange->admitted =
+	    limiter_admit(engine->limiter, exchange_limiter_key(exchange),
+		exchange->route->name, 1, now) == 0;
+	return !exchange->admitted;
+}
+
+/*
+ * Whether to refuse the request because earlier requests with the same content
+ * crashed servers. Sets the fingerprint and is_suspect.
+ */
+static bool
+is_refused_suspect(exchange_t *exchange, usec_t now)
+{
+	const http_message_t *request = exchange->request;
+	slice_t target = http_message_target(request);
+	slice_t host = {0};
+	char *host_text, *path;
+	suspect_verdict_t verdict;
+
+	http_message_find(request, "Host", &host);
+	host_text = g_strndup(host.data, host.size);
+	path = g_strndup(target.data, target.size);
+	exchange->fingerprint =
+	    suspect_fingerprint(host_text, http_message_method(request), path,
+		(slice_t){request->body.data, request->body.size});
+	g_free(host_text);
+	g_free(path);
+	verdict = suspect_verdict(
+	    exchange->engine->suspects, exchange->fingerprint, now);
+	exchange->is_suspect = verdict != SUSPECT_CLEAR;
+	return verdict == SUSPECT_REFUSED;
+}
+
+static void
+start_tasks(exchange_t *exchange, const client_connection_t *connection,
+    const group_request_t *group, usec_t now)
+{
+	exchange_engine_t *engine = exchange->engine;
+
+	exchange->route_state = route_state_get(engine, exchange->route);
+	if (group != NULL)
+		set_peer_deadlines(exchange, group);
+	else
+		set_deadlines(exchange, connection);
+	if (is_refused_suspect(exchange, now)) {
+		event_log_sampled(EVENT_SUSPECT_REFUSED,
+		    "request=%.*s fingerprint=%016llx",
+		    (int)exchange->request_id.size, exchange->request_id.data,
+		    (unsigned long long)exchange->fingerprint);
+		reply_error(exchange, BW_E_SUSPECT, "crashes_servers", now);
+		return;
+	}
+	assign_tasks(exchange);
+	/* Checked before the limiter, which would count it as overload. */
+	if (has_too_few_servers(exchange, now)) {
+		reply_error(exchange, BW_E_OVERLOADED, "no_servers", now);
+		return;
+	}
+	if (is_refused_by_limiter(exchange, now)) {
+		reply_error(exchange, BW_E_OVERLOADED, "limit", now);
+		return;
+	}
+	if (exchange->route->kind == ROUTE_FANOUT)
+		exchange->records =
+		    gather_records_create(exchange->route->top_records);
+	head_build_common(exchange);
+	groups_ask(exchange, now);
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		if (exchange->tasks[i].state != TASK_ASKED)
+			task_start(&exchange->tasks[i], now);
+}
+
+exchange_t *
+exchange_start(exchange_engine_t *engine, const http_message_t *request,
+    const client_connection_t *connection, exchange_reply_t reply, void *client)
+{
+	group_request_t group_request;
+	const group_request_t *group =
+	    connection->is_peer && group_request_read(request, &group_request)
+	    ? &group_request
+	    : NULL;
+	uint32_t task_count = count_tasks(engine, request, group);
+	exchange_t *exchange =
+	    g_malloc0(sizeof(*exchange) + task_count * sizeof(task_t));
+	usec_t now = engine_now(engine);
+	const char *cause;
+	int error;
+
+	exchange->engine = engine;
+	exchange->request = request;
+	exchange->reply = reply;
+	exchange->client = client;
+	exchange->received_at = now;
+	exchange->request_id = slice_from("-");
+	exchange->starting = true;
+	exchange->shard_step = 1;
+	exchange->is_for_peer = connection->is_peer;
+	exchange->interim = connection->interim;
+	exchange_init_timer(exchange);
+	engine->running++;
+	engine->counters.requests++;
+	error = find_route(exchange, &cause);
+	if (error == 0) {
+		exchange->task_count = task_count;
+		exchange->min_share = exchange->route->min_share;
+	}
+	if (error == 0 && connection->is_peer)
+		error = select_group(exchange, group, &cause);
+	if (error != 0)
+		reply_error(exchange, error, cause, now);
+	else
+		start_tasks(exchange, connection, group, now);
+	exchange->starting = false;
+	return exchange_continue(exchange, now);
+}
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -78,6 +78,13 @@
 /** pool_close_idle() - Closes the unused connections to a server. */
 void pool_close_idle(upstream_server_t *server);
 
+/** pool_server_destroy() - Frees a server without connections. */
+void pool_server_destroy(upstream_server_t *server);
+
+/** pool_is_drained() - Whether a leaving server gets no more attempts. */
+bool pool_is_drained(
+    const pool_t *pool, const upstream_server_t *server, usec_t now);
+
 /** pool_server_release() - Frees a removed server that has no connections. */
 void pool_server_release(upstream_server_t *server);
 
