--- a/tests/lib/harness.c
+++ b/tests/lib/harness.c
@@ -142,7 +142,10 @@
 	int pipes[2] = {-1, -1};
 	int log = open_log(name);
 
-	assert_true(index < HARNESS_MAX_PROCESSES);
+	if (index >= HARNESS_MAX_PROCESSES)
+		fail_msg("a test has started more than %d processes; run fewer "
+			 "seeds at once",
+		    HARNESS_MAX_PROCESSES);
 	if (keep_output)
 		assert_int_equal(pipe2(pipes, O_CLOEXEC), 0);
 	g_ptr_array_add(argv, path);
