Give the serving node's side of group requests a file of its own

The time that a receiving node leaves is bounded (an hour), so that adding it can't overflow; a case of the malformed requests. Visitors take const contexts instead of a copied string.

--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -1,24 +1,13 @@
-/* Requests between receiving nodes and serving nodes of groups of shards. */
+/* The receiving node: requests to the serving nodes of other groups. */
 #include <stdio.h>
 
-#include "bulrushwell/error.h"
 #include "bulrushwell/event.h"
 #include "exchange_private.h"
+#include "group_headers.h"
 
-/* In a request: "GROUP GROUPS TARGETS_HASH SOFT_US". */
-#define GROUP_HEADER "Gateway-Shard-Group"
-/* In a response: the positions in the group of the shards that answered. */
-#define SHARDS_HEADER "Gateway-Shards"
-/* In an interim response: the records of these shards in hexadecimal. */
-#define RECORDS_HEADER "Gateway-Records"
-#define MAX_INTERIM_RECORDS 64
-/* Fewer than HTTP_MAX_INTERIMS, as one says that the request was accepted. */
-#define MAX_INTERIMS (HTTP_MAX_INTERIMS - 2)
 /* Peers with a higher recent share of failed requests are not asked. */
 #define MAX_PEER_FAILURE_RATE 0.3
 #define GROUP_TEXT_MAX 96
-/* A peer keeps idle connections for longer than this. */
-#define KEEP_ALIVE_TEXT "Keep-Alive: timeout=60\r\n"
 /* A peer that has not accepted a request after this time is not waited for: at
  * least, in usual delays of a timer, and as a part of the time until the soft
  * deadline. */
@@ -40,28 +29,6 @@
 	    http_header_is(name, SERVING_PEERS_NOT_RUN_HEADER);
 }
 
-bool
-group_request_read(const http_message_t *request, group_request_t *group)
-{
-	char text[GROUP_TEXT_MAX];
-	unsigned long long hash;
-	long long soft_us;
-	slice_t value;
-
-	if (!http_message_find(request, GROUP_HEADER, &value) ||
-	    value.size >= sizeof(text))
-		return false;
-	memcpy(text, value.data, value.size);
-	text[value.size] = '\0';
-	if (sscanf(text, "%u %u %llx %lld", &group->group, &group->groups,
-		&hash, &soft_us) != 4)
-		return false;
-	group->targets_hash = hash;
-	group->soft_allowance = soft_us;
-	return group->groups > 0 && group->group < group->groups &&
-	    soft_us >= 0;
-}
-
 static void
 add_group_header(
     const exchange_t *exchange, uint32_t group, usec_t now, buffer_t *head)
@@ -81,7 +48,7 @@
 /* Calls @visit for each task of the group that still waits for its peer. */
 static void
 visit_asked_tasks(const group_attempt_t *group,
-    void (*visit)(task_t *task, void *context), void *context)
+    void (*visit)(task_t *task, const void *context), const void *context)
 {
 	exchange_t *exchange = group->exchange;
 
@@ -97,7 +64,7 @@
 } resume_t;
 
 static void
-resume_task(task_t *task, void *context)
+resume_task(task_t *task, const void *context)
 {
 	const resume_t *resume = context;
 
@@ -185,7 +152,7 @@
 }
 
 static void
-fail_asked_task(task_t *task, void *context)
+fail_asked_task(task_t *task, const void *context)
 {
 	const char *cause = context;
 
@@ -201,10 +168,7 @@
 static void
 fail_group(group_attempt_t *group, const char *cause)
 {
-	char *text = g_strdup(cause);
-
-	visit_asked_tasks(group, fail_asked_task, text);
-	g_free(text);
+	visit_asked_tasks(group, fail_asked_task, cause);
 }
 
 /*
@@ -464,99 +428,3 @@
 	}
 	exchange_reply_if_due(exchange, now);
 }
-
-void
-group_response_add(const exchange_t *exchange, buffer_t *head)
-{
-	const header_names_t *names = &exchange->engine->settings.headers;
-	bool first = true;
-
-	buffer_append_text(head, names->request_id);
-	buffer_append(head, ": ", 2);
-	buffer_append(
-	    head, exchange->request_id.data, exchange->request_id.size);
-	buffer_append_text(head, "\r\n" SHARDS_HEADER ": ");
-	for (uint32_t i = 0; i < exchange->task_count; i++) {
-		const task_t *task = &exchange->tasks[i];
-
-		if (task->state != TASK_ANSWERED || task->reported)
-			continue;
-		if (!first)
-			buffer_append(head, ",", 1);
-		buffer_append_number(head, i);
-		first = false;
-	}
-	buffer_append_text(head, "\r\n" KEEP_ALIVE_TEXT);
-}
-
-/* Marks the answered shards as known to the receiving node. */
-static void
-mark_reported(exchange_t *exchange)
-{
-	for (uint32_t i = 0; i < exchange->task_count; i++)
-		if (exchange->tasks[i].state == TASK_ANSWERED)
-			exchange->tasks[i].reported = true;
-	gather_records_clear(exchange->records);
-}
-
-static bool
-has_unreported(const exchange_t *exchange)
-{
-	for (uint32_t i = 0; i < exchange->task_count; i++)
-		if (exchange->tasks[i].state == TASK_ANSWERED &&
-		    !exchange->tasks[i].reported)
-			return true;
-	return false;
-}
-
-static void
-add_hex(buffer_t *head, const unsigned char *bytes, size_t size)
-{
-	static const char digits[] = "0123456789abcdef";
-
-	for (size_t i = 0; i < size; i++) {
-		buffer_append(head, &digits[bytes[i] >> 4], 1);
-		buffer_append(head, &digits[bytes[i] & 15], 1);
-	}
-}
-
-/* Reports the shards that have answered so far. */
-static void
-send_interim(exchange_t *exchange)
-{
-	const gather_records_t *records = exchange->records;
-	buffer_t head = {0};
-
-	if (exchange->interim_count == MAX_INTERIMS ||
-	    records->count > MAX_INTERIM_RECORDS || !has_unreported(exchange))
-		return;
-	exchange->interim_count++;
-	buffer_append_text(&head, "HTTP/1.1 103 Early Hints\r\n");
-	reply_add_stamps(exchange, &head);
-	group_response_add(exchange, &head);
-	buffer_append_text(&head, RECORDS_HEADER ": ");
-	add_hex(&head, records->records[0],
-	    (size_t)records->count * GATHER_RECORD_BYTES);
-	buffer_append(&head, "\r\n", 2);
-	mark_reported(exchange);
-	exchange->interim(exchange->client, &head);
-	buffer_free(&head);
-}
-
-void
-group_reply_if_due(exchange_t *exchange, usec_t now)
-{
-	gather_state_t state = exchange_gather_state(exchange);
-
-	if (state.pending > 0 && now < exchange->deadline) {
-		if (now >= exchange->soft_deadline)
-			send_interim(exchange);
-		return;
-	}
-	if (state.answered > 0)
-		reply_fanout(exchange, state.answered, now);
-	else
-		reply_error(exchange,
-		    state.pending > 0 ? BW_E_DEADLINE : BW_E_OVERLOADED,
-		    "no_shard", now);
-}
--- /dev/null
+++ b/source/gateway/exchange_serving.c
@@ -0,0 +1,131 @@
+/* The serving node: the shards that a receiving node asks for. */
+#include <stdio.h>
+
+#include "bulrushwell/error.h"
+#include "exchange_private.h"
+#include "group_headers.h"
+
+#define GROUP_TEXT_MAX 96
+#define SOFT_ALLOWANCE_MAX SECONDS(3600) /* more makes no sense */
+/* Fewer than HTTP_MAX_INTERIMS, as one says that the request was accepted. */
+#define MAX_INTERIMS (HTTP_MAX_INTERIMS - 2)
+/* A peer keeps idle connections for longer than this. */
+#define KEEP_ALIVE_TEXT "Keep-Alive: timeout=60\r\n"
+
+bool
+group_request_read(const http_message_t *request, group_request_t *group)
+{
+	char text[GROUP_TEXT_MAX];
+	unsigned long long hash;
+	long long soft_us;
+	slice_t value;
+
+	if (!http_message_find(request, GROUP_HEADER, &value) ||
+	    value.size >= sizeof(text))
+		return false;
+	memcpy(text, value.data, value.size);
+	text[value.size] = '\0';
+	if (sscanf(text, "%u %u %llx %lld", &group->group, &group->groups,
+		&hash, &soft_us) != 4)
+		return false;
+	group->targets_hash = hash;
+	group->soft_allowance = soft_us;
+	return group->groups > 0 && group->group < group->groups &&
+	    soft_us >= 0 && soft_us <= SOFT_ALLOWANCE_MAX;
+}
+
+void
+group_response_add(const exchange_t *exchange, buffer_t *head)
+{
+	const header_names_t *names = &exchange->engine->settings.headers;
+	bool first = true;
+
+	buffer_append_text(head, names->request_id);
+	buffer_append(head, ": ", 2);
+	buffer_append(
+	    head, exchange->request_id.data, exchange->request_id.size);
+	buffer_append_text(head, "\r\n" SHARDS_HEADER ": ");
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const task_t *task = &exchange->tasks[i];
+
+		if (task->state != TASK_ANSWERED || task->reported)
+			continue;
+		if (!first)
+			buffer_append(head, ",", 1);
+		buffer_append_number(head, i);
+		first = false;
+	}
+	buffer_append_text(head, "\r\n" KEEP_ALIVE_TEXT);
+}
+
+/* Marks the answered shards as known to the receiving node. */
+static void
+mark_reported(exchange_t *exchange)
+{
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		if (exchange->tasks[i].state == TASK_ANSWERED)
+			exchange->tasks[i].reported = true;
+	gather_records_clear(exchange->records);
+}
+
+static bool
+has_unreported(const exchange_t *exchange)
+{
+	for (uint32_t i = 0; i < exchange->task_count; i++)
+		if (exchange->tasks[i].state == TASK_ANSWERED &&
+		    !exchange->tasks[i].reported)
+			return true;
+	return false;
+}
+
+static void
+add_hex(buffer_t *head, const unsigned char *bytes, size_t size)
+{
+	static const char digits[] = "0123456789abcdef";
+
+	for (size_t i = 0; i < size; i++) {
+		buffer_append(head, &digits[bytes[i] >> 4], 1);
+		buffer_append(head, &digits[bytes[i] & 15], 1);
+	}
+}
+
+/* Reports the shards that have answered so far. */
+static void
+send_interim(exchange_t *exchange)
+{
+	const gather_records_t *records = exchange->records;
+	buffer_t head = {0};
+
+	if (exchange->interim_count == MAX_INTERIMS ||
+	    records->count > MAX_INTERIM_RECORDS || !has_unreported(exchange))
+		return;
+	exchange->interim_count++;
+	buffer_append_text(&head, "HTTP/1.1 103 Early Hints\r\n");
+	reply_add_stamps(exchange, &head);
+	group_response_add(exchange, &head);
+	buffer_append_text(&head, RECORDS_HEADER ": ");
+	add_hex(&head, records->records[0],
+	    (size_t)records->count * GATHER_RECORD_BYTES);
+	buffer_append(&head, "\r\n", 2);
+	mark_reported(exchange);
+	exchange->interim(exchange->client, &head);
+	buffer_free(&head);
+}
+
+void
+group_reply_if_due(exchange_t *exchange, usec_t now)
+{
+	gather_state_t state = exchange_gather_state(exchange);
+
+	if (state.pending > 0 && now < exchange->deadline) {
+		if (now >= exchange->soft_deadline)
+			send_interim(exchange);
+		return;
+	}
+	if (state.answered > 0)
+		reply_fanout(exchange, state.answered, now);
+	else
+		reply_error(exchange,
+		    state.pending > 0 ? BW_E_DEADLINE : BW_E_OVERLOADED,
+		    "no_shard", now);
+}
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -356,6 +356,7 @@
 	    "Gateway-Shard-Group: 0 2 0 -5\r\n",
 	    "Gateway-Shard-Group: 0 2 abc 1000\r\n", /* other shards */
 	    "Gateway-Shard-Group: 0 2\r\n",
+	    "Gateway-Shard-Group: 0 2 0 9223372036854775807\r\n",
 	    "Gateway-Shard-Group: 99999999999 99999999999 1 1\r\n",
 	    "Gateway-Shard-Group: 0 2 11111111111111111111111111111111111111"
 	    "111111111111111111111111111111111111111111111111111 1000\r\n",
