--- a/tests/lib/harness.h
+++ b/tests/lib/harness.h
@@ -19,8 +19,7 @@
  * all when the test finishes, fails or is terminated by a signal. A failure of
  * the harness fails the running test.
  */
-#define HARNESS_MAX_PROCESSES 400 /* started by one test, one after the other \
-				   */
+#define HARNESS_MAX_PROCESSES 400 /* that one test may start */
 #define HARNESS_MAX_NODES 16
 
 /* Limit of a process start and of a request to a stand-in. Sanitizer builds
