--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -203,7 +203,7 @@
 		    world_replica(world, service, i), fault, count);
 }
 
-/* Sums the runs and requests of a service's servers. */
+/* Sums the counters of a service's servers. */
 static plain_server_record_t
 sum_records(gateway_world_t *world, int service)
 {
@@ -216,6 +216,8 @@
 		    world_replica(world, service, i), &record);
 		sum.runs += record.runs;
 		sum.requests += record.requests;
+		sum.crashes += record.crashes;
+		sum.disconnects += record.disconnects;
 	}
 	return sum;
 }
@@ -232,6 +234,18 @@
 	return sum_records(world, service).requests;
 }
 
+uint32_t
+world_crash_count(gateway_world_t *world, int service)
+{
+	return sum_records(world, service).crashes;
+}
+
+uint32_t
+world_disconnect_count(gateway_world_t *world, int service)
+{
+	return sum_records(world, service).disconnects;
+}
+
 http_reply_t
 world_request(gateway_world_t *world, const char *method, const char *path,
     int deadline_ms, const char *body)
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -93,6 +93,15 @@
  */
 uint32_t world_request_count(gateway_world_t *world, int service);
 
+/** world_crash_count() - Crashes of the servers of a service. */
+uint32_t world_crash_count(gateway_world_t *world, int service);
+
+/**
+ * world_disconnect_count() - How often clients have closed the connection
+ * during a fault of the servers of a service, see plain_server_record_t.
+ */
+uint32_t world_disconnect_count(gateway_world_t *world, int service);
+
 /**
  * world_request() - Sends a request with a new id and waits for the response.
  * @body: NULL: none
--- a/tests/test_process_gateway_endless.c
+++ b/tests/test_process_gateway_endless.c
@@ -50,21 +50,6 @@
 	return peak;
 }
 
-static uint32_t
-count_disconnects(gateway_world_t *world, int service)
-{
-	uint32_t count = 0;
-
-	for (int i = 0; i < WORLD_REPLICAS; i++) {
-		plain_server_record_t record;
-
-		plain_server_get_record(
-		    world_replica(world, service, i), &record);
-		count += record.disconnects;
-	}
-	return count;
-}
-
 static void
 check_neighbour(gateway_world_t *world, const char *name)
 {
@@ -83,7 +68,7 @@
 	gint64 until = g_get_monotonic_time() +
 	    (DEADLINE_MS + CLOSE_MARGIN_MS) * G_TIME_SPAN_MILLISECOND;
 
-	while (count_disconnects(world, WORLD_ONE) < expected) {
+	while (world_disconnect_count(world, WORLD_ONE) < expected) {
 		if (g_get_monotonic_time() > until)
 			fail_msg("%s: the connection stays open", name);
 		check_neighbour(world, name);
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -301,21 +301,6 @@
 	world_destroy(world);
 }
 
-static uint32_t
-count_crashes(gateway_world_t *world, int service)
-{
-	uint32_t sum = 0;
-
-	for (int i = 0; i < WORLD_REPLICAS; i++) {
-		plain_server_record_t record;
-
-		plain_server_get_record(
-		    world_replica(world, service, i), &record);
-		sum += record.crashes;
-	}
-	return sum;
-}
-
 static int
 request_status(const gateway_fleet_t *fleet, int gateway, const char *path)
 {
@@ -353,13 +338,13 @@
 		request_status(&fleet, 0, cases[i].crashing);
 		request_status(&fleet, 1, cases[i].crashing);
 		g_usleep(SUSPECT_DELAY_MS * 1000);
-		before = count_crashes(world, cases[i].service);
+		before = world_crash_count(world, cases[i].service);
 		assert_true(before > 0);
 		for (int j = 0; j < FLEET_GATEWAYS; j++)
 			assert_int_equal(
 			    request_status(&fleet, j, cases[i].crashing), 503);
 		assert_int_equal(
-		    count_crashes(world, cases[i].service), before);
+		    world_crash_count(world, cases[i].service), before);
 		for (int j = 0; j < FLEET_GATEWAYS; j++)
 			assert_int_equal(
 			    request_status(&fleet, j, cases[i].other), 200);
--- a/tests/test_process_stop.c
+++ b/tests/test_process_stop.c
@@ -101,20 +101,19 @@
 		    test->harness, services[i], ALL_NODES & ~test->stopping);
 }
 
+/* Stops the nodes under load and checks that no request notices it. */
 static void
-stop_nodes(harness_t *harness, unsigned nodes)
+stop_nodes(stop_test_t *test, unsigned nodes)
 {
-	stop_test_t test = start_load(harness);
-
-	signal_nodes(&test, nodes);
-	traffic_wait(test.queries, 50);
-	traffic_wait(test.reservations, 10);
-	remove_from_load_balancer(&test);
-	wait_exits(&test);
-	check_handed_over(&test);
-	traffic_wait(test.queries, 50);
-	traffic_wait(test.reservations, 10);
-	finish_load(&test);
+	signal_nodes(test, nodes);
+	traffic_wait(test->queries, 50);
+	traffic_wait(test->reservations, 10);
+	remove_from_load_balancer(test);
+	wait_exits(test);
+	check_handed_over(test);
+	traffic_wait(test->queries, 50);
+	traffic_wait(test->reservations, 10);
+	finish_load(test);
 }
 
 /* The stopping node serves the reservation service; for the other services it
@@ -126,22 +125,16 @@
 	stop_test_t test = start_load(harness);
 	int serving = traffic_wait_serving(harness, TRAFFIC_SERVICE, ~0u);
 
-	signal_nodes(&test, 1u << serving);
-	traffic_wait(test.queries, 50);
-	traffic_wait(test.reservations, 10);
-	remove_from_load_balancer(&test);
-	wait_exits(&test);
-	check_handed_over(&test);
-	traffic_wait(test.queries, 50);
-	traffic_wait(test.reservations, 10);
-	finish_load(&test);
+	stop_nodes(&test, 1u << serving);
 }
 
 /* Both holders of a service may stop at the same time. */
 static void
 two_nodes_stop_at_once_without_a_cut(void **state)
 {
-	stop_nodes(*state, 3u);
+	stop_test_t test = start_load(*state);
+
+	stop_nodes(&test, 3u);
 }
 
 /* Without the platform the node cannot release its shares. It must still end
