Do not take the end of a reset connection for an orderly one

Cause: the kernel reports a reset to one call only. That call was send() in flush(), which dropped the error; the next recv() returned 0, an orderly end, which completes a body without a length.

Change: a connection remembers that a call has failed; no end is orderly after that. A whole response that has arrived before the reset still counts.

--- a/source/http/http_connection.c
+++ b/source/http/http_connection.c
@@ -23,6 +23,9 @@
 	buffer_t out;
 	size_t sent;
 	bool sent_any;
+	/* A call on the socket has failed. The kernel reports a reset only
+	 * once: later reads look like an orderly end. */
+	bool broken;
 	bool reusable;
 	const http_connection_handlers_t *handlers;
 	void *owner;
@@ -76,10 +79,14 @@
 		ev_io_stop(connection->loop, &connection->writable);
 }
 
+/* After a failed call on the socket; returns whether the connection is lost. */
 static bool
-is_fatal_errno(void)
+is_broken_by_error(http_connection_t *connection)
 {
-	return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+	if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+		return false;
+	connection->broken = true;
+	return true;
 }
 
 static void
@@ -92,8 +99,8 @@
 		    out->size - connection->sent, MSG_NOSIGNAL);
 
 		if (n < 0) {
-			if (is_fatal_errno())
-				break; /* the read side reports the error */
+			if (is_broken_by_error(connection))
+				break; /* the read side ends the connection */
 			set_write_interest(connection, true);
 			return;
 		}
@@ -202,11 +209,11 @@
 	do {
 		n = recv(connection->fd, data, sizeof(data), 0);
 		if (n == 0) {
-			handle_end(connection, true);
+			handle_end(connection, !connection->broken);
 			return;
 		}
 		if (n < 0) {
-			if (is_fatal_errno())
+			if (is_broken_by_error(connection))
 				handle_end(connection, false);
 			return;
 		}
@@ -343,14 +350,19 @@
 }
 
 bool
-http_connection_got_interim(const http_connection_t *connection)
+http_connection_got_interim(http_connection_t *connection)
 {
 	char byte;
+	ssize_t n;
 
 	if (connection->response.interims > 0)
 		return true;
-	return connection->fd >= 0 &&
-	    recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	if (connection->fd < 0)
+		return false;
+	n = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n < 0)
+		is_broken_by_error(connection);
+	return n > 0;
 }
 
 bool
--- a/source/http/http_connection.h
+++ b/source/http/http_connection.h
@@ -83,7 +83,7 @@
 
 /** http_connection_got_interim() - Whether an interim response (1xx) to the
  * last request has arrived, or bytes that have not been read yet. */
-bool http_connection_got_interim(const http_connection_t *connection);
+bool http_connection_got_interim(http_connection_t *connection);
 
 /** http_connection_unacknowledged() - Whether the peer has not acknowledged the
  * whole request. */
