Count one crash of servers once, however many requests of its content ran

Cause: crash_id() was made from the client's request, so one crash counted once for each request at work; from the second on a content is refused and all nodes are told.

Change: crashes of a request are numbered, one more than were known when it was sent. What runs at the time of one crash, or of several at once, reports number 1, whoever reports it; a request that is sent again and crashes another server reports 2. The gateway confirms a crash late, so a retry whose first connection was lost counts after it. The rows of test_suspect use numbers for ids, with the same expectations; four rows and a table are new.

Ruled out by a_request_that_crashes_servers_is_known_to_all: numbers by what the list knew alone; the second server of a retry was then not counted (502 for 503).

--- a/include/bulrushwell/message.h
+++ b/include/bulrushwell/message.h
@@ -142,8 +142,8 @@
 
 /** typedef suspect_notice_t - A server crashed while it ran this request. */
 typedef struct {
-	uint64_t fingerprint; /* of the request; see suspect_fingerprint() */
-	uint64_t crash_id;    /* see suspect_record_crash() */
+	uint64_t fingerprint;  /* of the request; see suspect_fingerprint() */
+	uint64_t crash_number; /* see suspect_record_crash() */
 } suspect_notice_t;
 
 /**
--- a/include/bulrushwell/scheduler.h
+++ b/include/bulrushwell/scheduler.h
@@ -95,7 +95,7 @@
 	int http_status;       /* REPLY */
 	body_t *body;	       /* REPLY: borrowed until the next call */
 	uint64_t fingerprint;  /* CRASH */
-	uint64_t crash_id;     /* CRASH: see suspect_record_crash() */
+	uint64_t crash_number; /* CRASH: see suspect_record_crash() */
 } scheduler_action_t;
 
 /** typedef scheduler_stats_t - Counters since creation. */
--- a/include/bulrushwell/suspect.h
+++ b/include/bulrushwell/suspect.h
@@ -16,6 +16,12 @@
  * is retried only in this way and is never hedged. After a second crash while
  * it ran it is refused for SUSPECT_REFUSE_S seconds. An answer clears a suspect
  * that ran alone.
+ *
+ * Crashes of a request are numbered: the number is one more than the crashes
+ * that were known when the request was sent. Whatever ran at the time of one
+ * crash, or of several at once, thus reports the first crash, on every node.
+ * Only a request that is sent again and crashes another server shows that it is
+ * the cause.
  */
 #define SUSPECT_REFUSE_S 60
 
@@ -40,17 +46,39 @@
 uint64_t suspect_fingerprint(
     const char *customer, const char *method, const char *path, slice_t body);
 
+/**
+ * suspect_next_crash() - The number of the crash that the request would show if
+ * it were sent now and crashed a server; from 1.
+ */
+uint64_t suspect_next_crash(const suspect_list_t *list, uint64_t fingerprint);
+
 /**
  * suspect_record_crash() - Records that a server crashed while it ran the
  * request.
- * @crash_id: identifies the crash (server and incarnation), so that reports of
- * one crash by several connections or nodes count once
+ * @number: what suspect_next_crash() returned when the request was sent, here
+ * or on another node; a number that no node can have reached counts as 1
  *
  * Return: true when the crash was new for this request and peers should be
  * told.
  */
 bool suspect_record_crash(
-    suspect_list_t *list, uint64_t fingerprint, uint64_t crash_id, usec_t now);
+    suspect_list_t *list, uint64_t fingerprint, uint64_t number, usec_t now);
+
+/** typedef suspect_crash_t - A crash that ended a request on this node. */
+typedef struct {
+	uint64_t number; /* suspect_next_crash() when the request was sent */
+	bool after_loss; /* its connection to another server was lost before */
+} suspect_crash_t;
+
+/**
+ * suspect_record_late_crash() - Like suspect_record_crash(), for a crash that
+ * is confirmed some time after the connection was lost. A request that was sent
+ * again meanwhile, and has crashed both servers, counts twice.
+ *
+ * Return: the number of the crash to tell peers, or 0 when it was known.
+ */
+uint64_t suspect_record_late_crash(suspect_list_t *list, uint64_t fingerprint,
+    const suspect_crash_t *crash, usec_t now);
 
 /**
  * suspect_record_answer() - Records that the request ran alone and was
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -137,10 +137,10 @@
  * typedef suspect_handler_t - Called when a request crashed a server, so that
  * other nodes can be told.
  * @fingerprint: hash of the content of the request
- * @crash_id: identifies the crash; reports of the same one count once
+ * @crash_number: see suspect_record_crash()
  */
 typedef void (*suspect_handler_t)(
-    void *context, uint64_t fingerprint, uint64_t crash_id);
+    void *context, uint64_t fingerprint, uint64_t crash_number);
 
 /** engine_set_suspect_handler() - Sets the handler for crashes seen by this
  * node. */
@@ -149,7 +149,7 @@
 
 /** engine_add_suspect() - Records a crash that another node reported. */
 void engine_add_suspect(
-    exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash_id);
+    exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash_number);
 
 /** engine_refuse_requests() - From now on, new requests are refused as not run.
  */
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -185,13 +185,14 @@
 
 void
 engine_add_suspect(
-    exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash_id)
+    exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash_number)
 {
-	if (suspect_record_crash(
-		engine->suspects, fingerprint, crash_id, engine_now(engine)))
+	if (suspect_record_crash(engine->suspects, fingerprint, crash_number,
+		engine_now(engine)))
 		event_log_sampled(EVENT_SUSPECT_ADDED,
-		    "fingerprint=%016llx from=peer",
-		    (unsigned long long)fingerprint);
+		    "fingerprint=%016llx from=peer crashes=%llu",
+		    (unsigned long long)fingerprint,
+		    (unsigned long long)crash_number);
 }
 
 void
@@ -199,17 +200,18 @@
     const interrupted_request_t *interrupted)
 {
 	exchange_engine_t *engine = context;
+	uint64_t number = suspect_record_late_crash(engine->suspects,
+	    interrupted->fingerprint, &interrupted->crash, engine_now(engine));
 
-	if (!suspect_record_crash(engine->suspects, interrupted->fingerprint,
-		interrupted->crash_id, engine_now(engine)))
+	if (number == 0)
 		return;
 	event_log_sampled(EVENT_SUSPECT_ADDED,
-	    "fingerprint=%016llx server=%s upstream=%s",
+	    "fingerprint=%016llx server=%s upstream=%s crashes=%llu",
 	    (unsigned long long)interrupted->fingerprint, server->entry.id,
-	    server->upstream->name);
+	    server->upstream->name, (unsigned long long)number);
 	if (engine->suspect_handler != NULL)
-		engine->suspect_handler(engine->suspect_context,
-		    interrupted->fingerprint, interrupted->crash_id);
+		engine->suspect_handler(
+		    engine->suspect_context, interrupted->fingerprint, number);
 }
 
 void
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -35,7 +35,8 @@
 	bool queued;	   /* in the waiting list of the upstream */
 	bool retry_denied; /* the retry budget denied an attempt */
 	bool may_have_run; /* a server may have run the request */
-	bool reported;	   /* its answer was sent to the receiving node */
+	bool connection_lost; /* an attempt lost its connection */
+	bool reported;	      /* its answer was sent to the receiving node */
 	char *response_stamp; /* fan-out: stamp of the shard's response */
 } task_t;
 
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -71,19 +71,6 @@
 	    (task->exchange->route->idempotent || !task->may_have_run);
 }
 
-/*
- * Identifies a crash during the n-th attempt of any task of the request. Shards
- * of one fan-out that crash together thus count as one crash, whatever the
- * cause.
- */
-static uint64_t
-crash_id(const task_t *task)
-{
-	slice_t id = task->exchange->request_id;
-
-	return suspect_fingerprint("", "", "", id) + task->sent_count;
-}
-
 static void
 send_attempt(task_t *task, upstream_server_t *server, usec_t now)
 {
@@ -97,7 +84,9 @@
 	    .head_only = exchange->request->parser.method == HTTP_HEAD,
 	    .expires_at = exchange->deadline,
 	    .fingerprint = exchange->fingerprint,
-	    .crash_id = crash_id(task),
+	    .crash = {suspect_next_crash(
+			  engine->suspects, exchange->fingerprint),
+		task->connection_lost},
 	    .latency = exchange->route_state->latency,
 	};
 	attempt_t *attempt;
@@ -441,6 +430,7 @@
 		break;
 	case ATTEMPT_UNKNOWN:
 		task->may_have_run = true;
+		task->connection_lost = true;
 		retry(task, true, "connection_lost", now);
 		break;
 	}
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -227,9 +227,9 @@
 }
 
 static void
-broadcast_suspect(void *context, uint64_t fingerprint, uint64_t crash_id)
+broadcast_suspect(void *context, uint64_t fingerprint, uint64_t crash_number)
 {
-	peer_link_report_suspect(context, fingerprint, crash_id);
+	peer_link_report_suspect(context, fingerprint, crash_number);
 }
 
 static int
@@ -346,9 +346,10 @@
 }
 
 void
-gateway_add_suspect(gateway_t *gateway, uint64_t fingerprint, uint64_t crash_id)
+gateway_add_suspect(
+    gateway_t *gateway, uint64_t fingerprint, uint64_t crash_number)
 {
-	engine_add_suspect(gateway->engine, fingerprint, crash_id);
+	engine_add_suspect(gateway->engine, fingerprint, crash_number);
 }
 
 bool
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -47,10 +47,10 @@
  * gateway_add_suspect() - Handles a report of another node that a request
  * crashed a server.
  * @fingerprint: identifies the request
- * @crash_id: identifies the crash, so that it is counted once
+ * @crash_number: see suspect_record_crash()
  */
 void gateway_add_suspect(
-    gateway_t *gateway, uint64_t fingerprint, uint64_t crash_id);
+    gateway_t *gateway, uint64_t fingerprint, uint64_t crash_number);
 
 /** gateway_is_stopping() - Whether a planned stop has begun. */
 bool gateway_is_stopping(const gateway_t *gateway);
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -41,8 +41,8 @@
 	bool may_have_arrived; /* at least a byte of it was sent */
 	bool accepted; /* at its end: the server sent an interim response */
 	char request_id[REQUEST_ID_MAX];
-	uint64_t fingerprint; /* of the request, same in each attempt */
-	uint64_t crash_id;    /* identifies the crash it may cause */
+	uint64_t fingerprint;  /* of the request, same in each attempt */
+	suspect_crash_t crash; /* that it may cause */
 	struct pool_connection *connection;
 };
 
@@ -168,7 +168,7 @@
 	bool head_only; /* HEAD request: the response has no body */
 	usec_t expires_at;
 	uint64_t fingerprint;
-	uint64_t crash_id;
+	suspect_crash_t crash; /* that it may cause */
 	latency_model_t *latency;
 } pool_request_t;
 
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -98,8 +98,7 @@
 	if (server->interrupted_count == INTERRUPTED_REQUESTS_MAX)
 		return;
 	server->interrupted[server->interrupted_count++] =
-	    (interrupted_request_t){
-		attempt->fingerprint, attempt->crash_id, now};
+	    (interrupted_request_t){attempt->fingerprint, attempt->crash, now};
 }
 
 /*
@@ -388,7 +387,7 @@
 	attempt->started_at = now;
 	attempt->expires_at = request->expires_at;
 	attempt->fingerprint = request->fingerprint;
-	attempt->crash_id = request->crash_id;
+	attempt->crash = request->crash;
 	attempt->connection = connection;
 	g_strlcpy(attempt->request_id, request->request_id.data,
 	    MIN(sizeof(attempt->request_id), request->request_id.size + 1));
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "bulrushwell/suspect.h"
 #include "placement.h"
 #include "retry_budget.h"
 
@@ -31,8 +32,8 @@
 
 /** A request that was running when its connection to the server was lost. */
 typedef struct {
-	uint64_t fingerprint; /* of the request */
-	uint64_t crash_id;    /* identifies the crash it may have caused */
+	uint64_t fingerprint;  /* of the request */
+	suspect_crash_t crash; /* that it may have caused */
 	usec_t lost_at;
 } interrupted_request_t;
 
--- a/source/message/message_decode.c
+++ b/source/message/message_decode.c
@@ -273,7 +273,7 @@
 		return;
 	case MESSAGE_SUSPECT_NOTICE:
 		message->suspect.fingerprint = reader_uint(reader);
-		message->suspect.crash_id = reader_uint(reader);
+		message->suspect.crash_number = reader_uint(reader);
 		return;
 	case MESSAGE_PERMIT_REQUEST:
 	case MESSAGE_PERMIT_REPLY:
--- a/source/message/message_encode.c
+++ b/source/message/message_encode.c
@@ -204,7 +204,7 @@
 		break;
 	case MESSAGE_SUSPECT_NOTICE:
 		writer_uint(writer, message->suspect.fingerprint);
-		writer_uint(writer, message->suspect.crash_id);
+		writer_uint(writer, message->suspect.crash_number);
 		break;
 	case MESSAGE_PERMIT_REQUEST:
 	case MESSAGE_PERMIT_REPLY:
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -317,7 +317,7 @@
 		return;
 	case MESSAGE_SUSPECT_NOTICE:
 		suspect_record_crash(node->board.suspects,
-		    message->suspect.fingerprint, message->suspect.crash_id,
+		    message->suspect.fingerprint, message->suspect.crash_number,
 		    now);
 		return;
 	case MESSAGE_PERMIT_REQUEST:
--- a/source/node/node_serve.c
+++ b/source/node/node_serve.c
@@ -437,7 +437,7 @@
 	message_t message = {.kind = MESSAGE_SUSPECT_NOTICE};
 
 	message.suspect.fingerprint = action->fingerprint;
-	message.suspect.crash_id = action->crash_id;
+	message.suspect.crash_number = action->crash_number;
 	peer_broadcast(node, &message);
 }
 
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -309,7 +309,8 @@
 		break;
 	case PEER_SUSPECT:
 		link->handlers.suspect(link->handlers.context,
-		    message->suspect.fingerprint, message->suspect.crash);
+		    message->suspect.fingerprint,
+		    message->suspect.crash_number);
 		break;
 	}
 }
@@ -451,9 +452,9 @@
 
 void
 peer_link_report_suspect(
-    peer_link_t *link, uint64_t fingerprint, uint64_t crash)
+    peer_link_t *link, uint64_t fingerprint, uint64_t crash_number)
 {
-	const peer_suspect_t suspect = {fingerprint, crash};
+	const peer_suspect_t suspect = {fingerprint, crash_number};
 
 	send_suspect(link, &suspect);
 	g_array_append_val(link->suspects, suspect);
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -36,7 +36,8 @@
 	 */
 	void (*behind)(void *context, peer_topic_t topic);
 	/** Another node found that a request crashed a server. */
-	void (*suspect)(void *context, uint64_t fingerprint, uint64_t crash);
+	void (*suspect)(
+	    void *context, uint64_t fingerprint, uint64_t crash_number);
 	/** The role of this node has changed. */
 	void (*role)(void *context, peer_role_t role);
 	void *context;
@@ -89,10 +90,10 @@
  * peer_link_report_suspect() - Reports to all nodes that a request crashed a
  * server.
  * @fingerprint: of the request
- * @crash: identifies the crash in all its reports
+ * @crash_number: counted from 1, see suspect.h
  */
 void peer_link_report_suspect(
-    peer_link_t *link, uint64_t fingerprint, uint64_t crash);
+    peer_link_t *link, uint64_t fingerprint, uint64_t crash_number);
 
 /**
  * peer_link_no_changes() - Records that the store has answered this node and
--- a/source/peers/peer_message.c
+++ b/source/peers/peer_message.c
@@ -57,7 +57,7 @@
 	case PEER_SUSPECT:
 		write_header(writer, PEER_SUSPECT, SUSPECT_FIELDS);
 		writer_uint(writer, message->suspect.fingerprint);
-		writer_uint(writer, message->suspect.crash);
+		writer_uint(writer, message->suspect.crash_number);
 		break;
 	}
 }
@@ -130,7 +130,7 @@
 		return read_changes(reader, &message->changes);
 	case PEER_SUSPECT:
 		message->suspect.fingerprint = reader_uint(reader);
-		message->suspect.crash = reader_uint(reader);
+		message->suspect.crash_number = reader_uint(reader);
 		return reader_error(reader);
 	}
 	return BW_E_PROTOCOL;
--- a/source/peers/peer_message.h
+++ b/source/peers/peer_message.h
@@ -60,8 +60,8 @@
 } peer_changes_t;
 
 typedef struct {
-	uint64_t fingerprint; /* of the request */
-	uint64_t crash;	      /* identifies the crash in all its reports */
+	uint64_t fingerprint;  /* of the request */
+	uint64_t crash_number; /* counted from 1, see suspect.h */
 } peer_suspect_t;
 
 typedef struct {
--- a/source/routing/scheduler_actions.c
+++ b/source/routing/scheduler_actions.c
@@ -40,12 +40,12 @@
 
 void
 scheduler_push_crash(
-    scheduler_t *scheduler, uint64_t fingerprint, uint64_t crash_id)
+    scheduler_t *scheduler, uint64_t fingerprint, uint64_t crash_number)
 {
 	push_action(scheduler,
 	    (pending_action_t){.kind = SCHEDULER_CRASH,
 		.fingerprint = fingerprint,
-		.crash_id = crash_id});
+		.crash_number = crash_number});
 }
 
 /* Returns false for an attempt that ended before its action was taken. */
@@ -111,7 +111,7 @@
 	default:
 		action->kind = SCHEDULER_CRASH;
 		action->fingerprint = pending->fingerprint;
-		action->crash_id = pending->crash_id;
+		action->crash_number = pending->crash_number;
 		return true;
 	}
 }
--- a/source/routing/scheduler_attempts.c
+++ b/source/routing/scheduler_attempts.c
@@ -73,6 +73,8 @@
 	attempt->id = make_attempt_id(scheduler, &entry->job);
 	attempt->job = entry->handle;
 	attempt->fingerprint = entry->job.fingerprint;
+	attempt->crash_number =
+	    suspect_next_crash(scheduler->suspects, attempt->fingerprint);
 	attempt->started = now;
 	attempt->deadline =
 	    MIN(entry->job.deadline, now + scheduler->max_attempt_time);
--- a/source/routing/scheduler_private.h
+++ b/source/routing/scheduler_private.h
@@ -105,7 +105,8 @@
 	/* The server has answered another one on a connection at least as old.
 	 */
 	bool older_connection_answered;
-	uint64_t crash_id;	 /* the crash during which it ran; 0: none */
+	uint64_t crash_number;	 /* see suspect_next_crash(), when it started */
+	bool crashed;		 /* its server has crashed */
 	heap_node_t charge_node; /* in scheduler.attempts_by_charge_end */
 	heap_node_t check_node;	 /* in scheduler.attempts_by_check */
 } attempt_t;
@@ -114,7 +115,7 @@
 	int kind;
 	handle_t handle; /* of the attempt or of the job */
 	uint64_t fingerprint;
-	uint64_t crash_id;
+	uint64_t crash_number;
 } pending_action_t;
 
 typedef struct {
@@ -202,7 +203,7 @@
 void scheduler_push_action(scheduler_t *scheduler, int kind, handle_t handle);
 /** scheduler_push_crash() - Queues a crash that peers should be told of. */
 void scheduler_push_crash(
-    scheduler_t *scheduler, uint64_t fingerprint, uint64_t crash_id);
+    scheduler_t *scheduler, uint64_t fingerprint, uint64_t crash_number);
 
 /* scheduler_attempts.c */
 /** scheduler_start_attempt() - Charges an attempt; NULL: the table is full. */
--- a/source/routing/scheduler_suspects.c
+++ b/source/routing/scheduler_suspects.c
@@ -27,17 +27,17 @@
 
 /* Makes an attempt's request a suspect and tells the peers if that is new. */
 static void
-add_suspect(
-    scheduler_t *scheduler, attempt_t *attempt, uint64_t crash_id, usec_t now)
+add_suspect(scheduler_t *scheduler, attempt_t *attempt, usec_t now)
 {
-	attempt->crash_id = crash_id;
-	if (!suspect_record_crash(
-		scheduler->suspects, attempt->fingerprint, crash_id, now))
+	attempt->crashed = true;
+	if (!suspect_record_crash(scheduler->suspects, attempt->fingerprint,
+		attempt->crash_number, now))
 		return;
 	event_log(EVENT_SUSPECT_ADDED,
 	    "request with fingerprint %016llx ran on crashed server %s",
 	    (unsigned long long)attempt->fingerprint, attempt->server->name);
-	scheduler_push_crash(scheduler, attempt->fingerprint, crash_id);
+	scheduler_push_crash(
+	    scheduler, attempt->fingerprint, attempt->crash_number);
 }
 
 /* An attempt is counted for one crash only: its own connection may be lost long
@@ -45,15 +45,12 @@
 void
 scheduler_record_crash(scheduler_t *scheduler, attempt_t *lost, usec_t now)
 {
-	uint64_t crash_id;
-
-	if (lost->crash_id != 0)
+	if (lost->crashed)
 		return;
-	crash_id = server_crash_id(lost->server, now);
 	for (attempt_t *attempt = lost->server->attempts; attempt != NULL;
 	     attempt = attempt->next)
-		if (attempt->crash_id == 0 && attempt->start_taken)
-			add_suspect(scheduler, attempt, crash_id, now);
+		if (!attempt->crashed && attempt->start_taken)
+			add_suspect(scheduler, attempt, now);
 }
 
 bool
@@ -85,7 +82,7 @@
 	const attempt_t *attempt =
 	    table_get(scheduler->attempts, scheduler->suspect_attempt);
 
-	return attempt != NULL && attempt->crash_id == 0;
+	return attempt != NULL && !attempt->crashed;
 }
 
 /* Returns false when the suspect has to wait. */
--- a/source/routing/server.c
+++ b/source/routing/server.c
@@ -228,18 +228,3 @@
 	    server->name);
 	return true;
 }
-
-uint64_t
-server_crash_id(server_t *server, usec_t now)
-{
-	uint64_t hash;
-
-	if (server->crash_count == 0 ||
-	    now - server->crash_started_at > SERVER_CRASH_WINDOW) {
-		server->crash_count++;
-		server->crash_started_at = now;
-	}
-	hash = XXH64(server->name, strlen(server->name), server->crash_count);
-	hash = XXH64(server->incarnation, strlen(server->incarnation), hash);
-	return hash != 0 ? hash : 1;
-}
--- a/source/routing/server.h
+++ b/source/routing/server.h
@@ -41,9 +41,6 @@
 /* How often an idle slow server gets a copy of a job, to measure it again. */
 #define SERVER_PROBE_INTERVAL SECONDS(1)
 
-/* Connections lost within this time belong to one crash. */
-#define SERVER_CRASH_WINDOW MS(100)
-
 struct attempt;
 
 typedef struct {
@@ -72,8 +69,6 @@
 	uint32_t failure_count; /* in a row */
 	usec_t last_failed_at;
 	usec_t retire_before; /* connections made earlier are not reused */
-	uint32_t crash_count;
-	usec_t crash_started_at; /* first lost connection of the last crash */
 	uint64_t mismatch_count;
 } server_t;
 
@@ -160,11 +155,4 @@
  */
 bool server_mark_silent(server_t *server, usec_t started, usec_t now);
 
-/**
- * server_crash_id() - Id of the crash to which a connection lost at @now
- * belongs. Nodes that see the same crashes of an incarnation compute the same
- * ids. Never 0.
- */
-uint64_t server_crash_id(server_t *server, usec_t now);
-
 #endif
--- a/source/routing/suspect.c
+++ b/source/routing/suspect.c
@@ -4,12 +4,16 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define MAX_CRASH_IDS 4 /* latest ones, kept for each suspect */
+/* A request is refused between crashes, so no node gets near it. */
+#define MAX_CRASH_NUMBER 100000
 
 typedef struct {
 	uint64_t fingerprint;
-	uint64_t crash_ids[MAX_CRASH_IDS];
-	uint32_t crash_count;
+	uint64_t crashes; /* number of the latest */
+	/* Crashes on this node that are numbered 1, of requests that had lost
+	 * no connection, and of such that had. */
+	bool crashed_first;
+	bool crashed_after_loss;
 	usec_t refused_until;
 	GList link; /* in by_last_crash */
 } suspect_t;
@@ -80,35 +84,64 @@
 	return suspect;
 }
 
-static bool
-has_crash_id(const suspect_t *suspect, uint64_t crash_id)
+uint64_t
+suspect_next_crash(const suspect_list_t *list, uint64_t fingerprint)
 {
-	uint32_t known = MIN(suspect->crash_count, MAX_CRASH_IDS);
+	const suspect_t *suspect = find_suspect(list, fingerprint);
 
-	for (uint32_t i = 0; i < known; i++)
-		if (suspect->crash_ids[i] == crash_id)
-			return true;
-	return false;
+	return suspect != NULL ? suspect->crashes + 1 : 1;
+}
+
+static suspect_t *
+find_or_add_suspect(suspect_list_t *list, uint64_t fingerprint)
+{
+	suspect_t *suspect = find_suspect(list, fingerprint);
+
+	return suspect != NULL ? suspect : add_suspect(list, fingerprint);
 }
 
 bool
 suspect_record_crash(
-    suspect_list_t *list, uint64_t fingerprint, uint64_t crash_id, usec_t now)
+    suspect_list_t *list, uint64_t fingerprint, uint64_t number, usec_t now)
 {
-	suspect_t *suspect = find_suspect(list, fingerprint);
+	suspect_t *suspect = find_or_add_suspect(list, fingerprint);
 
-	if (suspect == NULL)
-		suspect = add_suspect(list, fingerprint);
-	else if (has_crash_id(suspect, crash_id))
+	if (number == 0 || number > MAX_CRASH_NUMBER)
+		number = 1;
+	if (number <= suspect->crashes)
 		return false;
-	suspect->crash_ids[suspect->crash_count++ % MAX_CRASH_IDS] = crash_id;
-	if (suspect->crash_count >= 2)
+	suspect->crashes = number;
+	if (suspect->crashes >= 2)
 		suspect->refused_until = now + SECONDS(SUSPECT_REFUSE_S);
 	g_queue_unlink(&list->by_last_crash, &suspect->link);
 	g_queue_push_tail_link(&list->by_last_crash, &suspect->link);
 	return true;
 }
 
+/* The crashes may be confirmed in any order. */
+static uint64_t
+number_late_crash(suspect_t *suspect, const suspect_crash_t *crash)
+{
+	if (crash->number > 1)
+		return crash->number;
+	if (crash->after_loss)
+		suspect->crashed_after_loss = true;
+	else
+		suspect->crashed_first = true;
+	return suspect->crashed_first && suspect->crashed_after_loss ? 2 : 1;
+}
+
+uint64_t
+suspect_record_late_crash(suspect_list_t *list, uint64_t fingerprint,
+    const suspect_crash_t *crash, usec_t now)
+{
+	uint64_t number =
+	    number_late_crash(find_or_add_suspect(list, fingerprint), crash);
+
+	return suspect_record_crash(list, fingerprint, number, now) ? number
+								    : 0;
+}
+
 void
 suspect_record_answer(suspect_list_t *list, uint64_t fingerprint, usec_t now)
 {
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -71,7 +71,7 @@
 	    &received.status, &status.status, sizeof(peer_status_t));
 	assert_int_equal(encode_and_decode(&suspect, &received), 0);
 	assert_int_equal(received.suspect.fingerprint, UINT64_MAX);
-	assert_int_equal(received.suspect.crash, 7);
+	assert_int_equal(received.suspect.crash_number, 7);
 	sent.changes.size = PEER_PART_MAX_BYTES;
 	sent.changes.to = INT64_MAX;
 	assert_int_equal(encode_and_decode(&sent, &received), 0);
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -373,6 +373,56 @@
 	world_destroy(world);
 }
 
+/* Makes a server close all its connections and refuse new ones for a while. */
+static void
+crash_server(const plain_server_t *server)
+{
+	http_reply_t result = harness_http("GET", plain_server_address(server),
+	    "/crash", NULL, NULL, DEADLINE_MS);
+
+	http_reply_clear(&result);
+}
+
+static void *
+request_shared_content(void *context)
+{
+	request_status(context, 0, "/one/shared");
+	return NULL;
+}
+
+/*
+ * One crash with several requests of the same content at work is one crash.
+ * Guards against nodes that refuse content that many clients ask for, because
+ * a server crashed for another reason.
+ */
+static void
+one_crash_refuses_no_shared_content(void **state)
+{
+	enum { CLIENTS = 12, WORK_MS = 400 };
+	gateway_world_t *world = world_create(*state);
+	int replica = WORLD_ONE * WORLD_REPLICAS;
+	gateway_fleet_t fleet = {0};
+	GThread *clients[CLIENTS];
+
+	fleet_create(&fleet, world);
+	wait_for_roles(&fleet);
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_set_delay(world->servers[replica + i], WORK_MS);
+	for (int i = 0; i < CLIENTS; i++)
+		clients[i] =
+		    g_thread_new("client", request_shared_content, &fleet);
+	g_usleep(WORK_MS / 2 * 1000);
+	crash_server(world->servers[replica]);
+	for (int i = 0; i < CLIENTS; i++)
+		g_thread_join(clients[i]);
+	g_usleep(SUSPECT_DELAY_MS * 1000);
+	assert_int_equal(world_crash_count(world, WORLD_ONE), 1);
+	for (int i = 0; i < FLEET_GATEWAYS; i++)
+		assert_int_equal(request_status(&fleet, i, "/one/shared"), 200);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
 static void
 send_datagram(int fd, const char *address, slice_t bytes)
 {
@@ -438,6 +488,7 @@
 	    HARNESS_TEST(all_catch_up_after_an_outage),
 	    HARNESS_TEST(a_request_that_crashes_servers_is_known_to_all),
 	    HARNESS_TEST(a_request_whose_answers_are_lost_is_not_suspected),
+	    HARNESS_TEST(one_crash_refuses_no_shared_content),
 	    HARNESS_TEST(datagrams_of_unlisted_senders_are_dropped),
 	};
 
--- a/tests/test_scheduler_model.c
+++ b/tests/test_scheduler_model.c
@@ -357,7 +357,7 @@
 			check_reply(model, &action);
 			break;
 		case SCHEDULER_CRASH:
-			assert_int_not_equal(action.crash_id, 0);
+			assert_int_not_equal(action.crash_number, 0);
 			break;
 		}
 	}
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -13,7 +13,7 @@
 	op_t op;
 	int at; /* s */
 	uint64_t fingerprint;
-	uint64_t crash;
+	uint64_t number;
 	int expect; /* CRASH: is new; VERDICT: verdict; RETRY: s */
 } step_t;
 
@@ -23,30 +23,48 @@
 	int count;
 } cases[] = {
     {"one crash: runs alone, an answer clears it",
-	{{VERDICT, 1, 7, 0, SUSPECT_CLEAR}, {CRASH, 1, 7, 50, true},
+	{{VERDICT, 1, 7, 0, SUSPECT_CLEAR}, {CRASH, 1, 7, 1, true},
 	    {VERDICT, 1, 7, 0, SUSPECT_ALONE},
 	    {VERDICT, 1, 8, 0, SUSPECT_CLEAR}, {RETRY, 1, 7, 0, 0},
 	    {ANSWER, 2, 7, 0, 0}, {VERDICT, 2, 7, 0, SUSPECT_CLEAR}},
 	7},
     {"one crash with several reports counts once",
-	{{CRASH, 1, 7, 50, true}, {CRASH, 1, 7, 50, false},
-	    {CRASH, 2, 7, 50, false}, {VERDICT, 2, 7, 0, SUSPECT_ALONE}},
+	{{CRASH, 1, 7, 1, true}, {CRASH, 1, 7, 1, false},
+	    {CRASH, 2, 7, 1, false}, {VERDICT, 2, 7, 0, SUSPECT_ALONE}},
 	4},
     {"refused for a while after the second crash, then alone again",
-	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true},
+	{{CRASH, 1, 7, 1, true}, {CRASH, 2, 7, 2, true},
 	    {VERDICT, 2, 7, 0, SUSPECT_REFUSED}, {RETRY, 2, 7, 0, 62},
 	    {VERDICT, 61, 7, 0, SUSPECT_REFUSED},
 	    {VERDICT, 62, 7, 0, SUSPECT_ALONE}, {RETRY, 62, 7, 0, 0},
-	    {CRASH, 63, 7, 52, true}, {VERDICT, 63, 7, 0, SUSPECT_REFUSED},
+	    {CRASH, 63, 7, 3, true}, {VERDICT, 63, 7, 0, SUSPECT_REFUSED},
 	    {ANSWER, 200, 7, 0, 0}, {VERDICT, 200, 7, 0, SUSPECT_CLEAR}},
 	11},
     {"an answer does not clear a request refused by reports of peers",
-	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true}, {ANSWER, 3, 7, 0, 0},
+	{{CRASH, 1, 7, 1, true}, {CRASH, 2, 7, 2, true}, {ANSWER, 3, 7, 0, 0},
 	    {VERDICT, 3, 7, 0, SUSPECT_REFUSED}},
 	4},
+    {"several servers that crash at once, or copies on one, count once",
+	{{CRASH, 1, 7, 1, true}, {CRASH, 1, 7, 1, false},
+	    {CRASH, 3, 7, 1, false}, {VERDICT, 3, 7, 0, SUSPECT_ALONE},
+	    {ANSWER, 4, 7, 0, 0}, {CRASH, 5, 7, 1, true},
+	    {VERDICT, 5, 7, 0, SUSPECT_ALONE}},
+	7},
+    {"the second crash may be known before the first",
+	{{CRASH, 1, 7, 2, true}, {CRASH, 1, 7, 1, false},
+	    {VERDICT, 1, 7, 0, SUSPECT_REFUSED}},
+	3},
+    {"sent when it was known, reported after an answer had cleared it",
+	{{CRASH, 1, 7, 1, true}, {ANSWER, 2, 7, 0, 0}, {CRASH, 3, 7, 2, true},
+	    {VERDICT, 3, 7, 0, SUSPECT_REFUSED}},
+	4},
+    {"numbers that no node can have reached count as the first",
+	{{CRASH, 1, 7, UINT64_MAX, true}, {CRASH, 1, 7, 0, false},
+	    {VERDICT, 1, 7, 0, SUSPECT_ALONE}},
+	3},
     {"late reports of known crashes do not count",
-	{{CRASH, 1, 7, 50, true}, {CRASH, 2, 7, 51, true},
-	    {CRASH, 50, 7, 50, false}, {CRASH, 50, 7, 51, false},
+	{{CRASH, 1, 7, 1, true}, {CRASH, 2, 7, 2, true},
+	    {CRASH, 50, 7, 1, false}, {CRASH, 50, 7, 2, false},
 	    {VERDICT, 62, 7, 0, SUSPECT_ALONE}},
 	5},
 };
@@ -58,8 +76,8 @@
 
 	switch (step->op) {
 	case CRASH:
-		assert_int_equal(suspect_record_crash(
-				     list, step->fingerprint, step->crash, now),
+		assert_int_equal(suspect_record_crash(list, step->fingerprint,
+				     step->number, now),
 		    step->expect);
 		break;
 	case ANSWER:
@@ -89,15 +107,55 @@
 	}
 }
 
+/* Crashes on one node, in the order in which they are confirmed. */
+static void
+a_retry_that_crashes_too_counts_twice(void **state)
+{
+	static const struct {
+		const char *name;
+		suspect_crash_t crashes[3];
+		uint64_t reported[3]; /* numbers told to peers */
+		suspect_verdict_t verdict;
+	} late_cases[] = {
+	    {"copies on one server, or on several that crash at once",
+		{{1, false}, {1, false}, {1, false}}, {1, 0, 0}, SUSPECT_ALONE},
+	    {"sent again after a loss that was no crash",
+		{{1, true}, {1, true}}, {1, 0, 0}, SUSPECT_ALONE},
+	    {"sent again after the loss", {{1, false}, {1, true}}, {1, 2, 0},
+		SUSPECT_REFUSED},
+	    {"the retry's crash is confirmed first", {{1, true}, {1, false}},
+		{1, 2, 0}, SUSPECT_REFUSED},
+	    {"sent when the first crash was known", {{1, false}, {2, false}},
+		{1, 2, 0}, SUSPECT_REFUSED},
+	};
+
+	for (size_t i = 0; i < sizeof(late_cases) / sizeof(late_cases[0]);
+	     i++) {
+		suspect_list_t *list = suspect_list_create();
+
+		print_message("  %s\n", late_cases[i].name);
+		for (int j = 0; j < 3 && late_cases[i].crashes[j].number > 0;
+		     j++)
+			assert_int_equal(suspect_record_late_crash(list, 7,
+					     &late_cases[i].crashes[j], 100),
+			    late_cases[i].reported[j]);
+		assert_int_equal(
+		    suspect_verdict(list, 7, 100), late_cases[i].verdict);
+		suspect_list_destroy(list);
+	}
+}
+
 static void
 the_oldest_is_dropped(void **state)
 {
 	suspect_list_t *list = suspect_list_create();
 
 	for (uint64_t i = 1; i <= SUSPECT_MAX; i++)
-		suspect_record_crash(list, i, 5, 1);
-	suspect_record_crash(list, 1, 6, 2);
-	suspect_record_crash(list, SUSPECT_MAX + 1, 5, 3);
+		suspect_record_crash(list, i, 1, 1);
+	suspect_record_crash(list, 1, 2, 2);
+	suspect_record_crash(list, SUSPECT_MAX + 1, 1, 3);
+	assert_int_equal(suspect_next_crash(list, 1), 3);
+	assert_int_equal(suspect_next_crash(list, 2), 1);
 	assert_int_equal(suspect_verdict(list, 1, 3), SUSPECT_REFUSED);
 	assert_int_equal(suspect_verdict(list, 2, 3), SUSPECT_CLEAR);
 	assert_int_equal(suspect_verdict(list, 3, 3), SUSPECT_ALONE);
@@ -128,6 +186,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(verdicts_follow_crashes),
+	    cmocka_unit_test(a_retry_that_crashes_too_counts_twice),
 	    cmocka_unit_test(the_oldest_is_dropped),
 	    cmocka_unit_test(fingerprints_are_distinct_and_stable),
 	};
