--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -76,6 +76,8 @@
 	X(STORE_LOST, 1020, WARN, "the store does not answer a watch or call") \
 	X(STORE_FOUND, 1021, INFO, "the store answers again")                  \
 	X(STORE_LISTED, 1022, INFO, "all objects of a kind were read")         \
+	X(STORE_BODY_BAD, 1023, WARN,                                          \
+	    "a part of the store's data is unreadable")                        \
 	X(REQUEST_ANSWERED, 1100, INFO, "a request was answered")              \
 	X(REQUEST_FAILED, 1101, WARN, "a request was refused or failed")       \
 	X(ATTEMPT_FAILED, 1102, WARN, "an attempt on a server failed")         \
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -18,6 +18,7 @@
 	char *kind;
 	char *name;
 	json_t *spec;
+	char *spec_text; /* sent in place of @spec; NULL: none */
 	json_int_t revision;
 	json_int_t created_revision;
 	bool removed;
@@ -51,6 +52,7 @@
 	g_free(stored->kind);
 	g_free(stored->name);
 	json_decref(stored->spec);
+	g_free(stored->spec_text);
 	g_free(stored);
 }
 
@@ -107,6 +109,29 @@
 	stored->removed = false;
 }
 
+/* Sends a body in which the texts of specifications stand for their objects. */
+static void
+reply_with_texts(object_store_t *store, fake_reply_t *reply, json_t *body)
+{
+	char *dumped = json_dumps(body, JSON_COMPACT);
+	GString *text = g_string_new(dumped);
+
+	for (guint i = 0; i < store->objects->len; i++) {
+		const stored_object_t *stored = store->objects->pdata[i];
+		char *placeholder;
+
+		if (stored->spec_text == NULL)
+			continue;
+		placeholder = json_dumps(stored->spec, JSON_COMPACT);
+		g_string_replace(text, placeholder, stored->spec_text, 0);
+		free(placeholder);
+	}
+	fake_reply_text(reply, 200, text->str);
+	g_string_free(text, TRUE);
+	free(dumped);
+	json_decref(body);
+}
+
 static void
 add_to_count(GHashTable *counts, const char *kind, int change)
 {
@@ -143,7 +168,7 @@
 		}
 		json_array_append_new(items, format_object(stored));
 	}
-	fake_reply_json(reply, 200,
+	reply_with_texts(store, reply,
 	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", has_more,
 		"at_rev", is_old ? store->old_revision : store->revision));
 	g_mutex_unlock(&store->lock);
@@ -231,7 +256,7 @@
 		json_decref(events);
 		fake_reply_text(reply, 410, "{}");
 	} else {
-		fake_reply_json(reply, 200,
+		reply_with_texts(store, reply,
 		    json_pack("{s:o,s:I}", "events", events, "at_rev", at_rev));
 	}
 	g_mutex_unlock(&store->lock);
@@ -402,6 +427,21 @@
 	fake_server_wake_all(store->http_server);
 }
 
+void
+object_store_put_text(
+    object_store_t *store, const char *kind, const char *name, const char *text)
+{
+	stored_object_t *stored;
+
+	g_mutex_lock(&store->lock);
+	write_object(store, kind, name, json_pack("{s:s}", "text_of", name));
+	stored = find_object(store, kind, name);
+	g_free(stored->spec_text);
+	stored->spec_text = g_strdup(text);
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http_server);
+}
+
 void
 object_store_remove(object_store_t *store, const char *kind, const char *name)
 {
@@ -485,6 +525,7 @@
 
 		copy->kind = g_strdup(stored->kind);
 		copy->name = g_strdup(stored->name);
+		copy->spec_text = g_strdup(stored->spec_text);
 		copy->spec = json_incref(stored->spec);
 		g_ptr_array_add(store->old_objects, copy);
 	}
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -43,6 +43,13 @@
 void object_store_put(
     object_store_t *store, const char *kind, const char *name, json_t *spec);
 
+/**
+ * object_store_put_text() - Like object_store_put(), for an object of another
+ * writer whose specification is sent as @text, JSON or not.
+ */
+void object_store_put_text(object_store_t *store, const char *kind,
+    const char *name, const char *text);
+
 /** object_store_remove() - Removes an object, if it exists. */
 void object_store_remove(
     object_store_t *store, const char *kind, const char *name);
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -298,6 +298,72 @@
 	world_destroy(world);
 }
 
+/* A JSON array in an array, @depth times. */
+static char *
+nested_text(int depth)
+{
+	GString *text = g_string_new("{\"service\":");
+
+	for (int i = 0; i < depth; i++)
+		g_string_append_c(text, '[');
+	for (int i = 0; i < depth; i++)
+		g_string_append_c(text, ']');
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+#define STRAY_ENTRY(service, port)                                   \
+	"{\"service\":\"" service "\",\"address\":\"127.0.0.1:" port \
+	"\",\"zone\":\"dc1\",\"slots\":2,\"state\":\"ready\","       \
+	"\"warmup_left_ms\":0,\"sequence\":1,\"version\":\"v1\",\"born\":1"
+
+/*
+ * Guards against an entry of another writer that can't be read: it must hide
+ * no server, neither from a node that follows the registry nor from one that
+ * starts, and must end no process.
+ */
+static void
+an_unreadable_entry_hides_only_itself(void **state)
+{
+	static const char *const texts[] = {
+	    STRAY_ENTRY("one", "1") ",\"x\":\"\\udcff\"}",
+	    STRAY_ENTRY("one", "1") ",\"x\":1e999}",
+	    STRAY_ENTRY("one", "1") ",\"x\":18446744073709551616}",
+	    STRAY_ENTRY("one", "1") ",\"a\\u0000b\":1}",
+	    STRAY_ENTRY("one", "1") ",\"x\":\"\xff\"}",
+	    STRAY_ENTRY("one\\u0000", "1") "}", STRAY_ENTRY("one", "70000") "}",
+	    STRAY_ENTRY("one", "1") ",\"slots\":1e30}",
+	    STRAY_ENTRY("one", "1") ",\"slots\":4294967296}", "\"\\ud800\"",
+	    "-"};
+	gateway_world_t *world = world_create(*state);
+	char *nested = nested_text(100000);
+	int server = WORLD_ONE * WORLD_REPLICAS;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "i-00 stray&%zu", i);
+		object_store_put_text(world->store, "servers", name, texts[i]);
+		object_store_put_text(world->store, "config", name, texts[i]);
+		object_store_put_text(world->store, "nodes", name, texts[i]);
+	}
+	object_store_put_text(world->store, "servers", "i-0 nested", nested);
+	/* A running node hears of a server that leaves. */
+	world_register(world, server, "draining");
+	g_usleep(1500 * 1000);
+	check_unused(world, server, 10, 200, "draining beside odd entries");
+	world_register(world, server, "ready");
+	/* So does a node that starts, and it has all others. */
+	harness_kill(world->harness, world->gateway);
+	world_start_gateway(world);
+	harness_wait_status(world->health, "/ready", 200, WORLD_START_MS);
+	assert_int_equal(world_metric(world, "servers"), WORLD_SERVERS);
+	world_configure(world);
+	assert_true(world_wait(has_adopted_config, world, WAIT_MS));
+	g_free(nested);
+	world_destroy(world);
+}
+
 /* Return: number of servers in a state, as /state of the node shows them. */
 static int
 count_servers(gateway_world_t *world, const char *state)
@@ -384,6 +450,7 @@
 	    HARNESS_TEST(reads_a_backlog_of_changes_at_once),
 	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
+	    HARNESS_TEST(an_unreadable_entry_hides_only_itself),
 	    HARNESS_TEST(state_page_shows_the_servers_in_use),
 	    HARNESS_TEST(a_start_knows_what_has_left_meanwhile),
 	};
