Take no response for an answer that does not name its request

Cause: belongs_to_attempt() dropped a response only if it named another request; one without an id counted as the answer to what was sent last.

Evidence: test_process_gateway/bytes_without_an_id_are_no_answer failed before the fix (no id in the client's answer).

Ruled out: dropping them only on connections that have carried an id. The first request on a connection still took them (seen in the test).

Change: a response must name the request. Gateways name it in refusals to each other too, as these would be dropped now; interim responses follow the same rule. The line of a header is built in one function.

--- a/source/gateway/exchange_head.c
+++ b/source/gateway/exchange_head.c
@@ -6,24 +6,25 @@
 #define RETRY_AFTER_TEXT_SIZE 32
 
 static void
-add_header(buffer_t *out, const char *name, slice_t value)
+add_line(buffer_t *out, slice_t name, slice_t value)
 {
-	buffer_append_text(out, name);
+	buffer_append(out, name.data, name.size);
 	buffer_append(out, ": ", 2);
 	buffer_append(out, value.data, value.size);
 	buffer_append(out, "\r\n", 2);
 }
 
+void
+head_add_field(buffer_t *out, const char *name, slice_t value)
+{
+	add_line(out, slice_from(name), value);
+}
+
 static void
 copy_header(buffer_t *out, const http_message_t *message, uint32_t index)
 {
-	slice_t name = http_header_name(message, index);
-	slice_t value = http_header_value(message, index);
-
-	buffer_append(out, name.data, name.size);
-	buffer_append(out, ": ", 2);
-	buffer_append(out, value.data, value.size);
-	buffer_append(out, "\r\n", 2);
+	add_line(out, http_header_name(message, index),
+	    http_header_value(message, index));
 }
 
 /* Headers listed in the Connection header are hop-by-hop too. */
@@ -96,7 +97,8 @@
 	const header_names_t *names = &exchange->engine->settings.headers;
 
 	head_build_unfinished(exchange, now, out);
-	add_header(out, names->expected_server, slice_from(server->entry.id));
+	head_add_field(
+	    out, names->expected_server, slice_from(server->entry.id));
 	buffer_append(out, "\r\n", 2);
 }
 
@@ -149,7 +151,7 @@
 		char text[RETRY_AFTER_TEXT_SIZE];
 
 		g_ascii_formatd(text, sizeof(text), "%.3f", retry_after_s);
-		add_header(out, "Retry-After", slice_from(text));
+		head_add_field(out, "Retry-After", slice_from(text));
 	}
 	if (body_size > 0)
 		buffer_append_text(out, "Content-Type: application/json\r\n");
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -271,6 +271,9 @@
  * and the blank line at its end. */
 void head_build_unfinished(exchange_t *exchange, usec_t now, buffer_t *out);
 
+/** head_add_field() - Appends a header line. */
+void head_add_field(buffer_t *out, const char *name, slice_t value);
+
 /**
  * head_build_forwarded() - Appends a response head with the headers of a
  * server, without the blank line at its end.
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -124,6 +124,16 @@
 	return error == BW_E_SUSPECT ? 503 : error_http_status(error);
 }
 
+static void
+add_peer_headers(const exchange_t *exchange, bool not_run, buffer_t *head)
+{
+	head_add_field(head, exchange->engine->settings.headers.request_id,
+	    exchange->request_id);
+	if (not_run)
+		buffer_append_text(
+		    head, SERVING_PEERS_NOT_RUN_HEADER ": 1\r\n");
+}
+
 void
 reply_error(exchange_t *exchange, int error, const char *cause, usec_t now)
 {
@@ -148,9 +158,8 @@
 	size = MIN(size, (int)sizeof(body) - 1);
 	head_build_local(
 	    status, retry_after(exchange, status, now), (size_t)size, &head);
-	if (exchange->is_for_peer && error_is_not_run(reported))
-		buffer_append_text(
-		    &head, SERVING_PEERS_NOT_RUN_HEADER ": 1\r\n");
+	if (exchange->is_for_peer)
+		add_peer_headers(exchange, error_is_not_run(reported), &head);
 	exchange_finish(exchange, &head, (slice_t){body, (size_t)size});
 	buffer_free(&head);
 }
--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -40,11 +40,8 @@
 	const header_names_t *names = &exchange->engine->settings.headers;
 	bool first = true;
 
-	buffer_append_text(head, names->request_id);
-	buffer_append(head, ": ", 2);
-	buffer_append(
-	    head, exchange->request_id.data, exchange->request_id.size);
-	buffer_append_text(head, "\r\n" SHARDS_HEADER ": ");
+	head_add_field(head, names->request_id, exchange->request_id);
+	buffer_append_text(head, SHARDS_HEADER ": ");
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		const task_t *task = &exchange->tasks[i];
 
--- a/source/gateway/exchange_start.c
+++ b/source/gateway/exchange_start.c
@@ -128,12 +128,27 @@
 	return gather_fails_without(&state, without_server);
 }
 
+/* Return: whether the request has a valid id. */
+static bool
+read_request_id(exchange_t *exchange)
+{
+	slice_t id;
+
+	if (!http_message_find(exchange->request,
+		exchange->engine->settings.headers.request_id, &id) ||
+	    id.size == 0 || id.size >= REQUEST_ID_MAX)
+		return false;
+	exchange->request_id = id;
+	return true;
+}
+
 /* Returns 0, or the error with which to refuse the request. */
 static int
 find_route(exchange_t *exchange, const char **cause)
 {
 	const http_message_t *request = exchange->request;
 	exchange_engine_t *engine = exchange->engine;
+	bool has_id = read_request_id(exchange);
 	slice_t host = {0};
 
 	if (engine->table == NULL) {
@@ -144,12 +159,8 @@
 		*cause = "stopping";
 		return BW_E_STOPPING;
 	}
-	if (!http_message_find(request, engine->settings.headers.request_id,
-		&exchange->request_id) ||
-	    exchange->request_id.size == 0 ||
-	    exchange->request_id.size >= REQUEST_ID_MAX) {
+	if (!has_id) {
 		*cause = "no_request_id";
-		exchange->request_id = slice_from("-");
 		return BW_E_INVALID;
 	}
 	http_message_find(request, "Host", &host);
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -165,17 +165,19 @@
 	    server->upstream->name);
 }
 
-/* A late response to an earlier request may arrive before the right one. */
+/*
+ * Servers name the request in each response. A late response to an earlier one,
+ * or other bytes, may arrive before the right response; they belong to nothing.
+ */
 static bool
 belongs_to_attempt(
     const pool_connection_t *connection, const http_message_t *response)
 {
 	slice_t id;
 
-	if (!http_message_find(
-		response, connection->pool->settings.headers.request_id, &id))
-		return true;
-	return slice_is(id, connection->attempt->request_id);
+	return http_message_find(response,
+		   connection->pool->settings.headers.request_id, &id) &&
+	    slice_is(id, connection->attempt->request_id);
 }
 
 static bool
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -237,6 +237,32 @@
 	send_text(connection, interim, strlen(interim));
 }
 
+static const char stray_answer[] =
+    "HTTP/1.1 200 OK\r\nBulrushwell-Response-Stamp: stray.1\r\n"
+    "Content-Length: 5\r\n\r\nstray";
+static const char stray_refusal[] =
+    "HTTP/1.1 503 Service Unavailable\r\nBulrushwell-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+static void
+send_stray(const plain_connection_t *connection, const char *text)
+{
+	send_text(connection, text, strlen(text));
+	g_usleep(EXTRA_DELAY_MS * 1000);
+}
+
+static void
+send_unstamped(const plain_connection_t *connection)
+{
+	char text[256];
+	int size = snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nBulrushwell-Request-Id: %s\r\n"
+	    "Content-Length: 9\r\n\r\nunstamped",
+	    connection->request_id);
+
+	send_text(connection, text, (size_t)size);
+}
+
 static void
 crash(plain_server_t *server)
 {
@@ -350,6 +376,17 @@
 		g_usleep(EXTRA_DELAY_MS * 1000);
 		send_response(connection, 200, "", true, 0);
 		return true;
+	case PLAIN_STRAY_ANSWER:
+		send_stray(connection, stray_answer);
+		send_response(connection, 200, "", true, 0);
+		return true;
+	case PLAIN_STRAY_REFUSAL:
+		send_stray(connection, stray_refusal);
+		send_response(connection, 200, "", true, 0);
+		return true;
+	case PLAIN_UNSTAMPED:
+		send_unstamped(connection);
+		return true;
 	case PLAIN_INTERIM:
 		send_interim(connection);
 		send_response(connection, 200, "", true, 0);
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -26,10 +26,15 @@
 	PLAIN_UNFRAMED_RESET, /* same, but reset before the end of the body */
 	PLAIN_GARBAGE,	      /* bytes that are not an HTTP response */
 	PLAIN_EXTRA,	      /* a second, unsolicited response 30 ms later */
-	PLAIN_INTERIM,	      /* a 103 response before the final one */
-	PLAIN_ENCODED,	      /* a Content-Encoding that was not accepted */
-	PLAIN_HANG,	      /* reads the request and never responds */
-	PLAIN_CRASH,	      /* closes and refuses connections for 700 ms */
+	/* Before the response, one without an id: another answer, or a refusal
+	 * that says that the request did not run. */
+	PLAIN_STRAY_ANSWER,
+	PLAIN_STRAY_REFUSAL,
+	PLAIN_UNSTAMPED, /* a success without a stamp */
+	PLAIN_INTERIM,	 /* a 103 response before the final one */
+	PLAIN_ENCODED,	 /* a Content-Encoding that was not accepted */
+	PLAIN_HANG,	 /* reads the request and never responds */
+	PLAIN_CRASH,	 /* closes and refuses connections for 700 ms */
 	/* Bytes without end, until the caller closes; see endless_texts. */
 	PLAIN_ENDLESS_HEADER,	  /* a header line */
 	PLAIN_ENDLESS_HEADERS,	  /* header lines */
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -135,6 +135,37 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against bytes that carry no id, late or not: they answer no request.
+ * If they read like a refusal, a booking would run a second time.
+ */
+static void
+bytes_without_an_id_are_no_answer(void **state)
+{
+	static const plain_fault_t faults[] = {
+	    PLAIN_STRAY_ANSWER, PLAIN_STRAY_REFUSAL};
+	enum { REQUESTS = 20 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		gateway_world_t *world = world_create(*state);
+
+		world_fault_service(world, WORLD_ONE, faults[i], 1000);
+		for (int j = 0; j < REQUESTS; j++) {
+			http_reply_t result = world_request(
+			    world, "POST", "/once/x", DEADLINE_MS, "reel");
+			const char *id = http_reply_header(
+			    &result, "bulrushwell-request-id");
+
+			assert_int_equal(result.status, 200);
+			assert_non_null(id);
+			assert_string_equal(id, result.sent_id);
+			http_reply_clear(&result);
+		}
+		assert_int_equal(world_run_count(world, WORLD_ONE), REQUESTS);
+		world_destroy(world);
+	}
+}
+
 static const struct {
 	const char *name;
 	plain_fault_t fault;
@@ -417,6 +448,7 @@
 	    HARNESS_TEST(answers_through_a_fault_of_one_server),
 	    HARNESS_TEST(an_unmarked_refusal_is_no_promise),
 	    HARNESS_TEST(drops_a_late_second_response),
+	    HARNESS_TEST(bytes_without_an_id_are_no_answer),
 	    HARNESS_TEST(never_runs_twice_and_never_denies_a_run),
 	    HARNESS_TEST(forwards_body_and_deadline),
 	    HARNESS_TEST(sends_no_more_attempts_than_allowed),
