Forward no success without the server's stamp

Cause: for routes to a single service is_final_response() did not look for the stamp; fan-outs did.

Change: such a response is a failure of the server: another one is asked if the request may run again, else 502.

--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -322,8 +322,9 @@
 	task_start(task, now);
 }
 
+/* Whether the response is a success that a server vouches for. */
 static bool
-is_shard_answer(const exchange_t *exchange, const http_message_t *response)
+is_stamped_success(const exchange_t *exchange, const http_message_t *response)
 {
 	const header_names_t *names = &exchange->engine->settings.headers;
 	slice_t value;
@@ -346,7 +347,9 @@
 	    http_message_find(response, "Content-Encoding", &value))
 		return false;
 	if (exchange->route->kind == ROUTE_FANOUT)
-		return is_shard_answer(exchange, response);
+		return is_stamped_success(exchange, response);
+	if (status / 100 == 2 && !is_stamped_success(exchange, response))
+		return false;
 	if (!exchange->route->idempotent)
 		return true;
 	return status < 500 && status != 408 && status != 429;
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -73,6 +73,7 @@
 	    {"bytes that are not HTTP", PLAIN_GARBAGE},
 	    {"an interim response", PLAIN_INTERIM},
 	    {"a content encoding that was not requested", PLAIN_ENCODED},
+	    {"a success without a stamp", PLAIN_UNSTAMPED},
 	};
 	gateway_world_t *world = world_create(*state);
 
@@ -177,6 +178,7 @@
     {"response that is not HTTP", PLAIN_GARBAGE, 502, 1},
     {"503 without the not-run mark", PLAIN_OVERLOADED, 502, 1},
     {"500 from the server", PLAIN_FAIL, 500, 1},
+    {"a success without a stamp", PLAIN_UNSTAMPED, 502, 1},
     {"refused as not run by all servers", PLAIN_NOT_RUN, 503, 0},
     {"other servers at all addresses", PLAIN_MISDIRECTED, 503, 0},
 };
