Refuse in a planned stop what it can't finish

Cause: the stop looked at its own age only, not at how long requests take.

Evidence: test_process_gateway_stop/a_planned_stop_refuses_what_it_cannot_finish failed before: the booking reached a server.

Change: the engine knows when the process ends; a request is refused with 503 before anything is sent if the late time of its route's attempts does not fit.

Result: test_process_gateway_stop passes (7).

--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -151,6 +151,12 @@
 void engine_add_suspect(
     exchange_engine_t *engine, uint64_t fingerprint, uint64_t crash_number);
 
+/**
+ * engine_set_end() - The process ends at @end. A request that is unlikely to be
+ * answered by then is refused as not run.
+ */
+void engine_set_end(exchange_engine_t *engine, usec_t end);
+
 /** engine_refuse_requests() - From now on, new requests are refused as not run.
  */
 void engine_refuse_requests(exchange_engine_t *engine);
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -214,6 +214,12 @@
 		    engine->suspect_context, interrupted->fingerprint, number);
 }
 
+void
+engine_set_end(exchange_engine_t *engine, usec_t end)
+{
+	engine->ends_at = end;
+}
+
 void
 engine_refuse_requests(exchange_engine_t *engine)
 {
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -127,6 +127,7 @@
 	route_table_t *table;
 	GHashTable *route_states; /* by route name */
 	exchange_counters_t counters;
+	usec_t ends_at;		/* of the process; 0: no stop has begun */
 	bool refusing_requests; /* during a planned stop */
 	uint32_t running;	/* exchanges that have not ended */
 	buffer_t attempt_head;	/* reused for each attempt */
--- a/source/gateway/exchange_start.c
+++ b/source/gateway/exchange_start.c
@@ -265,6 +265,16 @@
 	return verdict == SUSPECT_REFUSED;
 }
 
+/* Whether this process is likely to end before the servers have answered. */
+static bool
+ends_before_answer(const exchange_t *exchange, usec_t now)
+{
+	usec_t ends_at = exchange->engine->ends_at;
+
+	return ends_at != 0 &&
+	    now + latency_model_late(exchange->route_state->latency) > ends_at;
+}
+
 static void
 start_tasks(exchange_t *exchange, const client_connection_t *connection,
     const group_request_t *group, usec_t now)
@@ -276,6 +286,10 @@
 		set_peer_deadlines(exchange, group);
 	else
 		set_deadlines(exchange, connection);
+	if (ends_before_answer(exchange, now)) {
+		reply_error(exchange, BW_E_STOPPING, "stopping", now);
+		return;
+	}
 	if (is_refused_suspect(exchange, now)) {
 		event_log_sampled(EVENT_SUSPECT_REFUSED,
 		    "request=%.*s fingerprint=%016llx",
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -181,6 +181,8 @@
 	if (gateway->stopping_since != 0)
 		return;
 	gateway->stopping_since = gateway_now(gateway);
+	engine_set_end(gateway->engine,
+	    gateway->stopping_since + gateway->settings.stop_limit);
 	event_log(EVENT_GATEWAY_STOPPING, "signal=%d running=%u",
 	    watcher->signum, engine_running_count(gateway->engine));
 	frontend_stop(gateway->frontend);
--- a/tests/test_process_gateway_stop.c
+++ b/tests/test_process_gateway_stop.c
@@ -252,6 +252,57 @@
 	world_destroy(world);
 }
 
+static gpointer
+run_slow_booking(gpointer context)
+{
+	http_reply_t result =
+	    world_request(context, "POST", "/once/x", 15000, "reel");
+
+	assert_int_equal(result.status, 200);
+	http_reply_clear(&result);
+	return NULL;
+}
+
+/*
+ * Guards a request that arrives late in a stop, while requests are still
+ * accepted, and can't be answered before the process ends: it is refused as not
+ * run instead of being sent to a server and cut at the limit.
+ */
+static void
+a_planned_stop_refuses_what_it_cannot_finish(void **state)
+{
+	enum { BOOKINGS = 20, WORK_MS = 2000, LATE_MS = 2600 };
+	gateway_world_t *world = world_create(*state);
+	GThread *threads[BOOKINGS];
+	http_reply_t result;
+	uint32_t before;
+	int status;
+
+	world->timeout_ms = 20000;
+	world_configure(world);
+	assert_true(world_wait(config_is_in_force, world, 5000));
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_set_delay(
+		    world_replica(world, WORLD_ONE, i), WORK_MS);
+	for (int i = 0; i < BOOKINGS; i++)
+		threads[i] = g_thread_new("slow", run_slow_booking, world);
+	for (int i = 0; i < BOOKINGS; i++)
+		g_thread_join(threads[i]);
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		plain_server_set_delay(
+		    world_replica(world, WORLD_ONE, i), 2 * WORK_MS);
+	harness_signal(world->harness, world->gateway, SIGTERM);
+	g_usleep(LATE_MS * 1000);
+	before = world_request_count(world, WORLD_ONE);
+	result = world_request(world, "POST", "/once/x", 15000, "reel");
+	assert_int_equal(result.status, 503);
+	assert_int_equal(world_request_count(world, WORLD_ONE), before);
+	http_reply_clear(&result);
+	status = harness_wait_exit(world->harness, world->gateway, 6000);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	world_destroy(world);
+}
+
 static void
 a_hangup_changes_nothing(void **state)
 {
@@ -279,6 +330,7 @@
 	    HARNESS_TEST(a_planned_stop_answers_all_that_it_has_passed_on),
 	    HARNESS_TEST(a_planned_stop_answers_whom_it_accepts),
 	    HARNESS_TEST(a_planned_stop_answers_at_its_limit),
+	    HARNESS_TEST(a_planned_stop_refuses_what_it_cannot_finish),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
