Believe a server that says in its responses that it leaves

Before: only the registry was believed. With the header not read the new tests fail: requests reach the server after the drain time on each kind of route.

Change: server_notice reads a response; the pool marks the server as leaving until its next incarnation, whatever the registry says, dated back like other leaves. The node that learned it first reports it to all nodes (a new kind of datagram, sent twice like reports of crashes; older builds drop it as unknown). Only whole responses that name the request are believed, only the value 1.

The tests' count of servers in a state and the fleet's check of it are one function now.

--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -29,6 +29,7 @@
 	const char *deadline_ms;     /* how long the sender waits */
 	const char *expected_server; /* the only server that may run it */
 	const char *not_run;	     /* the server did not run the request */
+	const char *leaving;	     /* "1": the server has begun to leave */
 	const char *response_stamp; /* proves that a server sent the response */
 	const char *part_stamps;    /* stamps of the merged responses */
 	const char *missing_parts;  /* number of shards left out */
@@ -134,18 +135,24 @@
     void (*visit)(void *context, const route_stats_t *route), void *context);
 
 /**
- * typedef suspect_handler_t - Called when a request crashed a server, so that
- * other nodes can be told.
- * @fingerprint: hash of the content of the request
- * @crash_number: see suspect_record_crash()
+ * typedef engine_reports_t - Called when this node learns what the other nodes
+ * should know.
  */
-typedef void (*suspect_handler_t)(
-    void *context, uint64_t fingerprint, uint64_t crash_number);
-
-/** engine_set_suspect_handler() - Sets the handler for crashes seen by this
- * node. */
-void engine_set_suspect_handler(
-    exchange_engine_t *engine, suspect_handler_t handler, void *context);
+typedef struct {
+	/**
+	 * A request crashed a server.
+	 * @crash_number: see suspect_record_crash()
+	 */
+	void (*suspect)(
+	    void *context, uint64_t fingerprint, uint64_t crash_number);
+	/** A server has said in a response that it leaves. */
+	void (*leaving)(void *context, const char *server, int64_t incarnation);
+	void *context;
+} engine_reports_t;
+
+/** engine_set_reports() - Sets the receiver of reports; copies it. */
+void engine_set_reports(
+    exchange_engine_t *engine, const engine_reports_t *reports);
 
 /** engine_add_suspect() - Records a crash that another node reported. */
 void engine_add_suspect(
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -47,6 +47,7 @@
 		{
 		    .request_id = settings->headers.request_id,
 		    .not_run = settings->headers.not_run,
+		    .leaving = settings->headers.leaving,
 		},
 	    .drain_limit = settings->drain_limit,
 	    .max_response_bytes = MAX_RESPONSE_BYTES,
@@ -55,6 +56,7 @@
 	    .attempt_ended = task_on_attempt_ended,
 	    .capacity_available = task_on_capacity,
 	    .server_crashed = engine_on_server_crash,
+	    .server_leaving = engine_on_server_leaving,
 	    .context = engine,
 	};
 
@@ -176,11 +178,19 @@
 }
 
 void
-engine_set_suspect_handler(
-    exchange_engine_t *engine, suspect_handler_t handler, void *context)
+engine_set_reports(exchange_engine_t *engine, const engine_reports_t *reports)
 {
-	engine->suspect_handler = handler;
-	engine->suspect_context = context;
+	engine->reports = *reports;
+}
+
+void
+engine_on_server_leaving(void *context, const upstream_server_t *server)
+{
+	const exchange_engine_t *engine = context;
+
+	if (engine->reports.leaving != NULL)
+		engine->reports.leaving(engine->reports.context,
+		    server->entry.id, server->entry.incarnation);
 }
 
 void
@@ -209,9 +219,9 @@
 	    "fingerprint=%016llx server=%s upstream=%s crashes=%llu",
 	    (unsigned long long)interrupted->fingerprint, server->entry.id,
 	    server->upstream->name, (unsigned long long)number);
-	if (engine->suspect_handler != NULL)
-		engine->suspect_handler(
-		    engine->suspect_context, interrupted->fingerprint, number);
+	if (engine->reports.suspect != NULL)
+		engine->reports.suspect(
+		    engine->reports.context, interrupted->fingerprint, number);
 }
 
 void
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -122,8 +122,7 @@
 	client_timing_t *timing;
 	serving_peers_t *peers;
 	suspect_list_t *suspects;
-	suspect_handler_t suspect_handler; /* may be NULL */
-	void *suspect_context;
+	engine_reports_t reports; /* functions may be NULL */
 	route_table_t *table;
 	GHashTable *route_states; /* by route name */
 	exchange_counters_t counters;
@@ -244,6 +243,9 @@
 /** exchange_reply_if_due() - Sends a due reply; may free the exchange. */
 void exchange_reply_if_due(exchange_t *exchange, usec_t now);
 
+/** engine_on_server_leaving() - Pool handler: tells the other nodes. */
+void engine_on_server_leaving(void *context, const upstream_server_t *server);
+
 /** engine_on_server_crash() - Pool handler: makes the request a suspect. */
 void engine_on_server_crash(void *context, const upstream_server_t *server,
     const interrupted_request_t *interrupted);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -229,11 +229,17 @@
 }
 
 static void
-broadcast_suspect(void *context, uint64_t fingerprint, uint64_t crash_number)
+report_suspect(void *context, uint64_t fingerprint, uint64_t crash_number)
 {
 	peer_link_report_suspect(context, fingerprint, crash_number);
 }
 
+static void
+report_leaving(void *context, const char *server, int64_t incarnation)
+{
+	peer_link_report_leaving(context, server, incarnation);
+}
+
 static int
 open_peers(gateway_t *gateway)
 {
@@ -250,8 +256,9 @@
 		return BW_E_IO;
 	peer_link_set_may_follow(gateway->peers, settings->may_follow_peers);
 	peer_link_set_bandwidth(gateway->peers, settings->link_mbps);
-	engine_set_suspect_handler(
-	    gateway->engine, broadcast_suspect, gateway->peers);
+	engine_set_reports(gateway->engine,
+	    &(engine_reports_t){
+		report_suspect, report_leaving, gateway->peers});
 	return 0;
 }
 
@@ -354,6 +361,13 @@
 	engine_add_suspect(gateway->engine, fingerprint, crash_number);
 }
 
+void
+gateway_server_leaving(gateway_t *gateway, const char *id, int64_t incarnation)
+{
+	pool_server_leaving(engine_pool(gateway->engine), id, incarnation,
+	    gateway_now(gateway));
+}
+
 bool
 gateway_is_stopping(const gateway_t *gateway)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -52,6 +52,13 @@
 void gateway_add_suspect(
     gateway_t *gateway, uint64_t fingerprint, uint64_t crash_number);
 
+/**
+ * gateway_server_leaving() - Another node was told by a server that it leaves.
+ * @incarnation: of the server's process
+ */
+void gateway_server_leaving(
+    gateway_t *gateway, const char *id, int64_t incarnation);
+
 /** gateway_is_stopping() - Whether a planned stop has begun. */
 bool gateway_is_stopping(const gateway_t *gateway);
 
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -50,6 +50,7 @@
 typedef struct {
 	const char *request_id; /* id of the request that is answered */
 	const char *not_run; /* present: the server did not run the request */
+	const char *leaving; /* see server_notice_read(); may be NULL */
 } pool_headers_t;
 
 /** Called from the event loop; @owner is the one given to pool_start_attempt().
@@ -68,6 +69,9 @@
 	/** A server crashed while it was running the request. */
 	void (*server_crashed)(void *context, const upstream_server_t *server,
 	    const interrupted_request_t *interrupted);
+	/** A server has said that it leaves, which this node did not know; may
+	 * be NULL. */
+	void (*server_leaving)(void *context, const upstream_server_t *server);
 	void *context;
 } pool_handlers_t;
 
@@ -137,6 +141,13 @@
 /** pool_server_deregistered() - The server's entry was removed. */
 void pool_server_deregistered(pool_t *pool, const char *id, usec_t now);
 
+/**
+ * pool_server_leaving() - Another node was told by the server that it leaves.
+ * @incarnation: of the process that has said so; another one stays in use
+ */
+void pool_server_leaving(
+    pool_t *pool, const char *id, int64_t incarnation, usec_t now);
+
 /**
  * pool_reconcile_servers() - Handles a full listing of the registry.
  * @present: ids of all entries; servers that are not in it are deregistered
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -3,6 +3,7 @@
 #include "../base/loop_clock.h"
 #include "bulrushwell/event.h"
 #include "pool_private.h"
+#include "server_notice.h"
 
 #define CONNECT_TIMEOUT MS(700)
 /* Idle connections are closed before servers are likely to close them. */
@@ -263,6 +264,19 @@
 	    server->entry.id, server->upstream->name);
 }
 
+/* What the server says of itself in a response to this node's request. */
+static void
+heed_notice(pool_t *pool, upstream_server_t *server,
+    const http_message_t *response, usec_t now)
+{
+	server_notice_t notice =
+	    server_notice_read(response, pool->settings.headers.leaving);
+
+	if (notice.leaving && pool_server_said_leaving(pool, server, now) &&
+	    pool->handlers.server_leaving != NULL)
+		pool->handlers.server_leaving(pool->handlers.context, server);
+}
+
 static void
 on_interim(void *owner, http_connection_t *http, const http_message_t *response)
 {
@@ -296,6 +310,7 @@
 	}
 	not_run = is_not_run(pool, response);
 	record_response(connection, response, not_run, pool_now(pool));
+	heed_notice(pool, connection->server, response, pool_now(pool));
 	read_idle_limit(connection, response);
 	if (http_message_status(response) == 421)
 		record_misdirected(connection);
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -88,6 +88,11 @@
 /** pool_server_release() - Frees a removed server that has no connections. */
 void pool_server_release(upstream_server_t *server);
 
+/** pool_server_said_leaving() - The server, or a node that was told by it, says
+ * that it leaves. Returns whether this node did not know. */
+bool pool_server_said_leaving(
+    const pool_t *pool, upstream_server_t *server, usec_t now);
+
 /** pool_remove_drained() - Removes deregistered servers past the drain limit,
  * and expired records of removed servers. */
 void pool_remove_drained(pool_t *pool, usec_t now);
--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -118,9 +118,10 @@
 		server->leaving_since = MAX(pool->registry_current_at, 1);
 		server->leaving_learned_at = now;
 		event_log(EVENT_SERVER_LEAVING,
-		    "server=%s upstream=%s age_ms=%lld", server->entry.id,
-		    server->upstream->name,
-		    (long long)((now - server->leaving_since) / USEC_PER_MS));
+		    "server=%s upstream=%s age_ms=%lld said_so=%d",
+		    server->entry.id, server->upstream->name,
+		    (long long)((now - server->leaving_since) / USEC_PER_MS),
+		    server->said_leaving);
 	}
 }
 
@@ -157,11 +158,32 @@
 	server->reported_at = now;
 	server->registered = true;
 	server->warm_up_until = now + entry->warm_up_left;
-	set_leaving(pool, server, entry->draining, now);
+	set_leaving(pool, server, entry->draining || server->said_leaving, now);
 	pool->handlers.capacity_available(
 	    pool->handlers.context, server->upstream);
 }
 
+bool
+pool_server_said_leaving(
+    const pool_t *pool, upstream_server_t *server, usec_t now)
+{
+	bool is_news = server->leaving_since == 0;
+
+	server->said_leaving = true;
+	set_leaving(pool, server, true, now);
+	return is_news;
+}
+
+void
+pool_server_leaving(
+    pool_t *pool, const char *id, int64_t incarnation, usec_t now)
+{
+	upstream_server_t *server = g_hash_table_lookup(pool->servers, id);
+
+	if (server != NULL && server->entry.incarnation == incarnation)
+		pool_server_said_leaving(pool, server, now);
+}
+
 static void
 mark_deregistered(const pool_t *pool, upstream_server_t *server, usec_t now)
 {
--- /dev/null
+++ b/source/gateway/server_notice.c
@@ -0,0 +1,61 @@
+#include "server_notice.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_UNAVAILABLE 503
+#define NUMBER_TEXT_MAX 32 /* longer texts are no plausible number */
+
+/* Only digits and one point: no sign, exponent, infinity or date. */
+static bool
+is_decimal(const char *text)
+{
+	size_t digits = strspn(text, "0123456789");
+	const char *rest = text + digits;
+
+	if (digits == 0)
+		return false;
+	if (*rest == '.')
+		rest += 1 + strspn(rest + 1, "0123456789");
+	return *rest == '\0';
+}
+
+/* Return: the time, or 0 for a text that is not a number of seconds. */
+static usec_t
+parse_seconds(slice_t value)
+{
+	char text[NUMBER_TEXT_MAX];
+	double seconds;
+
+	if (value.size >= sizeof(text))
+		return 0;
+	memcpy(text, value.data, value.size);
+	text[value.size] = '\0';
+	if (!is_decimal(text))
+		return 0;
+	seconds = g_ascii_strtod(text, NULL);
+	if (seconds >= (double)SERVER_REST_MAX / USEC_PER_SEC)
+		return SERVER_REST_MAX;
+	return (usec_t)(seconds * USEC_PER_SEC);
+}
+
+server_notice_t
+server_notice_read(const http_message_t *response, const char *leaving_header)
+{
+	bool refused = http_message_status(response) == STATUS_UNAVAILABLE;
+	server_notice_t notice = {0};
+
+	for (uint32_t i = 0; i < response->header_count; i++) {
+		slice_t name = http_header_name(response, i);
+		slice_t value = http_header_value(response, i);
+
+		if (leaving_header != NULL &&
+		    http_header_is(name, leaving_header))
+			notice.leaving |= slice_is(value, "1");
+		if (refused && http_header_is(name, "Retry-After"))
+			notice.rest_for =
+			    MAX(notice.rest_for, parse_seconds(value));
+	}
+	return notice;
+}
--- /dev/null
+++ b/source/gateway/server_notice.h
@@ -0,0 +1,37 @@
+#ifndef SERVER_NOTICE_H
+#define SERVER_NOTICE_H
+
+#include "../http/http_message.h"
+#include "bulrushwell/clock.h"
+
+/**
+ * DOC: What a server says about itself in its responses
+ *
+ * A server that is leaving says so in each response, and one that turns a
+ * request away may say for how long it wants no more from this node. Both are
+ * believed only of whole responses to this node's own requests; the caller sees
+ * to that.
+ */
+
+/** typedef server_notice_t - What one response says. */
+typedef struct {
+	bool leaving;	 /* the server has begun to leave */
+	usec_t rest_for; /* it wants no requests for this long; 0: it has not
+			  * said so */
+} server_notice_t;
+
+/** SERVER_REST_MAX - Longest rest that is believed; more makes no sense. */
+#define SERVER_REST_MAX SECONDS(24 * 3600)
+
+/**
+ * server_notice_read() - Reads a response.
+ * @leaving_header: name of the header by which a server says that it leaves;
+ * NULL: none
+ *
+ * A header with any value but "1" says nothing. A time that is not a number of
+ * seconds, fractions included, says nothing; of several the longest holds.
+ */
+server_notice_t server_notice_read(
+    const http_message_t *response, const char *leaving_header);
+
+#endif
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -55,7 +55,8 @@
 	 */
 	usec_t leaving_since;
 	usec_t leaving_learned_at;
-	bool registered; /* the registry has an entry for it */
+	bool said_leaving; /* in a response; holds whatever the registry says */
+	bool registered;   /* the registry has an entry for it */
 	uint32_t consecutive_failures;
 	/* Cleared when the server responds or accepts a connection. */
 	interrupted_request_t interrupted[INTERRUPTED_REQUESTS_MAX];
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -29,8 +29,8 @@
 	struct ev_loop *loop;
 	peer_link_handlers_t handlers;
 	peer_group_t *group;
-	GArray *nodes;	  /* peer_node_t: of all data centres */
-	GArray *suspects; /* peer_suspect_t: to be sent once more */
+	GArray *nodes;	 /* peer_node_t: of all data centres */
+	GArray *reports; /* peer_message_t: to be sent once more */
 	struct sockaddr_in own_address;
 	bool may_follow;
 	ev_io io;
@@ -77,14 +77,12 @@
 }
 
 static void
-send_suspect(peer_link_t *link, const peer_suspect_t *suspect)
+send_report(peer_link_t *link, const peer_message_t *report)
 {
-	const peer_message_t message = {
-	    .kind = PEER_SUSPECT, .suspect = *suspect};
 	writer_t writer;
 
 	writer_init(&writer);
-	peer_message_encode(&message, &writer);
+	peer_message_encode(report, &writer);
 	for (guint i = 0; i < link->nodes->len; i++)
 		send_to(
 		    link, &g_array_index(link->nodes, peer_node_t, i), &writer);
@@ -94,12 +92,19 @@
 /* Sends each report a second time: a datagram may be lost, and no other message
  * carries this information. */
 static void
-resend_suspects(peer_link_t *link)
+resend_reports(peer_link_t *link)
 {
-	for (guint i = 0; i < link->suspects->len; i++)
-		send_suspect(
-		    link, &g_array_index(link->suspects, peer_suspect_t, i));
-	g_array_set_size(link->suspects, 0);
+	for (guint i = 0; i < link->reports->len; i++)
+		send_report(
+		    link, &g_array_index(link->reports, peer_message_t, i));
+	g_array_set_size(link->reports, 0);
+}
+
+static void
+report(peer_link_t *link, const peer_message_t *message)
+{
+	send_report(link, message);
+	g_array_append_vals(link->reports, message, 1);
 }
 
 /* Sends the positions, but not beyond changes whose parts are still queued. */
@@ -170,7 +175,7 @@
 	usec_t now = loop_clock_now(loop);
 
 	update_role(link, now);
-	resend_suspects(link);
+	resend_reports(link);
 	if (link->role == PEER_RELAY)
 		send_status(link, now);
 	if (link->role == PEER_ALONE)
@@ -289,11 +294,12 @@
 	    ntohl(sender->sin_addr.s_addr), ntohs(sender->sin_port), size);
 }
 
-/* Nodes of other data centres may report crashes only. */
+/* Nodes of other data centres may send reports only. */
 static bool
 is_allowed(const peer_message_t *message, const group_peer_t *peer)
 {
-	return peer != NULL || message->kind == PEER_SUSPECT;
+	return peer != NULL || message->kind == PEER_SUSPECT ||
+	    message->kind == PEER_LEAVING;
 }
 
 static void
@@ -312,6 +318,10 @@
 		    message->suspect.fingerprint,
 		    message->suspect.crash_number);
 		break;
+	case PEER_LEAVING:
+		link->handlers.leaving(link->handlers.context,
+		    message->leaving.server, message->leaving.incarnation);
+		break;
 	}
 }
 
@@ -381,7 +391,7 @@
 	link->loop = loop;
 	link->group = peer_group_create(own_name);
 	link->nodes = g_array_new(FALSE, TRUE, sizeof(peer_node_t));
-	link->suspects = g_array_new(FALSE, TRUE, sizeof(peer_suspect_t));
+	link->reports = g_array_new(FALSE, TRUE, sizeof(peer_message_t));
 	link->own_address = *address;
 	link->may_follow = true;
 	peer_link_set_bandwidth(link, DEFAULT_LINK_MBPS);
@@ -414,7 +424,7 @@
 		peer_batch_destroy(link->batches[i]);
 	peer_group_destroy(link->group);
 	g_array_free(link->nodes, TRUE);
-	g_array_free(link->suspects, TRUE);
+	g_array_free(link->reports, TRUE);
 	g_free(link);
 }
 
@@ -454,10 +464,24 @@
 peer_link_report_suspect(
     peer_link_t *link, uint64_t fingerprint, uint64_t crash_number)
 {
-	const peer_suspect_t suspect = {fingerprint, crash_number};
+	const peer_message_t message = {
+	    .kind = PEER_SUSPECT,
+	    .suspect = {fingerprint, crash_number},
+	};
+
+	report(link, &message);
+}
+
+void
+peer_link_report_leaving(
+    peer_link_t *link, const char *server, int64_t incarnation)
+{
+	peer_message_t message = {
+	    .kind = PEER_LEAVING, .leaving.incarnation = incarnation};
 
-	send_suspect(link, &suspect);
-	g_array_append_val(link->suspects, suspect);
+	g_strlcpy(
+	    message.leaving.server, server, sizeof(message.leaving.server));
+	report(link, &message);
 }
 
 void
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -9,9 +9,10 @@
  * DOC: Exchange of datagrams between gateways
  *
  * Relays send the other nodes of their data centre how far they have read the
- * store, and the changes in it. Every node reports requests that crash servers
- * to the nodes of all data centres. Datagrams from addresses that are not
- * listed are dropped. Datagrams are not acknowledged.
+ * store, and the changes in it. Every node reports requests that crash servers,
+ * and servers that have said that they leave, to the nodes of all data centres.
+ * Datagrams from addresses that are not listed are dropped. Datagrams are not
+ * acknowledged.
  */
 
 typedef struct peer_link peer_link_t;
@@ -38,6 +39,8 @@
 	/** Another node found that a request crashed a server. */
 	void (*suspect)(
 	    void *context, uint64_t fingerprint, uint64_t crash_number);
+	/** Another node was told by a server that it leaves. */
+	void (*leaving)(void *context, const char *server, int64_t incarnation);
 	/** The role of this node has changed. */
 	void (*role)(void *context, peer_role_t role);
 	void *context;
@@ -95,6 +98,14 @@
 void peer_link_report_suspect(
     peer_link_t *link, uint64_t fingerprint, uint64_t crash_number);
 
+/**
+ * peer_link_report_leaving() - Reports to all nodes that a server has said that
+ * it leaves.
+ * @incarnation: of its process
+ */
+void peer_link_report_leaving(
+    peer_link_t *link, const char *server, int64_t incarnation);
+
 /**
  * peer_link_no_changes() - Records that the store has answered this node and
  * has no further changes of the topic up to @revision.
--- a/source/peers/peer_message.c
+++ b/source/peers/peer_message.c
@@ -9,6 +9,7 @@
 #define STATUS_FIELDS (1 + 2 * PEER_TOPICS)
 #define CHANGES_FIELDS 7
 #define SUSPECT_FIELDS 2
+#define LEAVING_FIELDS 2
 #define AGE_MAX SECONDS(3600) /* of a relay's last reply from the store */
 #define UNCOMPRESSED_SIZE_MAX (1024u * 1024u)
 
@@ -59,6 +60,11 @@
 		writer_uint(writer, message->suspect.fingerprint);
 		writer_uint(writer, message->suspect.crash_number);
 		break;
+	case PEER_LEAVING:
+		write_header(writer, PEER_LEAVING, LEAVING_FIELDS);
+		writer_text(writer, message->leaving.server);
+		writer_int(writer, message->leaving.incarnation);
+		break;
 	}
 }
 
@@ -132,6 +138,11 @@
 		message->suspect.fingerprint = reader_uint(reader);
 		message->suspect.crash_number = reader_uint(reader);
 		return reader_error(reader);
+	case PEER_LEAVING:
+		reader_text(reader, message->leaving.server,
+		    sizeof(message->leaving.server));
+		message->leaving.incarnation = reader_int(reader);
+		return reader_error(reader);
 	}
 	return BW_E_PROTOCOL;
 }
--- a/source/peers/peer_message.h
+++ b/source/peers/peer_message.h
@@ -39,7 +39,8 @@
 typedef enum {
 	PEER_STATUS = 1,  /* how far a relay has read the store */
 	PEER_CHANGES = 2, /* the changes that it has read */
-	PEER_SUSPECT = 3  /* a request crashed a server */
+	PEER_SUSPECT = 3, /* a request crashed a server */
+	PEER_LEAVING = 4  /* a server has said that it leaves */
 } peer_kind_t;
 
 typedef struct {
@@ -64,12 +65,20 @@
 	uint64_t crash_number; /* counted from 1, see suspect.h */
 } peer_suspect_t;
 
+#define PEER_SERVER_MAX 64 /* bytes of a server's id, with its final NUL */
+
+typedef struct {
+	char server[PEER_SERVER_MAX];
+	int64_t incarnation; /* of its process */
+} peer_leaving_t;
+
 typedef struct {
 	peer_kind_t kind;
 	union {
 		peer_status_t status;
 		peer_changes_t changes;
 		peer_suspect_t suspect;
+		peer_leaving_t leaving;
 	};
 } peer_message_t;
 
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -13,6 +13,7 @@
 #define POLL_STEP_MS 20
 #define DEFAULT_TIMEOUT_MS 2000
 #define DEFAULT_MAX_CONNECTIONS 40
+#define STATE_TIMEOUT_MS 4000
 #define SERVER_START_TIME 1000 /* in the registry entries */
 
 static const char *const service_names[WORLD_SHARDS + 2] = {
@@ -48,6 +49,7 @@
 
 	world->harness = harness;
 	world->timeout_ms = DEFAULT_TIMEOUT_MS;
+	world->start_time = SERVER_START_TIME;
 	world->max_connections = DEFAULT_MAX_CONNECTIONS;
 	world->store = object_store_create(STORE_PAGE);
 	create_servers(world);
@@ -105,7 +107,7 @@
 		plain_server_address(world->servers[server]), "zone",
 		server % WORLD_REPLICAS == 0 ? "dc1" : "dc2", "version", "v1",
 		"slots", 4, "state", state, "warmup_left_ms", 0, "sequence",
-		sequence, "born", SERVER_START_TIME));
+		sequence, "born", world->start_time));
 }
 
 void
@@ -284,6 +286,25 @@
 	return value;
 }
 
+int
+world_count_servers(gateway_world_t *world, const char *state)
+{
+	http_reply_t result = harness_http(
+	    "GET", world->metrics, "/state", NULL, NULL, STATE_TIMEOUT_MS);
+	const json_t *servers = json_object_get(result.json, "servers");
+	int count = 0;
+
+	assert_int_equal(result.status, 200);
+	assert_int_equal(json_array_size(servers),
+	    json_integer_value(json_object_get(result.json, "server_count")));
+	for (size_t i = 0; i < json_array_size(servers); i++)
+		count += strcmp(json_string_value(json_object_get(
+				    json_array_get(servers, i), "state")),
+			     state) == 0;
+	http_reply_clear(&result);
+	return count;
+}
+
 int
 world_try_connect(gateway_world_t *world)
 {
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -31,6 +31,7 @@
 	address_t health;
 	address_t metrics;
 	int version;	       /* of the last configuration written */
+	int start_time;	       /* of the servers, in their registry entries */
 	int timeout_ms;	       /* of all routes */
 	int max_connections;   /* that each server accepts from all gateways */
 	uint32_t polls_before; /* the store's poll count before a check */
@@ -119,6 +120,10 @@
  */
 int64_t world_metric(gateway_world_t *world, const char *name);
 
+/** world_count_servers() - Number of servers in a state, as /state of the
+ * gateway shows them. */
+int world_count_servers(gateway_world_t *world, const char *state);
+
 /**
  * world_connect() - Opens a TCP connection to the gateway's client port.
  *
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -31,6 +31,7 @@
 	plain_fault_t fault;
 	uint32_t fault_count;
 	int delay_ms;
+	const char *headers; /* further ones; see plain_server_set_headers() */
 	bool stopping;
 	plain_server_record_t record;
 	GHashTable *run_counts; /* by request id */
@@ -333,23 +334,38 @@
 	g_mutex_unlock(&server->lock);
 }
 
+static const char *
+further_headers(plain_server_t *server)
+{
+	const char *headers;
+
+	g_mutex_lock(&server->lock);
+	headers = server->headers != NULL ? server->headers : "";
+	g_mutex_unlock(&server->lock);
+	return headers;
+}
+
 /* Returns whether the connection stays open. */
 static bool
 respond(plain_connection_t *connection, plain_fault_t fault)
 {
+	const char *more = further_headers(connection->server);
+	char refusal[256];
+
 	switch (fault) {
 	case PLAIN_ANSWER:
-		send_response(connection, 200, "", true, 0);
+		send_response(connection, 200, more, true, 0);
 		return true;
 	case PLAIN_NOT_RUN:
-		send_response(connection, 503,
-		    "Bulrushwell-Not-Executed: 1\r\n", true, 0);
+		snprintf(refusal, sizeof(refusal),
+		    "Bulrushwell-Not-Executed: 1\r\n%s", more);
+		send_response(connection, 503, refusal, true, 0);
 		return true;
 	case PLAIN_FAIL:
-		send_response(connection, 500, "", true, 0);
+		send_response(connection, 500, more, true, 0);
 		return true;
 	case PLAIN_OVERLOADED:
-		send_response(connection, 503, "", true, 0);
+		send_response(connection, 503, more, true, 0);
 		return true;
 	case PLAIN_MISDIRECTED:
 		send_response(connection, 421,
@@ -358,7 +374,7 @@
 	case PLAIN_RESET:
 		return false;
 	case PLAIN_TRUNCATE:
-		send_response(connection, 200, "", true, 10);
+		send_response(connection, 200, more, true, 10);
 		return false;
 	case PLAIN_UNFRAMED:
 		send_response(connection, 200, "", false, 0);
@@ -374,7 +390,7 @@
 	case PLAIN_EXTRA:
 		send_response(connection, 200, "", true, 0);
 		g_usleep(EXTRA_DELAY_MS * 1000);
-		send_response(connection, 200, "", true, 0);
+		send_response(connection, 200, more, true, 0);
 		return true;
 	case PLAIN_STRAY_ANSWER:
 		send_stray(connection, stray_answer);
@@ -599,6 +615,14 @@
 	g_mutex_unlock(&server->lock);
 }
 
+void
+plain_server_set_headers(plain_server_t *server, const char *lines)
+{
+	g_mutex_lock(&server->lock);
+	server->headers = lines;
+	g_mutex_unlock(&server->lock);
+}
+
 void
 plain_server_set_drip(plain_server_t *server, int ms)
 {
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -82,6 +82,14 @@
  */
 void plain_server_set_drip(plain_server_t *server, int ms);
 
+/**
+ * plain_server_set_headers() - Adds header lines to each response of
+ * PLAIN_ANSWER, PLAIN_NOT_RUN, PLAIN_FAIL, PLAIN_OVERLOADED and PLAIN_TRUNCATE,
+ * and to the second one of PLAIN_EXTRA.
+ * @lines: each ends with CRLF; "": none; must outlive the server
+ */
+void plain_server_set_headers(plain_server_t *server, const char *lines);
+
 /** plain_server_run_count() - How often the request with this id was run. */
 uint32_t plain_server_run_count(plain_server_t *server, const char *request_id);
 
--- /dev/null
+++ b/tests/test_process_gateway_notices.c
@@ -0,0 +1,213 @@
+/*
+ * Servers that say about themselves, in their responses, that they leave. The
+ * tests guard against requests to a server that has said so, whatever the
+ * registry says, on each kind of route and from each gateway, and against
+ * responses that say nothing but are believed.
+ */
+#include "lib/gateway_fleet.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define DEADLINE_MS 1500
+#define DRAIN_MS 1500 /* of the gateways in tests */
+#define NEWS_MS 700   /* until all gateways have heard; sent twice in 0.3 s */
+#define LEAVING "Server-Leaving: 1\r\n"
+
+static int
+request_status(gateway_world_t *world, const char *path)
+{
+	http_reply_t result =
+	    world_request(world, "GET", path, DEADLINE_MS, NULL);
+	int status = result.status;
+
+	http_reply_clear(&result);
+	return status;
+}
+
+/* Sends requests until @server has received one more. */
+static void
+reach_server(gateway_world_t *world, plain_server_t *server, const char *path)
+{
+	plain_server_record_t before, after;
+
+	plain_server_get_record(server, &before);
+	for (int i = 0; i < 200; i++) {
+		request_status(world, path);
+		plain_server_get_record(server, &after);
+		if (after.requests > before.requests)
+			return;
+	}
+	fail_msg("no request of %s reached %s", path, plain_server_id(server));
+}
+
+/* Return: requests that reached @server of @count that were sent. */
+static uint32_t
+count_arrivals(gateway_world_t *world, plain_server_t *server, const char *path,
+    int count, int status)
+{
+	plain_server_record_t before, after;
+
+	plain_server_get_record(server, &before);
+	for (int i = 0; i < count; i++)
+		assert_int_equal(request_status(world, path), status);
+	plain_server_get_record(server, &after);
+	return after.requests - before.requests;
+}
+
+typedef struct {
+	const char *name;
+	const char *path;
+	int service;
+	const char *headers;
+	plain_fault_t fault; /* of the response that has the headers */
+	bool all;	     /* servers of the service say it */
+	bool leaves;
+	int status; /* of later requests */
+} leave_case_t;
+
+static const leave_case_t leave_cases[] = {
+    {"an answer", "/one/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, true, 200},
+    {"a booking", "/once/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, true,
+	200},
+    {"a shard's answer", "/all/x", 0, LEAVING, PLAIN_ANSWER, false, true, 200},
+    {"a weighted answer", "/split/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false,
+	true, 200},
+    {"a refusal", "/one/x", WORLD_ONE, LEAVING, PLAIN_NOT_RUN, false, true,
+	200},
+    {"a failure", "/one/x", WORLD_ONE, LEAVING, PLAIN_FAIL, false, true, 200},
+    {"answers of all servers", "/one/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, true,
+	true, 503},
+    {"answers of all of a shard", "/all/x", 0, LEAVING, PLAIN_ANSWER, true,
+	true, 200},
+    {"another value", "/one/x", WORLD_ONE, "Server-Leaving: yes\r\n",
+	PLAIN_ANSWER, false, false, 200},
+    {"another header", "/one/x", WORLD_ONE, "Server-Leaves: 1\r\n",
+	PLAIN_ANSWER, false, false, 200},
+};
+
+/* The registry goes on to say that the servers are ready. */
+static void
+play_leave(harness_t *harness, const leave_case_t *row)
+{
+	gateway_world_t *world = world_create(harness);
+	int first = row->service * WORLD_REPLICAS;
+	uint32_t arrivals = 0;
+
+	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++) {
+		plain_server_t *server = world->servers[first + i];
+
+		plain_server_set_headers(server, row->headers);
+		plain_server_set_fault(server, row->fault, 1);
+	}
+	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
+		reach_server(world, world->servers[first + i], row->path);
+	world_register_all(world);
+	g_usleep(DRAIN_MS * 1000);
+	world_register_all(world);
+	g_usleep(300 * 1000);
+	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
+		arrivals += count_arrivals(world, world->servers[first + i],
+		    row->path, 15, row->status);
+	if ((arrivals == 0) != row->leaves)
+		fail_msg("%s: %u requests reached it", row->name, arrivals);
+	world_destroy(world);
+}
+
+static void
+a_server_that_says_it_leaves_gets_nothing(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(leave_cases); i++) {
+		print_message("  %s\n", leave_cases[i].name);
+		play_leave(*state, &leave_cases[i]);
+	}
+}
+
+/* A response that is cut, or that belongs to another request, says nothing. */
+static void
+only_whole_own_answers_say_it(void **state)
+{
+	static const plain_fault_t faults[] = {PLAIN_TRUNCATE, PLAIN_EXTRA};
+	gateway_world_t *world = world_create(*state);
+	plain_server_t *server = world_replica(world, WORLD_ONE, 0);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		plain_server_set_headers(server, LEAVING);
+		plain_server_set_fault(server, faults[i], 3);
+		for (int j = 0; j < 10; j++)
+			request_status(world, "/one/x");
+		plain_server_set_headers(server, "");
+	}
+	assert_int_equal(world_count_servers(world, "leaving"), 0);
+	world_destroy(world);
+}
+
+/* The next process of the server is in use again. */
+static void
+the_next_incarnation_is_used(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	int index = WORLD_ONE * WORLD_REPLICAS;
+	plain_server_t *server = world->servers[index];
+
+	plain_server_set_headers(server, LEAVING);
+	reach_server(world, server, "/one/x");
+	plain_server_set_headers(server, "");
+	g_usleep(DRAIN_MS * 1000);
+	assert_int_equal(count_arrivals(world, server, "/one/x", 10, 200), 0);
+	world->start_time++;
+	world_register(world, index, "ready");
+	g_usleep(1000 * 1000);
+	assert_true(count_arrivals(world, server, "/one/x", 15, 200) > 0);
+	world_destroy(world);
+}
+
+static bool
+knows_all_gateways(gateway_world_t *world)
+{
+	return world_metric(world, "nodes") ==
+	    FLEET_GATEWAYS + 1; /* of @world */
+}
+
+/* What one gateway was told holds for all of them. */
+static void
+all_gateways_hear_of_it(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	plain_server_t *server = world_replica(world, WORLD_ONE, 0);
+	gateway_fleet_t fleet = {0};
+	gateway_world_t first;
+
+	fleet_create(&fleet, world);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		gateway_world_t view = fleet_gateway_world(&fleet, i);
+
+		assert_true(world_wait(knows_all_gateways, &view, 10000));
+	}
+	first = fleet_gateway_world(&fleet, 0);
+	plain_server_set_headers(server, LEAVING);
+	reach_server(&first, server, "/one/x");
+	plain_server_set_headers(server, "");
+	g_usleep(NEWS_MS * 1000);
+	for (int i = 0; i < FLEET_GATEWAYS; i++) {
+		gateway_world_t view = fleet_gateway_world(&fleet, i);
+
+		assert_int_equal(
+		    count_arrivals(&view, server, "/one/x", 10, 200), 0);
+	}
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(a_server_that_says_it_leaves_gets_nothing),
+	    HARNESS_TEST(only_whole_own_answers_say_it),
+	    HARNESS_TEST(the_next_incarnation_is_used),
+	    HARNESS_TEST(all_gateways_hear_of_it),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -68,19 +68,9 @@
 is_up_to_date(const gateway_fleet_t *fleet, int gateway, int leaving_count)
 {
 	gateway_world_t view = fleet_gateway_world(fleet, gateway);
-	http_reply_t result = harness_http(
-	    "GET", view.metrics, "/state", NULL, NULL, UPDATE_TIMEOUT_MS);
-	const json_t *servers = json_object_get(result.json, "servers");
-	int found = 0;
-	bool has_config = json_integer_value(json_object_get(
-			      result.json, "config_version")) == view.version;
-
-	for (size_t i = 0; i < json_array_size(servers); i++)
-		found += strcmp(json_string_value(json_object_get(
-				    json_array_get(servers, i), "state")),
-			     "leaving") == 0;
-	http_reply_clear(&result);
-	return has_config && found == leaving_count;
+
+	return world_metric(&view, "config_version") == view.version &&
+	    world_count_servers(&view, "leaving") == leaving_count;
 }
 
 /* Writes a new configuration and marks a server as draining. */
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -364,30 +364,10 @@
 	world_destroy(world);
 }
 
-/* Return: number of servers in a state, as /state of the node shows them. */
-static int
-count_servers(gateway_world_t *world, const char *state)
-{
-	http_reply_t result =
-	    harness_http("GET", world->metrics, "/state", NULL, NULL, WAIT_MS);
-	const json_t *servers = json_object_get(result.json, "servers");
-	int count = 0;
-
-	assert_int_equal(result.status, 200);
-	assert_int_equal(json_array_size(servers),
-	    json_integer_value(json_object_get(result.json, "server_count")));
-	for (size_t i = 0; i < json_array_size(servers); i++)
-		count += strcmp(json_string_value(json_object_get(
-				    json_array_get(servers, i), "state")),
-			     state) == 0;
-	http_reply_clear(&result);
-	return count;
-}
-
 static bool
 shows_one_leaving(gateway_world_t *world)
 {
-	return count_servers(world, "leaving") == 1;
+	return world_count_servers(world, "leaving") == 1;
 }
 
 /* The page /state must show the servers as the node uses them. */
@@ -396,10 +376,11 @@
 {
 	gateway_world_t *world = world_create(*state);
 
-	assert_int_equal(count_servers(world, "ready"), WORLD_SERVERS);
+	assert_int_equal(world_count_servers(world, "ready"), WORLD_SERVERS);
 	world_register(world, WORLD_ONE * WORLD_REPLICAS, "draining");
 	assert_true(world_wait(shows_one_leaving, world, WAIT_MS));
-	assert_int_equal(count_servers(world, "ready"), WORLD_SERVERS - 1);
+	assert_int_equal(
+	    world_count_servers(world, "ready"), WORLD_SERVERS - 1);
 	world_destroy(world);
 }
 
@@ -429,7 +410,7 @@
 		harness_wait_status(
 		    world->health, "/ready", 200, WORLD_START_MS);
 		assert_int_equal(
-		    count_servers(world, "ready"), WORLD_SERVERS - 2);
+		    world_count_servers(world, "ready"), WORLD_SERVERS - 2);
 		world_register_all(world);
 	}
 	assert_int_equal(object_store_list_count(world->store, "servers"), 0);
