Send nothing to a server that wants no requests for a time

Before: the header was forwarded and otherwise ignored. With the exclusion taken out the new tests fail: 200 where all servers rest, as requests reach them.

If all servers of a service rest: the caller is refused at once with the time until the first of them wants requests, or gets an answer without the shard. That is best for callers, as a server that has said so would refuse again; and a caller that is told the true time can go elsewhere.

--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -98,6 +98,25 @@
 	return limiter_retry_after(limiter, key) / stats.running;
 }
 
+/* How long until a server of a task that found none wants requests again. */
+static usec_t
+rest_left(const exchange_t *exchange, usec_t now)
+{
+	usec_t longest = 0;
+
+	for (uint32_t i = 0; i < exchange->task_count; i++) {
+		const upstream_t *upstream = exchange->tasks[i].upstream;
+
+		if (upstream == NULL ||
+		    pool_has_usable_server(
+			exchange->engine->pool, upstream, now))
+			continue;
+		longest = MAX(longest,
+		    pool_rest_left(exchange->engine->pool, upstream, now));
+	}
+	return longest;
+}
+
 /* Value of Retry-After in seconds; negative for none. */
 static double
 retry_after(const exchange_t *exchange, int status, usec_t now)
@@ -113,6 +132,7 @@
 		wait =
 		    retry_schedule_next(&exchange->route_state->retry_schedule,
 			slot_interval(exchange), max_wait, now);
+		wait = MAX(wait, rest_left(exchange, now));
 	}
 	return (double)wait / USEC_PER_SEC;
 }
--- a/source/gateway/gateway_state.c
+++ b/source/gateway/gateway_state.c
@@ -17,11 +17,13 @@
 }
 
 static const char *
-server_state(const upstream_server_t *server)
+server_state(const upstream_server_t *server, usec_t now)
 {
 	if (!server->registered)
 		return "gone";
-	return server->leaving_since != 0 ? "leaving" : "ready";
+	if (server->leaving_since != 0)
+		return "leaving";
+	return now < server->rests_until ? "resting" : "ready";
 }
 
 static void
@@ -34,7 +36,7 @@
 	json_array_append_new(writer->list,
 	    json_pack("{s:s,s:s,s:s,s:I,s:i,s:b,s:f,s:f,s:f,s:I,s:b}", "server",
 		server->entry.id, "upstream", server->upstream->name, "state",
-		server_state(server), "report_age_ms",
+		server_state(server, writer->now), "report_age_ms",
 		milliseconds(writer->now - server->reported_at), "connections",
 		(int)server->connections->len, "assigned", server->assigned,
 		"slowness", health->slowness, "failure", health->failure_rate,
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -360,11 +360,19 @@
 		? server->rank
 		: 0,
 	};
-	if (pool_is_drained(pool, server, now))
+	if (pool_is_drained(pool, server, now) || now < server->rests_until)
 		candidate->excluded = true;
 	describe_connections(pool, server, candidate);
 }
 
+/* Whether it may get attempts, but for a rest. */
+static bool
+is_in_use(const pool_t *pool, const upstream_server_t *server, usec_t now)
+{
+	return !pool_is_drained(pool, server, now) &&
+	    server_health_usable(&server->health, now);
+}
+
 bool
 pool_has_usable_server(
     const pool_t *pool, const upstream_t *upstream, usec_t now)
@@ -372,13 +380,28 @@
 	for (guint i = 0; i < upstream->servers->len; i++) {
 		const upstream_server_t *server = upstream->servers->pdata[i];
 
-		if (!pool_is_drained(pool, server, now) &&
-		    server_health_usable(&server->health, now))
+		if (is_in_use(pool, server, now) && now >= server->rests_until)
 			return true;
 	}
 	return false;
 }
 
+usec_t
+pool_rest_left(const pool_t *pool, const upstream_t *upstream, usec_t now)
+{
+	usec_t shortest = 0;
+
+	for (guint i = 0; i < upstream->servers->len; i++) {
+		const upstream_server_t *server = upstream->servers->pdata[i];
+		usec_t left = server->rests_until - now;
+
+		if (left <= 0 || !is_in_use(pool, server, now))
+			continue;
+		shortest = shortest == 0 ? left : MIN(shortest, left);
+	}
+	return shortest;
+}
+
 upstream_server_t *
 pool_choose_server(pool_t *pool, upstream_t *upstream,
     const upstream_server_t *const *tried, uint32_t tried_count, usec_t typical,
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -50,7 +50,8 @@
 typedef struct {
 	const char *request_id; /* id of the request that is answered */
 	const char *not_run; /* present: the server did not run the request */
-	const char *leaving; /* see server_notice_read(); may be NULL */
+	/* See server_notice_read(). NULL: servers say nothing of themselves. */
+	const char *leaving;
 } pool_headers_t;
 
 /** Called from the event loop; @owner is the one given to pool_start_attempt().
@@ -166,6 +167,13 @@
     const upstream_server_t *const *tried, uint32_t tried_count, usec_t typical,
     usec_t now, bool *busy);
 
+/**
+ * pool_rest_left() - How long until a server of an upstream that has none to
+ * use wants requests again; 0: none of them rests.
+ */
+usec_t pool_rest_left(
+    const pool_t *pool, const upstream_t *upstream, usec_t now);
+
 /** pool_has_usable_server() - Whether the upstream has a usable server, even if
  * it is at its limit. */
 bool pool_has_usable_server(
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -269,9 +269,14 @@
 heed_notice(pool_t *pool, upstream_server_t *server,
     const http_message_t *response, usec_t now)
 {
-	server_notice_t notice =
-	    server_notice_read(response, pool->settings.headers.leaving);
+	server_notice_t notice = {0};
 
+	if (pool->settings.headers.leaving == NULL)
+		return;
+	notice = server_notice_read(response, pool->settings.headers.leaving);
+
+	if (notice.rest_for > 0)
+		pool_server_rests(server, notice.rest_for, now);
 	if (notice.leaving && pool_server_said_leaving(pool, server, now) &&
 	    pool->handlers.server_leaving != NULL)
 		pool->handlers.server_leaving(pool->handlers.context, server);
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -93,6 +93,10 @@
 bool pool_server_said_leaving(
     const pool_t *pool, upstream_server_t *server, usec_t now);
 
+/** pool_server_rests() - The server wants no requests from this node for a
+ * time. */
+void pool_server_rests(upstream_server_t *server, usec_t rest_for, usec_t now);
+
 /** pool_remove_drained() - Removes deregistered servers past the drain limit,
  * and expired records of removed servers. */
 void pool_remove_drained(pool_t *pool, usec_t now);
--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -174,6 +174,17 @@
 	return is_news;
 }
 
+void
+pool_server_rests(upstream_server_t *server, usec_t rest_for, usec_t now)
+{
+	if (now + rest_for <= server->rests_until)
+		return;
+	server->rests_until = now + rest_for;
+	event_log_sampled(EVENT_SERVER_RESTS, "server=%s upstream=%s ms=%lld",
+	    server->entry.id, server->upstream->name,
+	    (long long)(rest_for / USEC_PER_MS));
+}
+
 void
 pool_server_leaving(
     pool_t *pool, const char *id, int64_t incarnation, usec_t now)
--- a/source/gateway/server_notice.c
+++ b/source/gateway/server_notice.c
@@ -50,8 +50,7 @@
 		slice_t name = http_header_name(response, i);
 		slice_t value = http_header_value(response, i);
 
-		if (leaving_header != NULL &&
-		    http_header_is(name, leaving_header))
+		if (http_header_is(name, leaving_header))
 			notice.leaving |= slice_is(value, "1");
 		if (refused && http_header_is(name, "Retry-After"))
 			notice.rest_for =
--- a/source/gateway/server_notice.h
+++ b/source/gateway/server_notice.h
@@ -25,8 +25,7 @@
 
 /**
  * server_notice_read() - Reads a response.
- * @leaving_header: name of the header by which a server says that it leaves;
- * NULL: none
+ * @leaving_header: name of the header by which a server says that it leaves
  *
  * A header with any value but "1" says nothing. A time that is not a number of
  * seconds, fractions included, says nothing; of several the longest holds.
--- a/tests/test_process_gateway_notices.c
+++ b/tests/test_process_gateway_notices.c
@@ -1,8 +1,9 @@
 /*
- * Servers that say about themselves, in their responses, that they leave. The
- * tests guard against requests to a server that has said so, whatever the
- * registry says, on each kind of route and from each gateway, and against
- * responses that say nothing but are believed.
+ * Servers that say about themselves, in their responses, that they leave, or
+ * that they want no requests for a time. The tests guard against requests to a
+ * server that has said so, whatever the registry says, on each kind of route
+ * and from each gateway, and against responses that say nothing but are
+ * believed.
  */
 #include "lib/gateway_fleet.h"
 
@@ -199,6 +200,122 @@
 	world_destroy(world);
 }
 
+typedef struct {
+	const char *name;
+	const char *path;
+	int service;
+	const char *headers;
+	plain_fault_t fault; /* of the response that has the headers */
+	bool all;	     /* servers of the service say it */
+	int rest_ms;	     /* 0: they stay in use */
+	int status;	     /* of requests meanwhile */
+} rest_case_t;
+
+static const rest_case_t rest_cases[] = {
+    {"a refusal", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
+	false, 2000, 200},
+    {"a fraction of a second", "/one/x", WORLD_ONE, "Retry-After: 1.4\r\n",
+	PLAIN_NOT_RUN, false, 1400, 200},
+    {"a refusal that may have run", "/one/x", WORLD_ONE, "Retry-After: 2\r\n",
+	PLAIN_OVERLOADED, false, 2000, 200},
+    {"of a booking", "/once/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
+	false, 2000, 200},
+    {"of a shard", "/all/x", 0, "Retry-After: 2\r\n", PLAIN_NOT_RUN, false,
+	2000, 200},
+    {"of all servers", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
+	true, 2000, 503},
+    {"of all servers of a shard", "/all/x", 0, "Retry-After: 2\r\n",
+	PLAIN_NOT_RUN, true, 2000, 200},
+    {"an unreadable time", "/one/x", WORLD_ONE, "Retry-After: soon\r\n",
+	PLAIN_NOT_RUN, false, 0, 200},
+    {"an answer", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_ANSWER,
+	false, 0, 200},
+};
+
+/* Sends requests over the rest, by two clients at once. */
+static uint32_t
+count_arrivals_in_rest(gateway_world_t *world, const rest_case_t *row)
+{
+	int first = row->service * WORLD_REPLICAS;
+	gint64 end = g_get_monotonic_time() + (row->rest_ms - 400) * 1000;
+	uint32_t arrivals = 0;
+
+	while (g_get_monotonic_time() < end) {
+		for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
+			arrivals +=
+			    count_arrivals(world, world->servers[first + i],
+				row->path, 1, row->status);
+		g_usleep(20 * 1000);
+	}
+	return arrivals;
+}
+
+static void
+play_rest(harness_t *harness, const rest_case_t *row)
+{
+	gateway_world_t *world = world_create(harness);
+	int first = row->service * WORLD_REPLICAS;
+
+	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++) {
+		plain_server_t *server = world->servers[first + i];
+
+		plain_server_set_headers(server, row->headers);
+		plain_server_set_fault(server, row->fault, 1);
+		reach_server(world, server, row->path);
+		plain_server_set_headers(server, "");
+	}
+	if (row->rest_ms > 0) {
+		uint32_t arrivals = count_arrivals_in_rest(world, row);
+
+		if (arrivals > 0)
+			fail_msg(
+			    "%s: %u requests reached it", row->name, arrivals);
+		g_usleep(500 * 1000);
+	}
+	assert_int_equal(world_count_servers(world, "resting"), 0);
+	assert_int_equal(request_status(world, row->path), 200);
+	world_destroy(world);
+}
+
+static void
+a_server_that_rests_gets_nothing(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rest_cases); i++) {
+		print_message("  %s\n", rest_cases[i].name);
+		play_rest(*state, &rest_cases[i]);
+	}
+}
+
+/* A caller whose only servers rest is told at once when to come back. */
+static void
+callers_are_told_when_servers_want_requests(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	http_reply_t result;
+	const char *retry_after;
+	double seconds;
+
+	for (int i = 0; i < WORLD_REPLICAS; i++) {
+		plain_server_t *server = world_replica(world, WORLD_ONE, i);
+
+		plain_server_set_headers(server,
+		    i == 0 ? "Retry-After: 9\r\n" : "Retry-After: 3\r\n");
+		plain_server_set_fault(server, PLAIN_NOT_RUN, 1);
+	}
+	for (int i = 0; i < 10; i++)
+		request_status(world, "/one/x");
+	assert_int_equal(world_count_servers(world, "resting"), WORLD_REPLICAS);
+	result = world_request(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 503);
+	assert_true(result.elapsed < MS(DEADLINE_MS) / 4);
+	retry_after = http_reply_header(&result, "retry-after");
+	assert_non_null(retry_after);
+	seconds = g_ascii_strtod(retry_after, NULL);
+	assert_true(seconds > 1.5 && seconds <= 3.0);
+	http_reply_clear(&result);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -207,6 +324,8 @@
 	    HARNESS_TEST(only_whole_own_answers_say_it),
 	    HARNESS_TEST(the_next_incarnation_is_used),
 	    HARNESS_TEST(all_gateways_hear_of_it),
+	    HARNESS_TEST(a_server_that_rests_gets_nothing),
+	    HARNESS_TEST(callers_are_told_when_servers_want_requests),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
