End what an outage of the store excuses with the outage

Cause: restart_watches() counted as a failed call when the probe had merely seen a configuration before the watch, and may_reappear() excused any entry found missing within 3 s after a failed call, for 2.6 s from then on.

Evidence: a_storm_of_configurations_prolongs_no_removal failed 5 of 5 times before (200 for 503).

Change: an outage lasts from the first call without an answer to the first answered one, probes included; an entry may come back if it was found missing since its beginning, until 2.6 s after its end. The table of test_gateway_leaving states the end of each outage; rows and expectations that were there are kept, six are new.

--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -205,8 +205,15 @@
 void
 pool_record_registry_call(pool_t *pool, bool answered, usec_t now)
 {
-	if (!answered)
-		pool->registry_failed_at = now;
+	bool is_lost =
+	    pool->registry_lost_at != 0 && pool->registry_back_at == 0;
+
+	if (answered && is_lost)
+		pool->registry_back_at = now;
+	if (answered || is_lost)
+		return;
+	pool->registry_lost_at = now;
+	pool->registry_back_at = 0;
 }
 
 void
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -125,8 +125,9 @@
 double pool_budget_nodes(const pool_t *pool, const upstream_t *upstream);
 
 /**
- * pool_record_registry_call() - Records whether the server registry answered.
- * Entries that expired during an outage are expected to reappear after it.
+ * pool_record_registry_call() - Records whether the store of the registry has
+ * answered a call. Entries that expired during an outage are expected to
+ * reappear after it.
  */
 void pool_record_registry_call(pool_t *pool, bool answered, usec_t now);
 
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -26,7 +26,10 @@
 	uint32_t node_index;
 	uint32_t groups; /* of shards */
 	uint32_t own_group;
-	usec_t registry_failed_at; /* last failed call; 0: none */
+	/* The last outage of the registry: from its first failed call until the
+	 * first answered one. 0: there was none, or it has not ended. */
+	usec_t registry_lost_at;
+	usec_t registry_back_at;
 	/* Until then this node knew of all changes in the registry. 0: it has
 	 * not read the registry yet. */
 	usec_t registry_current_at;
--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -12,8 +12,6 @@
 #define REMOVED_RECORD_TTL SECONDS(120)
 /* Entries that expired during a registry outage reappear this soon after it. */
 #define EXPIRED_ENTRY_GRACE MS(2600)
-/* Entries removed this soon after a failed registry call may have expired. */
-#define OUTAGE_EXPIRY_WINDOW SECONDS(3)
 /* Attempts at once on a server, before there are samples. */
 #define INITIAL_CONCURRENCY_LIMIT 4.0
 
@@ -223,14 +221,23 @@
 			mark_deregistered(pool, value, now);
 }
 
-/* Whether the entry may have expired because of a registry outage. */
+/*
+ * Whether the entry may have expired because of a registry outage: it was found
+ * missing since the outage began, and its end is so recent that the entry may
+ * still come back.
+ */
 static bool
 may_reappear(const pool_t *pool, const upstream_server_t *server, usec_t now)
 {
-	return !server->registered && pool->registry_failed_at != 0 &&
-	    server->leaving_learned_at - pool->registry_failed_at <
-	    OUTAGE_EXPIRY_WINDOW &&
-	    now - server->leaving_learned_at < EXPIRED_ENTRY_GRACE;
+	usec_t learned_at = server->leaving_learned_at;
+	usec_t ended_at = pool->registry_back_at != 0
+	    ? MIN(pool->registry_back_at, learned_at)
+	    : learned_at;
+
+	return !server->registered && !server->said_leaving &&
+	    pool->registry_lost_at != 0 &&
+	    learned_at >= pool->registry_lost_at &&
+	    now - ended_at < EXPIRED_ENTRY_GRACE;
 }
 
 /*
--- a/tests/test_gateway_leaving.c
+++ b/tests/test_gateway_leaving.c
@@ -24,7 +24,8 @@
 	const char *name;
 	leave_t leave;
 	int current_ms; /* the registry was last known at this time */
-	int failed_ms;	/* the registry last failed to answer; NEVER: not */
+	int failed_ms;	/* the registry failed to answer; NEVER: not */
+	int back_ms;	/* it answered again; NEVER: not yet */
 	int learned_ms; /* this node learns that the server leaves */
 	int asked_ms;
 	bool usable;
@@ -32,21 +33,36 @@
 
 /* Times are in ms from the start of the case. */
 static const leaving_case_t cases[] = {
-    {"news at once: a last resort", DRAINING, 0, NEVER, 10, 4400, true},
-    {"news at once: until the limit", DRAINING, 0, NEVER, 10, 4510, false},
-    {"late news do not prolong it", DRAINING, 0, NEVER, 4000, 4400, true},
-    {"late news: the limit is the same", DRAINING, 0, NEVER, 4000, 4600, false},
-    {"news after the limit", DRAINING, 0, NEVER, 5000, 5001, false},
-    {"after a restart nobody knows since when", DRAINING, NEVER, NEVER, 10, 11,
+    {"news at once: a last resort", DRAINING, 0, NEVER, NEVER, 10, 4400, true},
+    {"news at once: until the limit", DRAINING, 0, NEVER, NEVER, 10, 4510,
 	false},
-    {"a removed entry", DEREGISTERED, 0, NEVER, 3000, 4400, true},
-    {"a removed entry: until the limit", DEREGISTERED, 0, NEVER, 3000, 4600,
+    {"late news do not prolong it", DRAINING, 0, NEVER, NEVER, 4000, 4400,
+	true},
+    {"late news: the limit is the same", DRAINING, 0, NEVER, NEVER, 4000, 4600,
 	false},
+    {"news after the limit", DRAINING, 0, NEVER, NEVER, 5000, 5001, false},
+    {"after a restart nobody knows since when", DRAINING, NEVER, NEVER, NEVER,
+	10, 11, false},
+    {"a removed entry", DEREGISTERED, 0, NEVER, NEVER, 3000, 4400, true},
+    {"a removed entry: until the limit", DEREGISTERED, 0, NEVER, NEVER, 3000,
+	4600, false},
     {"an entry that may have lapsed in an outage", DEREGISTERED, 0, 6000, 6100,
-	8600, true},
-    {"a lapsed entry that does not reappear", DEREGISTERED, 0, 6000, 6100, 8800,
+	6100, 8600, true},
+    {"a lapsed entry that does not reappear", DEREGISTERED, 0, 6000, 6100, 6100,
+	8800, false},
+    {"found missing some time after the outage", DEREGISTERED, 0, 6000, 6100,
+	7500, 8600, true},
+    {"the time for a lapsed entry runs from the end of the outage",
+	DEREGISTERED, 0, 6000, 6100, 7500, 8800, false},
+    {"a short outage long before", DEREGISTERED, 0, 1000, 1100, 6100, 6200,
+	false},
+    {"heard from others while the registry is away", DEREGISTERED, 0, 6000,
+	NEVER, 6100, 8600, true},
+    {"the same: not for ever", DEREGISTERED, 0, 6000, NEVER, 6100, 8800, false},
+    {"removed before the outage", DEREGISTERED, 0, 5000, 5100, 4900, 5200,
+	false},
+    {"an outage does not excuse a drain", DRAINING, 0, 6000, 6100, 6100, 6200,
 	false},
-    {"an outage does not excuse a drain", DRAINING, 0, 6000, 6100, 6200, false},
 };
 
 static void
@@ -99,6 +115,9 @@
 	if (leaving->failed_ms != NEVER)
 		pool_record_registry_call(
 		    pool, false, case_time(leaving->failed_ms));
+	if (leaving->back_ms != NEVER)
+		pool_record_registry_call(
+		    pool, true, case_time(leaving->back_ms));
 	entry.sequence = 2;
 	entry.draining = true;
 	if (leaving->leave == DRAINING)
--- a/tests/test_process_gateway_store.c
+++ b/tests/test_process_gateway_store.c
@@ -219,6 +219,39 @@
 	world_destroy(world);
 }
 
+/* Writes configurations for a while, each soon after the one before. */
+static void
+write_configurations(gateway_world_t *world, int duration_ms)
+{
+	gint64 end = g_get_monotonic_time() + duration_ms * 1000;
+
+	while (g_get_monotonic_time() < end) {
+		world_configure(world);
+		g_usleep(50 * 1000);
+	}
+}
+
+/*
+ * While configurations come in quick succession, a probe often sees one before
+ * the watch does. Guards against a node that takes this for an outage, and
+ * servers that are removed meanwhile for entries that come back.
+ */
+static void
+a_storm_of_configurations_prolongs_no_removal(void **state)
+{
+	enum { BEFORE_MS = 3000, DRAIN_MS = 1500 };
+	gateway_world_t *world = world_create(*state);
+	int first = WORLD_ONE * WORLD_REPLICAS;
+
+	write_configurations(world, BEFORE_MS);
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		object_store_remove(world->store, "servers",
+		    plain_server_id(world->servers[first + i]));
+	write_configurations(world, DRAIN_MS);
+	check_unused(world, first, 10, 503, "removed during a storm");
+	world_destroy(world);
+}
+
 /*
  * The store sends a limited number of changes in a response. Guards against a
  * node that waits after each response: it then learns of a draining server
@@ -428,6 +461,7 @@
 	    HARNESS_TEST(serves_while_the_store_is_away),
 	    HARNESS_TEST(sends_nothing_to_a_server_that_leaves),
 	    HARNESS_TEST(a_lost_poll_hides_no_leaving_server),
+	    HARNESS_TEST(a_storm_of_configurations_prolongs_no_removal),
 	    HARNESS_TEST(reads_a_backlog_of_changes_at_once),
 	    HARNESS_TEST(a_late_report_brings_no_server_back),
 	    HARNESS_TEST(ignores_entries_of_other_writers),
