Give up a serving node that has accepted a query and falls silent

Cause: after the acceptance nothing told that the peer was silent: it reports at the soft deadline only if it has an answer to report.

Change: a serving node reports at the soft deadline even if it has nothing; a peer that has not reported halfway from there to the client's deadline is given up. Its shards fail, as it may have sent them as often as the route allows; the client hears in time to repeat the query.

A peer that falls silent after its first report is still waited for until the client's deadline.

--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -17,6 +17,8 @@
 /* Part of the time until the soft deadline that a response needs to come back,
  * in typical delays of a timer. */
 #define RETURN_TIME_MIN MS(1)
+/* Part of the time after the soft deadline within which a peer must report. */
+#define REPORT_TIME_RATIO 0.5
 #define STATUS_OK 200
 #define STATUS_SERVER_ERROR 500
 
@@ -126,7 +128,7 @@
 	if (group->attempt == NULL)
 		return;
 	engine->counters.groups_asked++;
-	group->accept_by = now + accept_time(exchange, now);
+	group->check_at = now + accept_time(exchange, now);
 	for (uint32_t i = group->group; i < exchange->task_count;
 	     i += exchange->group_count)
 		exchange->tasks[i].state = TASK_ASKED;
@@ -171,37 +173,72 @@
 	visit_asked_tasks(group, fail_asked_task, cause);
 }
 
+/* Gives up a peer that may have sent all shards of the group. */
+static void
+give_up_peer(group_attempt_t *group, const char *cause)
+{
+	exchange_t *exchange = group->exchange;
+	pool_t *pool = serving_peers_pool(exchange->engine->peers);
+	attempt_t *attempt = group->attempt;
+
+	group->attempt = NULL;
+	exchange->peer_failed = true;
+	fail_group(group, cause);
+	pool_attempt_cancel(pool, attempt);
+}
+
+/*
+ * A peer that works on the request reports from the soft deadline on. Half of
+ * the time after that is left to the client for another try.
+ */
+static usec_t
+report_due(const exchange_t *exchange)
+{
+	double rest = (double)(exchange->deadline - exchange->soft_deadline);
+
+	return exchange->soft_deadline + (usec_t)(REPORT_TIME_RATIO * rest);
+}
+
 /*
  * The peer has not accepted the request in time. One whose VM has not even
  * received it will not. Any other may have just begun, and is given until the
  * soft deadline.
  */
 static void
-check_group(group_attempt_t *group, usec_t now)
+check_acceptance(group_attempt_t *group, usec_t now)
 {
 	exchange_t *exchange = group->exchange;
-	pool_t *pool = serving_peers_pool(exchange->engine->peers);
 	attempt_t *attempt = group->attempt;
 	upstream_server_t *peer = attempt->server;
 
-	group->accept_by = 0;
-	if (pool_attempt_accepted(attempt))
-		return;
 	if (!pool_attempt_arrived(attempt)) {
 		group->attempt = NULL;
 		resume_group(group, peer, PEER_NOT_ACCEPTED, "silent", now);
-		pool_attempt_withdraw(pool, attempt, now);
+		pool_attempt_withdraw(
+		    serving_peers_pool(exchange->engine->peers), attempt, now);
 		return;
 	}
 	server_health_failed(&peer->health, now);
-	if (now < exchange->soft_deadline) {
-		group->accept_by = exchange->soft_deadline;
+	if (now < exchange->soft_deadline)
+		group->check_at = exchange->soft_deadline;
+	else
+		give_up_peer(group, "not_accepted");
+}
+
+static void
+check_group(group_attempt_t *group, usec_t now)
+{
+	group->check_at = 0;
+	if (group->accepted) {
+		server_health_failed(&group->attempt->server->health, now);
+		give_up_peer(group, "silent");
 		return;
 	}
-	group->attempt = NULL;
-	exchange->peer_failed = true;
-	fail_group(group, "not_accepted");
-	pool_attempt_cancel(pool, attempt);
+	group->accepted = pool_attempt_accepted(group->attempt);
+	if (group->accepted)
+		group->check_at = report_due(group->exchange);
+	else
+		check_acceptance(group, now);
 }
 
 void
@@ -210,8 +247,8 @@
 	for (uint32_t i = 0; i < exchange->group_count; i++) {
 		group_attempt_t *group = &exchange->groups[i];
 
-		if (group->attempt != NULL && group->accept_by != 0 &&
-		    now >= group->accept_by)
+		if (group->attempt != NULL && group->check_at != 0 &&
+		    now >= group->check_at)
 			check_group(group, now);
 	}
 }
@@ -224,8 +261,8 @@
 	for (uint32_t i = 0; i < exchange->group_count; i++) {
 		const group_attempt_t *group = &exchange->groups[i];
 
-		if (group->attempt != NULL && group->accept_by != 0)
-			next = MIN(next, group->accept_by);
+		if (group->attempt != NULL && group->check_at != 0)
+			next = MIN(next, group->check_at);
 	}
 	return next;
 }
@@ -392,7 +429,8 @@
 	char bytes[MAX_INTERIM_RECORDS * GATHER_RECORD_BYTES] = {0};
 	slice_t text, records = {.data = bytes};
 
-	group->accept_by = 0;
+	/* One without records only says that the peer works on it. */
+	group->check_at = 0;
 	if (!http_message_find(response, RECORDS_HEADER, &text))
 		return;
 	records.size = read_hex(text, bytes, sizeof(bytes));
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -68,7 +68,9 @@
 	exchange_t *exchange;
 	uint32_t group;
 	attempt_t *attempt; /* NULL: it has ended, or none was made */
-	usec_t accept_by;   /* 0: the peer has accepted it */
+	usec_t check_at;    /* when the peer must have shown that it works on
+			     * it; 0: it has */
+	bool accepted;	    /* at the last check */
 } group_attempt_t;
 
 struct exchange {
@@ -178,7 +180,8 @@
  */
 void groups_ask(exchange_t *exchange, usec_t now);
 
-/** groups_check() - Resumes the groups whose peer has not accepted in time. */
+/** groups_check() - Resumes the groups whose peer has not accepted in time, and
+ * fails those whose peer has fallen silent after that. */
 void groups_check(exchange_t *exchange, usec_t now);
 
 /** groups_next_check() - When groups_check() is due; INT64_MAX: never. */
--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -86,25 +86,42 @@
 	}
 }
 
-/* Reports the shards that have answered so far. */
 static void
-send_interim(exchange_t *exchange)
+add_report(exchange_t *exchange, buffer_t *head)
 {
 	const gather_records_t *records = exchange->records;
+
+	reply_add_stamps(exchange, head);
+	group_response_add(exchange, head);
+	buffer_append_text(head, RECORDS_HEADER ": ");
+	add_hex(head, records->records[0],
+	    (size_t)records->count * GATHER_RECORD_BYTES);
+	buffer_append(head, "\r\n", 2);
+	mark_reported(exchange);
+}
+
+/*
+ * Reports the shards that have answered since the last report. The first one is
+ * sent even if there are none, to show that this node works on the query.
+ */
+static void
+send_interim(exchange_t *exchange)
+{
+	bool has_content = has_unreported(exchange) &&
+	    exchange->records->count <= MAX_INTERIM_RECORDS;
 	buffer_t head = {0};
 
 	if (exchange->interim_count == MAX_INTERIMS ||
-	    records->count > MAX_INTERIM_RECORDS || !has_unreported(exchange))
+	    (!has_content && exchange->interim_count > 0))
 		return;
 	exchange->interim_count++;
 	buffer_append_text(&head, "HTTP/1.1 103 Early Hints\r\n");
-	reply_add_stamps(exchange, &head);
-	group_response_add(exchange, &head);
-	buffer_append_text(&head, RECORDS_HEADER ": ");
-	add_hex(&head, records->records[0],
-	    (size_t)records->count * GATHER_RECORD_BYTES);
-	buffer_append(&head, "\r\n", 2);
-	mark_reported(exchange);
+	if (has_content)
+		add_report(exchange, &head);
+	else
+		head_add_field(&head,
+		    exchange->engine->settings.headers.request_id,
+		    exchange->request_id);
 	exchange->interim(exchange->client, &head);
 	buffer_free(&head);
 }
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -245,6 +245,8 @@
     "HTTP/1.1 503 Service Unavailable\r\nBulrushwell-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
 
+static const char accepted[] = "HTTP/1.1 102 Processing\r\n\r\n";
+
 static void
 send_stray(const plain_connection_t *connection, const char *text)
 {
@@ -411,6 +413,10 @@
 		send_response(
 		    connection, 200, "Content-Encoding: gzip\r\n", true, 0);
 		return true;
+	case PLAIN_ACCEPT:
+		send_text(connection, accepted, strlen(accepted));
+		wait_until_closed(connection);
+		return false;
 	case PLAIN_HANG:
 		wait_until_closed(connection);
 		return false;
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -33,6 +33,7 @@
 	PLAIN_UNSTAMPED, /* a success without a stamp */
 	PLAIN_INTERIM,	 /* a 103 response before the final one */
 	PLAIN_ENCODED,	 /* a Content-Encoding that was not accepted */
+	PLAIN_ACCEPT,	 /* a 102 response, and no other */
 	PLAIN_HANG,	 /* reads the request and never responds */
 	PLAIN_CRASH,	 /* closes and refuses connections for 700 ms */
 	/* Bytes without end, until the caller closes; see endless_texts. */
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -324,6 +324,37 @@
 	world_destroy(world);
 }
 
+/*
+ * A peer that has accepted a query and falls silent may have sent its shards as
+ * often as the route allows. Guards a client against waiting for it until its
+ * own deadline: it hears early enough to send the query again.
+ */
+static void
+a_peer_that_falls_silent_is_not_waited_for(void **state)
+{
+	gateway_world_t *world = create_world(*state);
+	plain_server_t *stubs[STUBS];
+	gateway_fleet_t fleet = {0};
+	gateway_world_t view;
+	http_reply_t result;
+
+	register_stubs(world, stubs);
+	fleet_prepare(&fleet, world, 1);
+	fleet_start_all(&fleet);
+	wait_for_groups(&fleet);
+	view = fleet_gateway_world(&fleet, 0);
+	for (int i = 0; i < STUBS; i++)
+		plain_server_set_fault(stubs[i], PLAIN_ACCEPT, 1000);
+	result = world_request(&view, "GET", "/all/x", DEADLINE_MS, NULL);
+	assert_int_equal(result.status, 502);
+	assert_true(result.elapsed < MS(DEADLINE_MS * 3 / 4));
+	http_reply_clear(&result);
+	fleet_destroy(&fleet);
+	for (int i = 0; i < STUBS; i++)
+		plain_server_destroy(stubs[i]);
+	world_destroy(world);
+}
+
 /* Sends a request to the peers' port of a gateway; the caller frees the
  * response. */
 static char *
@@ -406,6 +437,7 @@
 	    HARNESS_TEST(queries_are_divided_among_nodes),
 	    HARNESS_TEST(a_failing_serving_node_costs_no_answer),
 	    HARNESS_TEST(whatever_a_peer_answers_the_query_is_whole),
+	    HARNESS_TEST(a_peer_that_falls_silent_is_not_waited_for),
 	    HARNESS_TEST(group_requests_that_make_no_sense_are_refused),
 	    HARNESS_TEST(clients_can_not_ask_for_a_group),
 	};
