Return all records that a route wants

Cause: GATHER_MAX_RECORDS cut the list silently, to bound what is allocated for each query.

Evidence: test_gateway_decisions/no_wanted_record_is_left_out before: 1,024 instead of 3,000 records.

Change: the list grows with the records that arrive; its bound is the route's. The position of a record is found by bisection.

--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -94,7 +94,7 @@
 	reply_add_stamps(exchange, head);
 	group_response_add(exchange, head);
 	buffer_append_text(head, RECORDS_HEADER ": ");
-	add_hex(head, records->records[0],
+	add_hex(head, (const unsigned char *)records->records,
 	    (size_t)records->count * GATHER_RECORD_BYTES);
 	buffer_append(head, "\r\n", 2);
 	mark_reported(exchange);
--- a/source/gateway/gather.c
+++ b/source/gateway/gather.c
@@ -5,6 +5,7 @@
 
 /* Tolerance for shares such as 0.89, which are not exact in binary. */
 #define SHARE_EPSILON 1e-9
+#define FIRST_RECORDS 16u /* room that is allocated first */
 
 bool
 gather_has_min_share(const gather_state_t *state)
@@ -44,14 +45,11 @@
 }
 
 gather_records_t *
-gather_records_create(uint32_t capacity)
+gather_records_create(uint32_t wanted)
 {
-	gather_records_t *records;
+	gather_records_t *records = g_new0(gather_records_t, 1);
 
-	capacity = MIN(capacity, GATHER_MAX_RECORDS);
-	records = g_malloc0(
-	    sizeof(*records) + (size_t)capacity * GATHER_RECORD_BYTES);
-	records->capacity = capacity;
+	records->wanted = wanted;
 	return records;
 }
 
@@ -64,29 +62,55 @@
 void
 gather_records_destroy(gather_records_t *records)
 {
+	if (records == NULL)
+		return;
+	g_free(records->records);
 	g_free(records);
 }
 
+/* Memory follows what the shards send, not what the route would accept. */
+static void
+make_room(gather_records_t *records)
+{
+	if (records->count < records->allocated)
+		return;
+	records->allocated =
+	    MIN(MAX(2 * records->allocated, FIRST_RECORDS), records->wanted);
+	records->records = g_realloc(
+	    records->records, (size_t)records->allocated * GATHER_RECORD_BYTES);
+}
+
+/* Return: the position behind all records that are not less. */
+static uint32_t
+find_position(const gather_records_t *records, const char *record)
+{
+	uint32_t low = 0, high = records->count;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (memcmp(records->records[middle], record,
+			GATHER_RECORD_BYTES) < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return low;
+}
+
 static void
 add_record(gather_records_t *records, const char *record)
 {
-	uint32_t at = records->count;
-
-	if (at == records->capacity) {
-		if (at == 0 ||
-		    memcmp(records->records[at - 1], record,
-			GATHER_RECORD_BYTES) >= 0)
-			return;
-		at--;
-	} else {
+	uint32_t at = find_position(records, record);
+
+	if (at == records->wanted)
+		return;
+	if (records->count < records->wanted) {
+		make_room(records);
 		records->count++;
 	}
-	while (at > 0 &&
-	    memcmp(records->records[at - 1], record, GATHER_RECORD_BYTES) < 0) {
-		memcpy(records->records[at], records->records[at - 1],
-		    GATHER_RECORD_BYTES);
-		at--;
-	}
+	memmove(records->records[at + 1], records->records[at],
+	    (size_t)(records->count - 1 - at) * GATHER_RECORD_BYTES);
 	memcpy(records->records[at], record, GATHER_RECORD_BYTES);
 }
 
--- a/source/gateway/gather.h
+++ b/source/gateway/gather.h
@@ -19,7 +19,6 @@
  */
 
 #define GATHER_RECORD_BYTES 16 /* shard responses are lists of such records */
-#define GATHER_MAX_RECORDS 1024
 
 /** typedef gather_decision_t - What a fan-out does now. */
 typedef enum { GATHER_WAIT, GATHER_ANSWER, GATHER_FAIL } gather_decision_t;
@@ -48,16 +47,17 @@
 
 /** typedef gather_records_t - The greatest records, in descending order. */
 typedef struct {
-	uint32_t capacity; /* maximum of @count */
+	uint32_t wanted; /* maximum of @count */
 	uint32_t count;
-	unsigned char records[][GATHER_RECORD_BYTES];
+	uint32_t allocated; /* of @records */
+	unsigned char (*records)[GATHER_RECORD_BYTES];
 } gather_records_t;
 
 /**
  * gather_records_create() - Creates an empty list; never NULL.
- * @capacity: records to keep, at most GATHER_MAX_RECORDS
+ * @wanted: records to keep
  */
-gather_records_t *gather_records_create(uint32_t capacity);
+gather_records_t *gather_records_create(uint32_t wanted);
 
 /** gather_records_clear() - Removes all records. */
 void gather_records_clear(gather_records_t *records);
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -168,6 +168,27 @@
 	g_rand_free(random);
 }
 
+/* A route may want more records than fit into any fixed list. */
+static void
+no_wanted_record_is_left_out(void **state)
+{
+	enum { WANTED = 3000, SENT = 4000 };
+	gather_records_t *records = gather_records_create(WANTED);
+	GRand *random = g_rand_new_with_seed(6);
+	char *all = g_malloc(SENT * GATHER_RECORD_BYTES);
+
+	for (size_t i = 0; i < SENT * GATHER_RECORD_BYTES; i++)
+		all[i] = (char)g_rand_int_range(random, 0, 256);
+	gather_records_add(records, (slice_t){all, SENT * GATHER_RECORD_BYTES});
+	qsort(all, SENT, GATHER_RECORD_BYTES, compare_descending);
+	assert_int_equal(records->count, WANTED);
+	assert_memory_equal(
+	    records->records, all, WANTED * GATHER_RECORD_BYTES);
+	gather_records_destroy(records);
+	g_rand_free(random);
+	g_free(all);
+}
+
 #define SERVERS 3
 
 typedef struct {
@@ -574,6 +595,7 @@
 	    cmocka_unit_test(a_fanout_answers_when_it_should),
 	    cmocka_unit_test(too_many_missing_shards_fail_a_fanout),
 	    cmocka_unit_test(records_are_the_greatest_in_falling_order),
+	    cmocka_unit_test(no_wanted_record_is_left_out),
 	    cmocka_unit_test(the_best_server_is_chosen),
 	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
 	    cmocka_unit_test(nodes_are_spread_over_the_servers),
