Look at no more of a path than the longest prefix

Fault: a path of slashes cost a lookup and a hash of the rest for each, so the work grew with the square of its length (read by the review).

Change: the path is cut to the length of the longest prefix first.

--- a/source/gateway/route_table.c
+++ b/source/gateway/route_table.c
@@ -18,6 +18,7 @@
 	GPtrArray *routes;	    /* route_t */
 	GArray *services;	    /* service_spec_t */
 	GHashTable *by_host_prefix; /* "host prefix" to route_t */
+	size_t longest_prefix;	    /* in bytes */
 };
 
 static void
@@ -99,6 +100,8 @@
 	*copy = *route;
 	copy->targets_hash = hash_targets(route);
 	g_free(host);
+	table->longest_prefix =
+	    MAX(table->longest_prefix, strlen(route->prefix));
 	g_ptr_array_add(table->routes, copy);
 	if (g_hash_table_contains(table->by_host_prefix, key))
 		g_free(key);
@@ -177,7 +180,8 @@
 	return target;
 }
 
-/* Prefixes end with a slash, so the path is cut after each slash in turn. */
+/* Prefixes end with a slash, so the path is cut after each slash in turn. What
+ * is longer than any prefix is not looked at. */
 const route_t *
 route_table_match(const route_table_t *table, slice_t host, slice_t target)
 {
@@ -189,6 +193,7 @@
 		return NULL;
 	host = without_port(host);
 	target = without_query(target);
+	target.size = MIN(target.size, table->longest_prefix);
 	key = g_string_new_len(host.data, (gssize)host.size);
 	g_string_ascii_down(key);
 	g_string_append_c(key, ' ');
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../platform/decode_config.h"
 #include "../platform/decode_server.h"
@@ -272,6 +273,28 @@
 	}
 }
 
+/* The work for a path must not grow with the square of its slashes. Before
+ * this guard each match of such a path took seconds. */
+static void
+long_paths_are_matched_at_once(void **state)
+{
+	enum { SLASHES = 1000000, MATCHES = 100, LIMIT_S = 60 };
+	json_t *spec = json_loads(CONFIG(ROUTE(",\"service\":\"s\"")), 0, NULL);
+	char message[128] = "", *path = g_malloc(SLASHES);
+	route_table_t *table = decode_config(spec, message, sizeof(message));
+
+	assert_non_null(table);
+	memset(path, '/', SLASHES);
+	alarm(LIMIT_S);
+	for (int i = 0; i < MATCHES; i++)
+		assert_non_null(route_table_match(
+		    table, slice_from("h"), (slice_t){path, SLASHES}));
+	alarm(0);
+	route_table_unref(table);
+	json_decref(spec);
+	g_free(path);
+}
+
 typedef struct {
 	const char *name;
 	enum http_parser_type type;
@@ -373,6 +396,7 @@
 	    cmocka_unit_test(a_flag_overrides_its_environment_variable),
 	    cmocka_unit_test(server_entries_are_checked),
 	    cmocka_unit_test(configurations_are_adopted_whole_or_not),
+	    cmocka_unit_test(long_paths_are_matched_at_once),
 	    cmocka_unit_test(messages_are_read_in_any_pieces),
 	};
 
