Let silent connections not block the health address

Fault: connections to the health and metrics addresses were never closed, and with 64 of them open no other was accepted, so the load balancer got no answer (read by the review).

Evidence: test_process_gateway/silent_health_connections_block_nothing before: no answer with 200 silent connections.

Change: a new connection beyond the limit replaces the one that has been silent for longest.

Result: the test passes.

--- a/source/gateway/admin.c
+++ b/source/gateway/admin.c
@@ -11,6 +11,7 @@
 #define RECEIVE_BYTES 4096
 #define MAX_HEADER_BYTES 8192
 #define MAX_BODY_BYTES 4096
+/* Beyond it the connection that has been silent for longest is closed. */
 #define MAX_CONNECTIONS 64
 
 struct admin {
@@ -20,6 +21,7 @@
 	admin_handler_t handler;
 	void *context;
 	GHashTable *connections; /* set of admin_connection_t */
+	uint64_t uses;		 /* counts what connections do, in order */
 };
 
 typedef struct {
@@ -30,6 +32,7 @@
 	http_message_t request;
 	buffer_t out;
 	bool close_after;
+	uint64_t last_used; /* see admin_t.uses */
 } admin_connection_t;
 
 static void
@@ -115,6 +118,7 @@
 
 	if (n < 0 && errno == EAGAIN)
 		return;
+	connection->last_used = ++connection->admin->uses;
 	if (n <= 0) {
 		close_connection(connection);
 		return;
@@ -136,6 +140,23 @@
 	flush(connection);
 }
 
+static void
+close_longest_silent(admin_t *admin)
+{
+	admin_connection_t *oldest = NULL;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, admin->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		admin_connection_t *connection = key;
+
+		if (oldest == NULL || connection->last_used < oldest->last_used)
+			oldest = connection;
+	}
+	close_connection(oldest);
+}
+
 static void
 on_accept(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -145,13 +166,12 @@
 
 	if (fd < 0)
 		return;
-	if (g_hash_table_size(admin->connections) >= MAX_CONNECTIONS) {
-		close(fd);
-		return;
-	}
+	if (g_hash_table_size(admin->connections) >= MAX_CONNECTIONS)
+		close_longest_silent(admin);
 	connection = g_new0(admin_connection_t, 1);
 	connection->admin = admin;
 	connection->fd = fd;
+	connection->last_used = ++admin->uses;
 	http_message_init(&connection->request, HTTP_REQUEST, MAX_HEADER_BYTES,
 	    MAX_BODY_BYTES);
 	ev_io_init(&connection->readable, on_readable, fd, EV_READ);
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -441,6 +441,27 @@
 	world_destroy(world);
 }
 
+/* Silent connections to the health address must not keep the load balancer's
+ * question from being answered. */
+static void
+silent_health_connections_block_nothing(void **state)
+{
+	enum { CONNECTIONS = 200 };
+	gateway_world_t *world = world_create(*state);
+	gateway_world_t view = *world;
+	int fds[CONNECTIONS];
+
+	memcpy(view.clients, world->health, sizeof(view.clients));
+	for (int i = 0; i < CONNECTIONS; i++)
+		fds[i] = world_connect(&view);
+	for (int i = 0; i < 3; i++)
+		harness_wait_status(
+		    world->health, "/ready", 200, STATUS_TIMEOUT_MS);
+	for (int i = 0; i < CONNECTIONS; i++)
+		close(fds[i]);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -460,6 +481,7 @@
 	    HARNESS_TEST(splits_by_weight),
 	    HARNESS_TEST(refuses_at_once_without_servers),
 	    HARNESS_TEST(sends_nothing_when_too_few_shards_have_servers),
+	    HARNESS_TEST(silent_health_connections_block_nothing),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
