--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -47,6 +47,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
 	pool->removed_servers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	pool->closing_servers = g_ptr_array_new();
 	pool_sweep_start(pool);
 	return pool;
 }
@@ -57,6 +58,12 @@
 	GHashTableIter iter;
 	void *value;
 
+	while (pool->closing_servers->len > 0) {
+		upstream_server_t *server = pool->closing_servers->pdata[0];
+
+		/* The last one frees the server. */
+		pool_connection_drop(server->connections->pdata[0]);
+	}
 	g_hash_table_iter_init(&iter, pool->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		upstream_server_t *server = value;
@@ -76,6 +83,7 @@
 	destroy_all_servers(pool);
 	g_hash_table_destroy(pool->servers);
 	g_hash_table_destroy(pool->removed_servers);
+	g_ptr_array_free(pool->closing_servers, TRUE);
 	g_hash_table_destroy(pool->upstreams);
 	g_free(pool);
 }
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -44,10 +44,12 @@
 {
 	upstream_server_t *server = connection->server;
 
+	pool_t *pool = connection->pool;
+
 	g_ptr_array_remove_fast(server->connections, connection);
 	http_connection_destroy(connection->http);
 	g_free(connection);
-	pool_server_release(server);
+	pool_server_release(pool, server);
 }
 
 void
@@ -553,6 +555,22 @@
 	open_spare(pool, server, now);
 }
 
+/* Return: whether a connection was closed; its server may be freed then. */
+static bool
+sweep_closing_server(pool_t *pool, usec_t now)
+{
+	for (guint i = 0; i < pool->closing_servers->len; i++) {
+		const upstream_server_t *server =
+		    pool->closing_servers->pdata[i];
+
+		for (guint j = 0; j < server->connections->len; j++)
+			if (!sweep_connection(
+				server->connections->pdata[j], now))
+				return true;
+	}
+	return false;
+}
+
 static void
 on_sweep(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -569,6 +587,8 @@
 	}
 	pool->spare_opened = 0;
 	pool_remove_drained(pool, now);
+	while (sweep_closing_server(pool, now))
+		;
 	servers = g_hash_table_get_values(pool->servers);
 	for (GList *at = servers; at != NULL; at = at->next)
 		sweep_server(pool, at->data, now);
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -37,6 +37,7 @@
 	GHashTable *upstreams; /* by name */
 	GHashTable *servers;   /* by server id */
 	GHashTable *removed_servers; /* removed_server_t by server id */
+	GPtrArray *closing_servers;  /* removed ones with connections */
 	ev_timer sweep;
 	uint32_t answered[2]; /* this interval and the last one */
 	uint32_t connection_failures[2];
@@ -89,7 +90,7 @@
     const pool_t *pool, const upstream_server_t *server, usec_t now);
 
 /** pool_server_release() - Frees a removed server that has no connections. */
-void pool_server_release(upstream_server_t *server);
+void pool_server_release(pool_t *pool, upstream_server_t *server);
 
 /** pool_server_said_leaving() - The server, or a node that was told by it, says
  * that it leaves. Returns whether this node did not know. */
--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -58,13 +58,17 @@
 	pool_close_idle(server);
 	if (server->connections->len == 0)
 		pool_server_destroy(server);
+	else
+		g_ptr_array_add(pool->closing_servers, server);
 }
 
 void
-pool_server_release(upstream_server_t *server)
+pool_server_release(pool_t *pool, upstream_server_t *server)
 {
-	if (server->removed && server->connections->len == 0)
-		pool_server_destroy(server);
+	if (!server->removed || server->connections->len > 0)
+		return;
+	g_ptr_array_remove_fast(pool->closing_servers, server);
+	pool_server_destroy(server);
 }
 
 static void
--- a/tests/test_process_gateway.c
+++ b/tests/test_process_gateway.c
@@ -462,6 +462,43 @@
 	world_destroy(world);
 }
 
+static bool
+has_new_config(gateway_world_t *world)
+{
+	return world_metric(world, "config_version") == world->version;
+}
+
+static bool
+a_server_of_one_saw_disconnect(gateway_world_t *world)
+{
+	return world_disconnect_count(world, WORLD_ONE) > 0;
+}
+
+/* The connection of a request whose server has left the registry ends with the
+ * request's deadline, like any other. */
+static void
+connections_of_removed_servers_end(void **state)
+{
+	enum { LONG_DEADLINE_MS = 3500, SLACK_MS = 1500 };
+	gateway_world_t *world = world_create(*state);
+	http_reply_t result;
+
+	world->timeout_ms = 2 * LONG_DEADLINE_MS;
+	world_configure(world);
+	assert_true(world_wait(has_new_config, world, STATUS_TIMEOUT_MS));
+	world_fault_service(world, WORLD_ONE, PLAIN_HANG, 100);
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		object_store_remove(world->store, "servers",
+		    plain_server_id(world_replica(world, WORLD_ONE, i)));
+	result =
+	    world_request(world, "POST", "/once/x", LONG_DEADLINE_MS, "reel");
+	assert_int_equal(result.status, 504);
+	http_reply_clear(&result);
+	assert_true(
+	    world_wait(a_server_of_one_saw_disconnect, world, SLACK_MS));
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -482,6 +519,7 @@
 	    HARNESS_TEST(refuses_at_once_without_servers),
 	    HARNESS_TEST(sends_nothing_when_too_few_shards_have_servers),
 	    HARNESS_TEST(silent_health_connections_block_nothing),
+	    HARNESS_TEST(connections_of_removed_servers_end),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
