--- a/tests/test_process_soak.c
+++ b/tests/test_process_soak.c
@@ -18,6 +18,9 @@
 #define DEFAULT_SECONDS 6
 #define STEP_MS 120
 #define SETTLE_MS 9000
+#define CRASH_TIMEOUT_MS 1000
+#define SILENCE_MIN_MS 200
+#define SILENCE_MAX_MS 1400
 #define MIN_RESPONSES 50 /* with fewer the test is not significant */
 
 /* Seeds that CI runs. A seed that failed is added together with its cause. */
@@ -107,7 +110,8 @@
 	static const plain_fault_t faults[] = {PLAIN_ANSWER, PLAIN_NOT_RUN,
 	    PLAIN_FAIL, PLAIN_OVERLOADED, PLAIN_MISDIRECTED, PLAIN_RESET,
 	    PLAIN_TRUNCATE, PLAIN_UNFRAMED, PLAIN_UNFRAMED_RESET, PLAIN_GARBAGE,
-	    PLAIN_EXTRA, PLAIN_INTERIM, PLAIN_ENCODED, PLAIN_HANG};
+	    PLAIN_EXTRA, PLAIN_STRAY_ANSWER, PLAIN_STRAY_REFUSAL,
+	    PLAIN_UNSTAMPED, PLAIN_INTERIM, PLAIN_ENCODED, PLAIN_HANG};
 	int server = g_rand_int_range(soak->random, 0, WORLD_SERVERS);
 	plain_fault_t fault =
 	    faults[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(faults))];
@@ -118,6 +122,66 @@
 	    g_rand_int_range(soak->random, 0, 4) == 0 ? 60 : 0);
 }
 
+/* Servers say that they leave, or that they want no requests for a time. */
+static void
+inject_notice(soak_t *soak)
+{
+	static const char *const headers[] = {"", "", "Server-Leaving: 1\r\n",
+	    "Server-Leaving: no\r\n", "Retry-After: 0.3\r\n",
+	    "Retry-After: 1.5\r\n", "Retry-After: -1\r\n",
+	    "Retry-After: soon\r\n"};
+	int server = g_rand_int_range(soak->random, 0, WORLD_SERVERS);
+
+	plain_server_set_headers(soak->world->servers[server],
+	    headers[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(headers))]);
+	plain_server_set_fault(soak->world->servers[server], PLAIN_NOT_RUN,
+	    (uint32_t)g_rand_int_range(soak->random, 0, 3));
+}
+
+/* A server crashes while requests with one content run on it. */
+static void
+crash_server(soak_t *soak)
+{
+	int server = g_rand_int_range(soak->random, 0, WORLD_SERVERS);
+	http_reply_t result = harness_http("GET",
+	    plain_server_address(soak->world->servers[server]), "/crash", NULL,
+	    NULL, CRASH_TIMEOUT_MS);
+
+	http_reply_clear(&result);
+}
+
+/* Another writer stores what JSON does not allow. */
+static void
+write_odd_entry(soak_t *soak)
+{
+	static const char *const kinds[] = {
+	    "servers", "servers", "nodes", "config"};
+	static const char *const texts[] = {"{\"service\":\"\\udcff\"}",
+	    "{\"slots\":1e999}", "{\"a\\u0000\":1}", "[[[[[-]]]]]", "null"};
+	char name[32];
+
+	snprintf(name, sizeof(name), "i-0 odd&%d",
+	    g_rand_int_range(soak->random, 0, 5));
+	object_store_put_text(soak->world->store,
+	    kinds[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(kinds))], name,
+	    texts[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(texts))]);
+}
+
+/* The store is silent for a moment, or loses the polls that come meanwhile. */
+static void
+silence_store_briefly(soak_t *soak)
+{
+	static const store_fault_t faults[] = {
+	    STORE_SILENT, STORE_LOSING_POLLS};
+
+	object_store_set_fault(soak->world->store,
+	    faults[g_rand_int_range(soak->random, 0, G_N_ELEMENTS(faults))]);
+	g_usleep((gulong)g_rand_int_range(
+		     soak->random, SILENCE_MIN_MS, SILENCE_MAX_MS) *
+	    1000);
+	object_store_set_fault(soak->world->store, STORE_SERVING);
+}
+
 static void
 inject_store_fault(soak_t *soak)
 {
@@ -127,7 +191,7 @@
 	    PROXY_HOLD_ANSWERS, PROXY_HOLD_REQUESTS, PROXY_HOLD, PROXY_DROP};
 	int gateway = g_rand_int_range(soak->random, 0, FLEET_GATEWAYS);
 
-	switch (g_rand_int_range(soak->random, 0, 3)) {
+	switch (g_rand_int_range(soak->random, 0, 5)) {
 	case 0:
 		object_store_set_fault(soak->world->store,
 		    faults[g_rand_int_range(
@@ -141,6 +205,12 @@
 	case 2:
 		object_store_compact(soak->world->store);
 		break;
+	case 3:
+		write_odd_entry(soak);
+		break;
+	case 4:
+		silence_store_briefly(soak);
+		break;
 	}
 }
 
@@ -161,7 +231,7 @@
 static void
 inject_random_fault(soak_t *soak)
 {
-	switch (g_rand_int_range(soak->random, 0, 6)) {
+	switch (g_rand_int_range(soak->random, 0, 8)) {
 	case 0:
 		inject_gateway_fault(
 		    soak, g_rand_int_range(soak->random, 0, FLEET_GATEWAYS));
@@ -179,6 +249,12 @@
 	case 5:
 		world_configure(soak->world);
 		break;
+	case 6:
+		inject_notice(soak);
+		break;
+	case 7:
+		crash_server(soak);
+		break;
 	}
 }
 
@@ -190,7 +266,10 @@
 		plain_server_set_fault(
 		    soak->world->servers[i], PLAIN_ANSWER, 0);
 		plain_server_set_delay(soak->world->servers[i], 0);
+		plain_server_set_headers(soak->world->servers[i], "");
 	}
+	/* A server that has said that it leaves does not come back. */
+	soak->world->start_time++;
 	for (int i = 0; i < FLEET_GATEWAYS; i++) {
 		proxy_set_mode(soak->fleet.gateways[i].store_proxy, PROXY_PASS);
 		resume_if_paused(soak, i);
