Call what servers ask for with Retry-After a backoff

Reading of the diff: "rest" was a word of our own for what the field calls backoff; the event, the state page and the tests follow. apply_notice() for heed_notice().

--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -78,7 +78,7 @@
 	X(STORE_LISTED, 1022, INFO, "all objects of a kind were read")         \
 	X(STORE_BODY_BAD, 1023, WARN,                                          \
 	    "a part of the store's data is unreadable")                        \
-	X(SERVER_RESTS, 1024, INFO,                                            \
+	X(SERVER_BACKOFF, 1024, INFO,                                          \
 	    "a server wants no requests from this node for a time")            \
 	X(REQUEST_ANSWERED, 1100, INFO, "a request was answered")              \
 	X(REQUEST_FAILED, 1101, WARN, "a request was refused or failed")       \
--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -194,9 +194,11 @@
 static usec_t
 report_due(const exchange_t *exchange)
 {
-	double rest = (double)(exchange->deadline - exchange->soft_deadline);
+	double time_left =
+	    (double)(exchange->deadline - exchange->soft_deadline);
 
-	return exchange->soft_deadline + (usec_t)(REPORT_TIME_RATIO * rest);
+	return exchange->soft_deadline +
+	    (usec_t)(REPORT_TIME_RATIO * time_left);
 }
 
 /*
--- a/source/gateway/exchange_reply.c
+++ b/source/gateway/exchange_reply.c
@@ -100,7 +100,7 @@
 
 /* How long until a server of a task that found none wants requests again. */
 static usec_t
-rest_left(const exchange_t *exchange, usec_t now)
+backoff_left(const exchange_t *exchange, usec_t now)
 {
 	usec_t longest = 0;
 
@@ -112,7 +112,7 @@
 			exchange->engine->pool, upstream, now))
 			continue;
 		longest = MAX(longest,
-		    pool_rest_left(exchange->engine->pool, upstream, now));
+		    pool_backoff_left(exchange->engine->pool, upstream, now));
 	}
 	return longest;
 }
@@ -132,7 +132,7 @@
 		wait =
 		    retry_schedule_next(&exchange->route_state->retry_schedule,
 			slot_interval(exchange), max_wait, now);
-		wait = MAX(wait, rest_left(exchange, now));
+		wait = MAX(wait, backoff_left(exchange, now));
 	}
 	return (double)wait / USEC_PER_SEC;
 }
--- a/source/gateway/gateway_state.c
+++ b/source/gateway/gateway_state.c
@@ -23,7 +23,7 @@
 		return "gone";
 	if (server->leaving_since != 0)
 		return "leaving";
-	return now < server->rests_until ? "resting" : "ready";
+	return now < server->backoff_until ? "backoff" : "ready";
 }
 
 static void
--- a/source/gateway/pool.c
+++ b/source/gateway/pool.c
@@ -375,12 +375,12 @@
 		? server->rank
 		: 0,
 	};
-	if (pool_is_drained(pool, server, now) || now < server->rests_until)
+	if (pool_is_drained(pool, server, now) || now < server->backoff_until)
 		candidate->excluded = true;
 	describe_connections(pool, server, candidate);
 }
 
-/* Whether it may get attempts, but for a rest. */
+/* Whether it may get attempts, unless it asked for a backoff. */
 static bool
 is_in_use(const pool_t *pool, const upstream_server_t *server, usec_t now)
 {
@@ -395,20 +395,21 @@
 	for (guint i = 0; i < upstream->servers->len; i++) {
 		const upstream_server_t *server = upstream->servers->pdata[i];
 
-		if (is_in_use(pool, server, now) && now >= server->rests_until)
+		if (is_in_use(pool, server, now) &&
+		    now >= server->backoff_until)
 			return true;
 	}
 	return false;
 }
 
 usec_t
-pool_rest_left(const pool_t *pool, const upstream_t *upstream, usec_t now)
+pool_backoff_left(const pool_t *pool, const upstream_t *upstream, usec_t now)
 {
 	usec_t shortest = 0;
 
 	for (guint i = 0; i < upstream->servers->len; i++) {
 		const upstream_server_t *server = upstream->servers->pdata[i];
-		usec_t left = server->rests_until - now;
+		usec_t left = server->backoff_until - now;
 
 		if (left <= 0 || !is_in_use(pool, server, now))
 			continue;
--- a/source/gateway/pool.h
+++ b/source/gateway/pool.h
@@ -169,10 +169,10 @@
     usec_t now, bool *busy);
 
 /**
- * pool_rest_left() - How long until a server of an upstream that has none to
- * use wants requests again; 0: none of them rests.
+ * pool_backoff_left() - How long until a server of an upstream that has none to
+ * use wants requests again; 0: none of them has asked for a backoff.
  */
-usec_t pool_rest_left(
+usec_t pool_backoff_left(
     const pool_t *pool, const upstream_t *upstream, usec_t now);
 
 /** pool_has_usable_server() - Whether the upstream has a usable server, even if
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -268,7 +268,7 @@
 
 /* What the server says of itself in a response to this node's request. */
 static void
-heed_notice(pool_t *pool, upstream_server_t *server,
+apply_notice(pool_t *pool, upstream_server_t *server,
     const http_message_t *response, usec_t now)
 {
 	server_notice_t notice = {0};
@@ -277,8 +277,8 @@
 		return;
 	notice = server_notice_read(response, pool->settings.headers.leaving);
 
-	if (notice.rest_for > 0)
-		pool_server_rests(server, notice.rest_for, now);
+	if (notice.backoff > 0)
+		pool_server_back_off(server, notice.backoff, now);
 	if (notice.leaving && pool_server_said_leaving(pool, server, now) &&
 	    pool->handlers.server_leaving != NULL)
 		pool->handlers.server_leaving(pool->handlers.context, server);
@@ -317,7 +317,7 @@
 	}
 	not_run = is_not_run(pool, response);
 	record_response(connection, response, not_run, pool_now(pool));
-	heed_notice(pool, connection->server, response, pool_now(pool));
+	apply_notice(pool, connection->server, response, pool_now(pool));
 	read_idle_limit(connection, response);
 	if (http_message_status(response) == 421)
 		record_misdirected(connection);
--- a/source/gateway/pool_private.h
+++ b/source/gateway/pool_private.h
@@ -97,9 +97,10 @@
 bool pool_server_said_leaving(
     const pool_t *pool, upstream_server_t *server, usec_t now);
 
-/** pool_server_rests() - The server wants no requests from this node for a
+/** pool_server_back_off() - The server wants no requests from this node for a
  * time. */
-void pool_server_rests(upstream_server_t *server, usec_t rest_for, usec_t now);
+void pool_server_back_off(
+    upstream_server_t *server, usec_t backoff, usec_t now);
 
 /** pool_remove_drained() - Removes deregistered servers past the drain limit,
  * and expired records of removed servers. */
--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -177,14 +177,14 @@
 }
 
 void
-pool_server_rests(upstream_server_t *server, usec_t rest_for, usec_t now)
+pool_server_back_off(upstream_server_t *server, usec_t backoff, usec_t now)
 {
-	if (now + rest_for <= server->rests_until)
+	if (now + backoff <= server->backoff_until)
 		return;
-	server->rests_until = now + rest_for;
-	event_log_sampled(EVENT_SERVER_RESTS, "server=%s upstream=%s ms=%lld",
+	server->backoff_until = now + backoff;
+	event_log_sampled(EVENT_SERVER_BACKOFF, "server=%s upstream=%s ms=%lld",
 	    server->entry.id, server->upstream->name,
-	    (long long)(rest_for / USEC_PER_MS));
+	    (long long)(backoff / USEC_PER_MS));
 }
 
 void
--- a/source/gateway/server_notice.c
+++ b/source/gateway/server_notice.c
@@ -35,8 +35,8 @@
 	if (!is_decimal(text))
 		return 0;
 	seconds = g_ascii_strtod(text, NULL);
-	if (seconds >= (double)SERVER_REST_MAX / USEC_PER_SEC)
-		return SERVER_REST_MAX;
+	if (seconds >= (double)SERVER_BACKOFF_MAX / USEC_PER_SEC)
+		return SERVER_BACKOFF_MAX;
 	return (usec_t)(seconds * USEC_PER_SEC);
 }
 
@@ -53,8 +53,8 @@
 		if (http_header_is(name, leaving_header))
 			notice.leaving |= slice_is(value, "1");
 		if (refused && http_header_is(name, "Retry-After"))
-			notice.rest_for =
-			    MAX(notice.rest_for, parse_seconds(value));
+			notice.backoff =
+			    MAX(notice.backoff, parse_seconds(value));
 	}
 	return notice;
 }
--- a/source/gateway/server_notice.h
+++ b/source/gateway/server_notice.h
@@ -15,13 +15,13 @@
 
 /** typedef server_notice_t - What one response says. */
 typedef struct {
-	bool leaving;	 /* the server has begun to leave */
-	usec_t rest_for; /* it wants no requests for this long; 0: it has not
-			  * said so */
+	bool leaving;	/* the server has begun to leave */
+	usec_t backoff; /* it wants no requests for this long; 0: it has not
+			 * said so */
 } server_notice_t;
 
-/** SERVER_REST_MAX - Longest rest that is believed; more makes no sense. */
-#define SERVER_REST_MAX SECONDS(24 * 3600)
+/** SERVER_BACKOFF_MAX - The longest that is believed; more makes no sense. */
+#define SERVER_BACKOFF_MAX SECONDS(24 * 3600)
 
 /**
  * server_notice_read() - Reads a response.
--- a/source/gateway/upstream.h
+++ b/source/gateway/upstream.h
@@ -55,7 +55,7 @@
 	 */
 	usec_t leaving_since;
 	usec_t leaving_learned_at;
-	usec_t rests_until; /* it wants no requests from this node before */
+	usec_t backoff_until; /* it wants no requests from this node before */
 	bool said_leaving; /* in a response; holds whatever the registry says */
 	bool registered;   /* the registry has an entry for it */
 	uint32_t consecutive_failures;
--- a/tests/test_process_gateway_notices.c
+++ b/tests/test_process_gateway_notices.c
@@ -207,11 +207,11 @@
 	const char *headers;
 	plain_fault_t fault; /* of the response that has the headers */
 	bool all;	     /* servers of the service say it */
-	int rest_ms;	     /* 0: they stay in use */
+	int backoff_ms;	     /* 0: they stay in use */
 	int status;	     /* of requests meanwhile */
-} rest_case_t;
+} backoff_case_t;
 
-static const rest_case_t rest_cases[] = {
+static const backoff_case_t backoff_cases[] = {
     {"a refusal", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
 	false, 2000, 200},
     {"a fraction of a second", "/one/x", WORLD_ONE, "Retry-After: 1.4\r\n",
@@ -232,12 +232,12 @@
 	false, 0, 200},
 };
 
-/* Sends requests over the rest, by two clients at once. */
+/* Sends requests for almost as long as the server wants none. */
 static uint32_t
-count_arrivals_in_rest(gateway_world_t *world, const rest_case_t *row)
+count_arrivals_in_backoff(gateway_world_t *world, const backoff_case_t *row)
 {
 	int first = row->service * WORLD_REPLICAS;
-	gint64 end = g_get_monotonic_time() + (row->rest_ms - 400) * 1000;
+	gint64 end = g_get_monotonic_time() + (row->backoff_ms - 400) * 1000;
 	uint32_t arrivals = 0;
 
 	while (g_get_monotonic_time() < end) {
@@ -251,7 +251,7 @@
 }
 
 static void
-play_rest(harness_t *harness, const rest_case_t *row)
+play_backoff(harness_t *harness, const backoff_case_t *row)
 {
 	gateway_world_t *world = world_create(harness);
 	int first = row->service * WORLD_REPLICAS;
@@ -264,29 +264,30 @@
 		reach_server(world, server, row->path);
 		plain_server_set_headers(server, "");
 	}
-	if (row->rest_ms > 0) {
-		uint32_t arrivals = count_arrivals_in_rest(world, row);
+	if (row->backoff_ms > 0) {
+		uint32_t arrivals = count_arrivals_in_backoff(world, row);
 
 		if (arrivals > 0)
 			fail_msg(
 			    "%s: %u requests reached it", row->name, arrivals);
 		g_usleep(500 * 1000);
 	}
-	assert_int_equal(world_count_servers(world, "resting"), 0);
+	assert_int_equal(world_count_servers(world, "backoff"), 0);
 	assert_int_equal(request_status(world, row->path), 200);
 	world_destroy(world);
 }
 
 static void
-a_server_that_rests_gets_nothing(void **state)
+a_server_that_asks_for_backoff_gets_nothing(void **state)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(rest_cases); i++) {
-		print_message("  %s\n", rest_cases[i].name);
-		play_rest(*state, &rest_cases[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(backoff_cases); i++) {
+		print_message("  %s\n", backoff_cases[i].name);
+		play_backoff(*state, &backoff_cases[i]);
 	}
 }
 
-/* A caller whose only servers rest is told at once when to come back. */
+/* A caller whose servers all want no requests is told at once when to come
+ * back. */
 static void
 callers_are_told_when_servers_want_requests(void **state)
 {
@@ -304,7 +305,7 @@
 	}
 	for (int i = 0; i < 10; i++)
 		request_status(world, "/one/x");
-	assert_int_equal(world_count_servers(world, "resting"), WORLD_REPLICAS);
+	assert_int_equal(world_count_servers(world, "backoff"), WORLD_REPLICAS);
 	result = world_request(world, "GET", "/one/x", DEADLINE_MS, NULL);
 	assert_int_equal(result.status, 503);
 	assert_true(result.elapsed < MS(DEADLINE_MS) / 4);
@@ -324,7 +325,7 @@
 	    HARNESS_TEST(only_whole_own_answers_say_it),
 	    HARNESS_TEST(the_next_incarnation_is_used),
 	    HARNESS_TEST(all_gateways_hear_of_it),
-	    HARNESS_TEST(a_server_that_rests_gets_nothing),
+	    HARNESS_TEST(a_server_that_asks_for_backoff_gets_nothing),
 	    HARNESS_TEST(callers_are_told_when_servers_want_requests),
 	};
 
--- a/tests/test_server_notice.c
+++ b/tests/test_server_notice.c
@@ -18,7 +18,7 @@
 	const char *name;
 	const char *response;
 	bool leaving;
-	int64_t rest_ms;
+	int64_t backoff_ms;
 } cases[] = {
     {"nothing", OK END, false, 0},
     {"it leaves", OK "X-Leaving: 1\r\n" END, true, 0},
@@ -78,9 +78,9 @@
 		    HTTP_FEED_DONE);
 		notice = server_notice_read(&response, "X-Leaving");
 		if (notice.leaving != cases[i].leaving ||
-		    notice.rest_for != MS(cases[i].rest_ms))
+		    notice.backoff != MS(cases[i].backoff_ms))
 			fail_msg("%s: leaving %d, %lld us", cases[i].name,
-			    notice.leaving, (long long)notice.rest_for);
+			    notice.leaving, (long long)notice.backoff);
 		http_message_free(&response);
 	}
 }
