Give the reading of group responses a file of its own

exchange_groups.c had 495 lines and two jobs: whom to ask and what to do when a peer fails, and what its responses say. The second is now exchange_group_response.c; groups_on_interim() is a switch over a typed result.

--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -198,6 +198,27 @@
  * has none, or not a valid one. */
 bool group_request_read(const http_message_t *request, group_request_t *group);
 
+/**
+ * group_response_take() - Applies the final response of a peer to the tasks of
+ * its group.
+ *
+ * Return: false, without effect, for a response that makes no sense.
+ */
+bool group_response_take(
+    const group_attempt_t *group, const http_message_t *response);
+
+/** typedef group_response_t - What an interim response of a peer was. */
+typedef enum {
+	GROUP_RESPONSE_EMPTY, /* it names no shards */
+	GROUP_RESPONSE_TAKEN, /* its shards are answered */
+	GROUP_RESPONSE_BAD    /* it makes no sense and has no effect */
+} group_response_t;
+
+/** group_response_take_interim() - Like group_response_take(), for an interim
+ * response. */
+group_response_t group_response_take_interim(
+    const group_attempt_t *group, const http_message_t *response);
+
 /** groups_on_interim() - Pool handler; may free the exchange. */
 void groups_on_interim(void *owner, const http_message_t *response);
 
