Take a peer's 102 for its acceptance again

Change: an interim response without an id is delivered; the status 102 says that the request was accepted. Final responses must name the request as before.

--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -19,6 +19,7 @@
 #define RETURN_TIME_MIN MS(1)
 /* Part of the time after the soft deadline within which a peer must report. */
 #define REPORT_TIME_RATIO 0.5
+#define STATUS_PROCESSING 102 /* the peer has accepted the request */
 #define STATUS_OK 200
 #define STATUS_SERVER_ERROR 500
 
@@ -323,6 +324,11 @@
 	group_attempt_t *group = owner;
 	exchange_t *exchange = group->exchange;
 
+	if (http_message_status(response) == STATUS_PROCESSING) {
+		group->accepted = true;
+		group->check_at = report_due(exchange);
+		return;
+	}
 	/* One without records only says that the peer works on it. */
 	group->check_at = 0;
 	switch (group_response_take_interim(group, response)) {
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -168,6 +168,16 @@
 	    server->upstream->name);
 }
 
+static bool
+names_no_request(
+    const pool_connection_t *connection, const http_message_t *response)
+{
+	slice_t id;
+
+	return !http_message_find(
+	    response, connection->pool->settings.headers.request_id, &id);
+}
+
 /*
  * Servers name the request in each response. A late response to an earlier one,
  * or other bytes, may arrive before the right response; they belong to nothing.
@@ -291,8 +301,12 @@
 	const pool_handlers_t *handlers = &connection->pool->handlers;
 	const attempt_t *attempt = connection->attempt;
 
-	if (handlers->attempt_interim != NULL && attempt != NULL &&
-	    attempt->owner != NULL && belongs_to_attempt(connection, response))
+	if (handlers->attempt_interim == NULL || attempt == NULL ||
+	    attempt->owner == NULL)
+		return;
+	/* One that says only that the request was accepted has no id. */
+	if (names_no_request(connection, response) ||
+	    belongs_to_attempt(connection, response))
 		handlers->attempt_interim(attempt->owner, response);
 }
 
