--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -30,6 +30,11 @@
     .suspect = {UINT64_MAX, 7},
 };
 
+static const peer_message_t leaving = {
+    .kind = PEER_LEAVING,
+    .leaving = {"i-7f3a91c2", 1764900000000},
+};
+
 static peer_changes_t
 make_changes(void)
 {
@@ -72,6 +77,11 @@
 	assert_int_equal(encode_and_decode(&suspect, &received), 0);
 	assert_int_equal(received.suspect.fingerprint, UINT64_MAX);
 	assert_int_equal(received.suspect.crash_number, 7);
+	assert_int_equal(encode_and_decode(&leaving, &received), 0);
+	assert_int_equal(received.kind, PEER_LEAVING);
+	assert_string_equal(received.leaving.server, leaving.leaving.server);
+	assert_int_equal(
+	    received.leaving.incarnation, leaving.leaving.incarnation);
 	sent.changes.size = PEER_PART_MAX_BYTES;
 	sent.changes.to = INT64_MAX;
 	assert_int_equal(encode_and_decode(&sent, &received), 0);
@@ -126,6 +136,29 @@
 	}
 }
 
+/* A name that is too long would be that of another server once it is cut. */
+static void
+refuses_servers_with_long_names(void **state)
+{
+	char name[PEER_SERVER_MAX + 1];
+	peer_message_t received;
+	writer_t writer;
+
+	memset(name, 'i', PEER_SERVER_MAX);
+	name[PEER_SERVER_MAX] = '\0';
+	writer_init(&writer);
+	writer_array(&writer, 4);
+	writer_uint(&writer, 1);
+	writer_uint(&writer, PEER_LEAVING);
+	writer_text(&writer, name);
+	writer_int(&writer, 1);
+	assert_int_equal(
+	    peer_message_decode(
+		(slice_t){writer.buffer.data, writer.buffer.size}, &received),
+	    BW_E_PROTOCOL);
+	writer_free(&writer);
+}
+
 static void
 refuses_bytes_that_are_no_message(void **state)
 {
@@ -141,6 +174,10 @@
 	    {"another version", {"\x92\x02\x01", 3}},
 	    {"an unknown kind", {"\x92\x01\x09", 3}},
 	    {"a status without positions", {"\x93\x01\x01\x00", 4}},
+	    {"a leave without an incarnation", {"\x93\x01\x04\xc4\x01i", 6}},
+	    {"a leave whose server has a NUL",
+		{"\x94\x01\x04\xc4\x02i\x00\x01", 8}},
+	    {"a leave whose server is a number", {"\x94\x01\x04\x07\x01", 5}},
 	    {"a negative revision", {"\x97\x01\x01\x00\xff\x01\x00\x00", 8}},
 	};
 	peer_message_t received;
@@ -547,6 +584,7 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(messages_arrive_as_sent),
 	    cmocka_unit_test(refuses_changes_that_make_no_sense),
+	    cmocka_unit_test(refuses_servers_with_long_names),
 	    cmocka_unit_test(refuses_bytes_that_are_no_message),
 	    cmocka_unit_test(takes_changes_whole_and_in_order_only),
 	    cmocka_unit_test(refuses_content_that_cannot_be_unpacked),
