Take lines after a chunked body for no part of a head

Evidence: a new row of a_response_that_is_cut_is_no_answer before: the whole response gives HTTP_CONNECTION_LOST.

Change: only a status line begins another head.

Result: test_http_client passes (2).

--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -11,6 +11,7 @@
 #define MAX_IDLE_CONNECTIONS 4096
 #define MAX_RESPONSE_HEADERS 16
 #define MAX_HEADER_BYTES 256
+#define STATUS_LINE_START "HTTP/"
 #define MAX_IDLE_EASY_HANDLES 1024
 /* Connections whose start is remembered; beyond it all are forgotten. */
 #define MAX_KNOWN_CONNECTIONS (4 * MAX_IDLE_CONNECTIONS)
@@ -101,12 +102,15 @@
 }
 
 /* libcurl reports a head that ends in the middle as a response without a body,
- * so its blank line is looked for. */
+ * so its blank line is looked for. Lines after the body belong to no head. */
 static void
 follow_head(transfer_t *transfer, const char *line, size_t bytes)
 {
-	transfer->head_complete =
-	    bytes > 0 && (line[0] == '\r' || line[0] == '\n');
+	if (bytes > 0 && (line[0] == '\r' || line[0] == '\n'))
+		transfer->head_complete = true;
+	else if (bytes >= strlen(STATUS_LINE_START) &&
+	    memcmp(line, STATUS_LINE_START, strlen(STATUS_LINE_START)) == 0)
+		transfer->head_complete = false;
 }
 
 /* Stores only headers whose names begin with 'X': callers read no others. */
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -168,6 +168,10 @@
 	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n"
 	     "\r\n4\r\nabcd\r\n0\r\n\r\n",
 		1},
+	    /* The lines after the last chunk are no part of the head. */
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "4\r\nabcd\r\n0\r\nX-Sum: 1\r\nX-End: 2\r\n\r\n",
+		1},
 	    {"HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n"
 	     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
 		0},
