--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -168,29 +168,19 @@
 	    server->upstream->name);
 }
 
-static bool
-names_no_request(
-    const pool_connection_t *connection, const http_message_t *response)
-{
-	slice_t id;
-
-	return !http_message_find(
-	    response, connection->pool->settings.headers.request_id, &id);
-}
+typedef enum { NAMES_THIS, NAMES_ANOTHER, NAMES_NONE } named_request_t;
 
-/*
- * Servers name the request in each response. A late response to an earlier one,
- * or other bytes, may arrive before the right response; they belong to nothing.
- */
-static bool
-belongs_to_attempt(
+static named_request_t
+named_request(
     const pool_connection_t *connection, const http_message_t *response)
 {
 	slice_t id;
 
-	return http_message_find(response,
-		   connection->pool->settings.headers.request_id, &id) &&
-	    slice_is(id, connection->attempt->request_id);
+	if (!http_message_find(
+		response, connection->pool->settings.headers.request_id, &id))
+		return NAMES_NONE;
+	return slice_is(id, connection->attempt->request_id) ? NAMES_THIS
+							     : NAMES_ANOTHER;
 }
 
 static bool
@@ -281,12 +271,11 @@
 apply_notice(pool_t *pool, upstream_server_t *server,
     const http_message_t *response, usec_t now)
 {
-	server_notice_t notice = {0};
+	server_notice_t notice;
 
 	if (pool->settings.headers.leaving == NULL)
 		return;
 	notice = server_notice_read(response, pool->settings.headers.leaving);
-
 	if (notice.backoff > 0)
 		pool_server_back_off(server, notice.backoff, now);
 	if (notice.leaving && pool_server_said_leaving(pool, server, now) &&
@@ -305,8 +294,7 @@
 	    attempt->owner == NULL)
 		return;
 	/* One that says only that the request was accepted has no id. */
-	if (names_no_request(connection, response) ||
-	    belongs_to_attempt(connection, response))
+	if (named_request(connection, response) != NAMES_ANOTHER)
 		handlers->attempt_interim(attempt->owner, response);
 }
 
@@ -324,7 +312,11 @@
 		pool_connection_fail(connection, false);
 		return true;
 	}
-	if (!belongs_to_attempt(connection, response)) {
+	/*
+	 * Servers name the request in each response. A late response to an
+	 * earlier one, or other bytes, may arrive before the right response.
+	 */
+	if (named_request(connection, response) != NAMES_THIS) {
 		event_log(EVENT_SERVER_LYING, "server=%s request=%s",
 		    connection->server->entry.id, attempt->request_id);
 		return false;
