Test that a reported leave holds for one incarnation; share the notices' tables

The tables and loops for leaving servers and for those that ask for a backoff were written twice; they are one type and two functions now. Rows and expectations are kept; the headers stay on in both.

--- a/tests/test_gateway_leaving.c
+++ b/tests/test_gateway_leaving.c
@@ -88,8 +88,8 @@
 	return MS(START_MS + ms);
 }
 
-static bool
-is_usable(const leaving_case_t *leaving)
+static pool_t *
+create_pool(struct ev_loop *loop)
 {
 	static const pool_settings_t settings = {
 	    .headers = {"X-Id", "X-Not-Run"},
@@ -100,8 +100,15 @@
 	    .attempt_ended = ignore_attempt,
 	    .capacity_available = ignore_capacity,
 	    .server_crashed = ignore_crash};
+
+	return pool_create(loop, &settings, &handlers);
+}
+
+static bool
+is_usable(const leaving_case_t *leaving)
+{
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	pool_t *pool = pool_create(loop, &settings, &handlers);
+	pool_t *pool = create_pool(loop);
 	server_entry_t entry = {
 	    .id = "i-1", .service = "one", .slots = 2, .sequence = 1};
 	bool usable;
@@ -133,6 +140,45 @@
 	return usable;
 }
 
+/* Whether the server is used at a time long after all that is known of it. */
+static bool
+is_in_use(pool_t *pool)
+{
+	return pool_has_usable_server(
+	    pool, pool_get_upstream(pool, "one"), case_time(60000));
+}
+
+/* What other nodes say of a server's process holds for that process, whatever
+ * the registry says of it. */
+static void
+a_reported_leave_holds_for_one_incarnation(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	pool_t *pool = create_pool(loop);
+	server_entry_t entry = {.id = "i-1",
+	    .service = "one",
+	    .slots = 2,
+	    .sequence = 1,
+	    .incarnation = 7};
+
+	pool_update_server(pool, &entry, case_time(0));
+	pool_server_leaving(pool, "i-1", 6, case_time(10));
+	pool_server_leaving(pool, "i-2", 7, case_time(10));
+	assert_true(is_in_use(pool));
+	pool_server_leaving(pool, "i-1", 7, case_time(10));
+	assert_false(is_in_use(pool));
+	entry.sequence = 2;
+	pool_update_server(pool, &entry, case_time(20));
+	assert_false(is_in_use(pool));
+	entry.incarnation = 8;
+	pool_update_server(pool, &entry, case_time(30));
+	assert_true(is_in_use(pool));
+	pool_server_leaving(pool, "i-1", 7, case_time(40));
+	assert_true(is_in_use(pool));
+	pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 static void
 leaving_servers_are_used_for_a_limited_time(void **state)
 {
@@ -147,6 +193,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(leaving_servers_are_used_for_a_limited_time),
+	    cmocka_unit_test(a_reported_leave_holds_for_one_incarnation),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
--- a/tests/test_process_gateway_notices.c
+++ b/tests/test_process_gateway_notices.c
@@ -56,6 +56,7 @@
 	return after.requests - before.requests;
 }
 
+/* What servers of a service say in one response. */
 typedef struct {
 	const char *name;
 	const char *path;
@@ -63,53 +64,86 @@
 	const char *headers;
 	plain_fault_t fault; /* of the response that has the headers */
 	bool all;	     /* servers of the service say it */
+	int status;	     /* of later requests */
 	bool leaves;
-	int status; /* of later requests */
-} leave_case_t;
-
-static const leave_case_t leave_cases[] = {
-    {"an answer", "/one/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, true, 200},
-    {"a booking", "/once/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, true,
-	200},
-    {"a shard's answer", "/all/x", 0, LEAVING, PLAIN_ANSWER, false, true, 200},
+	int backoff_ms; /* 0: they stay in use */
+} notice_case_t;
+
+static int
+speaker_count(const notice_case_t *row)
+{
+	return row->all ? WORLD_REPLICAS : 1;
+}
+
+static plain_server_t *
+speaker(gateway_world_t *world, const notice_case_t *row, int i)
+{
+	return world->servers[row->service * WORLD_REPLICAS + i];
+}
+
+/* Lets each of the servers say it, with the fault in the first response. */
+static void
+let_them_say_it(gateway_world_t *world, const notice_case_t *row)
+{
+	for (int i = 0; i < speaker_count(row); i++) {
+		plain_server_t *server = speaker(world, row, i);
+
+		plain_server_set_headers(server, row->headers);
+		plain_server_set_fault(server, row->fault, 1);
+		reach_server(world, server, row->path);
+	}
+}
+
+/* Return: requests that reached the servers of @count to each that were sent.
+ */
+static uint32_t
+count_speaker_arrivals(
+    gateway_world_t *world, const notice_case_t *row, int count)
+{
+	uint32_t arrivals = 0;
+
+	for (int i = 0; i < speaker_count(row); i++)
+		arrivals += count_arrivals(world, speaker(world, row, i),
+		    row->path, count, row->status);
+	return arrivals;
+}
+
+static const notice_case_t leave_cases[] = {
+    {"an answer", "/one/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, 200, true,
+	0},
+    {"a booking", "/once/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false, 200, true,
+	0},
+    {"a shard's answer", "/all/x", 0, LEAVING, PLAIN_ANSWER, false, 200, true,
+	0},
     {"a weighted answer", "/split/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, false,
-	true, 200},
-    {"a refusal", "/one/x", WORLD_ONE, LEAVING, PLAIN_NOT_RUN, false, true,
-	200},
-    {"a failure", "/one/x", WORLD_ONE, LEAVING, PLAIN_FAIL, false, true, 200},
+	200, true, 0},
+    {"a refusal", "/one/x", WORLD_ONE, LEAVING, PLAIN_NOT_RUN, false, 200, true,
+	0},
+    {"a failure", "/one/x", WORLD_ONE, LEAVING, PLAIN_FAIL, false, 200, true,
+	0},
     {"answers of all servers", "/one/x", WORLD_ONE, LEAVING, PLAIN_ANSWER, true,
-	true, 503},
-    {"answers of all of a shard", "/all/x", 0, LEAVING, PLAIN_ANSWER, true,
-	true, 200},
+	503, true, 0},
+    {"answers of all of a shard", "/all/x", 0, LEAVING, PLAIN_ANSWER, true, 200,
+	true, 0},
     {"another value", "/one/x", WORLD_ONE, "Server-Leaving: yes\r\n",
-	PLAIN_ANSWER, false, false, 200},
+	PLAIN_ANSWER, false, 200, false, 0},
     {"another header", "/one/x", WORLD_ONE, "Server-Leaves: 1\r\n",
-	PLAIN_ANSWER, false, false, 200},
+	PLAIN_ANSWER, false, 200, false, 0},
 };
 
 /* The registry goes on to say that the servers are ready. */
 static void
-play_leave(harness_t *harness, const leave_case_t *row)
+play_leave(harness_t *harness, const notice_case_t *row)
 {
 	gateway_world_t *world = world_create(harness);
-	int first = row->service * WORLD_REPLICAS;
-	uint32_t arrivals = 0;
-
-	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++) {
-		plain_server_t *server = world->servers[first + i];
+	uint32_t arrivals;
 
-		plain_server_set_headers(server, row->headers);
-		plain_server_set_fault(server, row->fault, 1);
-	}
-	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
-		reach_server(world, world->servers[first + i], row->path);
+	let_them_say_it(world, row);
 	world_register_all(world);
 	g_usleep(DRAIN_MS * 1000);
 	world_register_all(world);
 	g_usleep(300 * 1000);
-	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
-		arrivals += count_arrivals(world, world->servers[first + i],
-		    row->path, 15, row->status);
+	arrivals = count_speaker_arrivals(world, row, 15);
 	if ((arrivals == 0) != row->leaves)
 		fail_msg("%s: %u requests reached it", row->name, arrivals);
 	world_destroy(world);
@@ -200,70 +234,47 @@
 	world_destroy(world);
 }
 
-typedef struct {
-	const char *name;
-	const char *path;
-	int service;
-	const char *headers;
-	plain_fault_t fault; /* of the response that has the headers */
-	bool all;	     /* servers of the service say it */
-	int backoff_ms;	     /* 0: they stay in use */
-	int status;	     /* of requests meanwhile */
-} backoff_case_t;
-
-static const backoff_case_t backoff_cases[] = {
+static const notice_case_t backoff_cases[] = {
     {"a refusal", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
-	false, 2000, 200},
+	false, 200, false, 2000},
     {"a fraction of a second", "/one/x", WORLD_ONE, "Retry-After: 1.4\r\n",
-	PLAIN_NOT_RUN, false, 1400, 200},
+	PLAIN_NOT_RUN, false, 200, false, 1400},
     {"a refusal that may have run", "/one/x", WORLD_ONE, "Retry-After: 2\r\n",
-	PLAIN_OVERLOADED, false, 2000, 200},
+	PLAIN_OVERLOADED, false, 200, false, 2000},
     {"of a booking", "/once/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
-	false, 2000, 200},
-    {"of a shard", "/all/x", 0, "Retry-After: 2\r\n", PLAIN_NOT_RUN, false,
-	2000, 200},
+	false, 200, false, 2000},
+    {"of a shard", "/all/x", 0, "Retry-After: 2\r\n", PLAIN_NOT_RUN, false, 200,
+	false, 2000},
     {"of all servers", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_NOT_RUN,
-	true, 2000, 503},
+	true, 503, false, 2000},
     {"of all servers of a shard", "/all/x", 0, "Retry-After: 2\r\n",
-	PLAIN_NOT_RUN, true, 2000, 200},
+	PLAIN_NOT_RUN, true, 200, false, 2000},
     {"an unreadable time", "/one/x", WORLD_ONE, "Retry-After: soon\r\n",
-	PLAIN_NOT_RUN, false, 0, 200},
+	PLAIN_NOT_RUN, false, 200, false, 0},
     {"an answer", "/one/x", WORLD_ONE, "Retry-After: 2\r\n", PLAIN_ANSWER,
-	false, 0, 200},
+	false, 200, false, 0},
 };
 
-/* Sends requests for almost as long as the server wants none. */
+/* Sends requests for almost as long as the servers want none. */
 static uint32_t
-count_arrivals_in_backoff(gateway_world_t *world, const backoff_case_t *row)
+count_arrivals_in_backoff(gateway_world_t *world, const notice_case_t *row)
 {
-	int first = row->service * WORLD_REPLICAS;
 	gint64 end = g_get_monotonic_time() + (row->backoff_ms - 400) * 1000;
 	uint32_t arrivals = 0;
 
 	while (g_get_monotonic_time() < end) {
-		for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++)
-			arrivals +=
-			    count_arrivals(world, world->servers[first + i],
-				row->path, 1, row->status);
+		arrivals += count_speaker_arrivals(world, row, 1);
 		g_usleep(20 * 1000);
 	}
 	return arrivals;
 }
 
 static void
-play_backoff(harness_t *harness, const backoff_case_t *row)
+play_backoff(harness_t *harness, const notice_case_t *row)
 {
 	gateway_world_t *world = world_create(harness);
-	int first = row->service * WORLD_REPLICAS;
-
-	for (int i = 0; i < (row->all ? WORLD_REPLICAS : 1); i++) {
-		plain_server_t *server = world->servers[first + i];
 
-		plain_server_set_headers(server, row->headers);
-		plain_server_set_fault(server, row->fault, 1);
-		reach_server(world, server, row->path);
-		plain_server_set_headers(server, "");
-	}
+	let_them_say_it(world, row);
 	if (row->backoff_ms > 0) {
 		uint32_t arrivals = count_arrivals_in_backoff(world, row);
 
