--- a/tests/test_store_body.c
+++ b/tests/test_store_body.c
@@ -101,6 +101,33 @@
 	}
 }
 
+/* The next page is asked for by the last name that can be read. */
+static void
+a_page_ends_with_a_readable_name(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *last; /* NULL: there is none */
+	} pages[] = {
+	    {LIST(GOOD("a") "," GOOD("b")), "b"},
+	    {LIST(GOOD("a") "," BAD("\\udcff", "{}")), "a"},
+	    {LIST(GOOD("a") ",1e999," BAD("b\\u0000c", "{}")), "a"},
+	    {LIST(BAD("\\udcff", "{}")), NULL},
+	    {LIST(""), NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+		json_t *body =
+		    store_body_parse(pages[i].text, strlen(pages[i].text));
+		const char *last =
+		    store_body_last_name(json_object_get(body, "items"));
+
+		if (g_strcmp0(last, pages[i].last) != 0)
+			fail_msg("page %zu ends with %s", i, last);
+		json_decref(body);
+	}
+}
+
 /* Nesting deeper than the stack would bear, wherever it stands. */
 static void
 deep_nesting_hides_no_object(void **state)
@@ -161,6 +188,7 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(an_unreadable_object_hides_no_other),
 	    cmocka_unit_test(an_unreadable_object_hides_no_event),
+	    cmocka_unit_test(a_page_ends_with_a_readable_name),
 	    cmocka_unit_test(deep_nesting_hides_no_object),
 	    cmocka_unit_test(any_bytes_are_read_or_refused),
 	};
