--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -27,11 +27,11 @@
  * p: the store loses the running calls; x: they are reset; u: it refuses them
  * o: an outage begins or ends; g: the store drops its history
  * h: old reads show this moment for 5 s; d: polls report changes late, or no
- * longer
+ * longer; z: the store becomes slow, or fast
  * m: this node reads for itself, r: for others too, f: others read for it
  * k: others tell it all changes
  */
-#define EVENTS "cabwstlpxuoghdmrfk"
+#define EVENTS "cabwstlpxuoghdzmrfk"
 #define LETTERS (sizeof(EVENTS) - 1)
 #define DEFAULT_DEPTH 3
 #define DEFAULT_RANDOM_ORDERS 4000
@@ -139,6 +139,9 @@
 		model->old_revision = model->revision;
 		model->old_until = model->now + OLD_TIME;
 		break;
+	case 'z':
+		store_model_set_slow(model, !model->is_slow);
+		break;
 	case 'd':
 		model->answers_late = !model->answers_late;
 		break;
@@ -215,6 +218,7 @@
 		fprintf(model.trace, "no more faults\n");
 	model.is_away = false;
 	model.answers_late = false;
+	store_model_set_slow(&model, false);
 	if (model.source == STORE_SOURCE_PEERS)
 		store_model_set_source(&model, STORE_SOURCE_SELF);
 	store_model_change(&model, STORE_CONFIG, 0, true);
@@ -339,6 +343,30 @@
 	    (unsigned long long)played, depth);
 }
 
+typedef struct {
+	const char *order;
+	const char *guards; /* what the order once broke */
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+    {"zwfawml", "a poll of a slow store does not count as held"},
+    {"-lcmzplxl", "a slow report does not count as lost"},
+    {"czrplutt", "a refusal says nothing about the latency"},
+};
+
+static void
+orders_that_once_failed_keep_the_promises(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+		const order_case_t *test = &order_cases[i];
+		const char *failure = play_order(test->order, NULL);
+
+		if (failure != NULL)
+			fail_msg("%s (BW_ORDER=%s): %s", test->guards,
+			    test->order, failure);
+	}
+}
+
 static void
 random_long_orders_keep_the_promises(void **state)
 {
@@ -478,6 +506,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_lost_poll_costs_few_calls_and_little_time),
+	    cmocka_unit_test(orders_that_once_failed_keep_the_promises),
 	    cmocka_unit_test(every_short_order_keeps_the_promises),
 	    cmocka_unit_test(random_long_orders_keep_the_promises),
 	};
