--- a/tests/test_store_body.c
+++ b/tests/test_store_body.c
@@ -38,6 +38,7 @@
     {"keys twice", BAD("x", "{\"a\":1,\"a\":2}"), true, true},
     {"an unreadable name", BAD("\\udcff", "{}"), false, true},
     {"NUL in the name", BAD("x\\u0000y", "{}"), false, true},
+    {"an empty name", BAD("", "{}"), false, true},
     {"unreadable metadata beside the name",
 	"{\"meta\":{\"name\":\"x\",\"a\":1e999},\"spec\":{}}", true, true},
     {"no object", "1e999", false, false},
@@ -112,7 +113,9 @@
 	    {LIST(GOOD("a") "," GOOD("b")), "b"},
 	    {LIST(GOOD("a") "," BAD("\\udcff", "{}")), "a"},
 	    {LIST(GOOD("a") ",1e999," BAD("b\\u0000c", "{}")), "a"},
+	    {LIST(GOOD("a") "," GOOD("")), "a"},
 	    {LIST(BAD("\\udcff", "{}")), NULL},
+	    {LIST(GOOD("")), NULL},
 	    {LIST(""), NULL},
 	};
 
