--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 FAKE_LIB_OBJ := $(FAKE_LIB_SRC:%.c=$(BUILD)/%.o)
 
 ALL_C := $(LIB_SRC) $(TOOL_SRC) $(FAKE_LIB_SRC) $(FAKE_SRC) $(BENCH_SRC) \
-    $(TEST_LIB_SRC) $(TEST_SRC)
+    $(TEST_LIB_SRC) $(TEST_SRC) $(wildcard tests/fuzz/*.c)
 ALL_H := $(wildcard include/bulrushwell/*.h source/*/*.h platform/*.h fakes/lib/*.h \
     tests/lib/*.h bench/*.h)
 
@@ -60,7 +60,7 @@
 GATEWAY = $(BUILD)/bin/bulrushwell-gateway
 
 .PHONY: gateway all tests check check-unit check-process format format-check lint \
-    clean install
+    fuzz clean install
 .SECONDARY:
 
 all: $(BINS)
@@ -122,6 +122,24 @@
 	    --error-exitcode=1 --inline-suppr --suppressions-list=.cppcheck \
 	    -j 4 -D_GNU_SOURCE --library=.cppcheck.cfg -Iinclude source platform tools fakes bench tests
 
+# Fuzzes BW_TARGET (see tests/lib/fuzz_targets.c) with libFuzzer for FUZZ_SECONDS.
+# Needs clang and its runtime, which the tests do not.
+FUZZ = build/fuzz/driver
+FUZZ_SECONDS ?= 600
+FUZZ_CORPUS = build/fuzz/corpus-$(BW_TARGET)
+
+$(FUZZ): $(LIB_SRC) tests/lib/fuzz_targets.c tests/fuzz/driver.c
+	@mkdir -p $(@D)
+	clang $(CSTD) -O1 -g -fsanitize=fuzzer,address,undefined \
+	    -fno-sanitize-recover=undefined -Iinclude $(PKG_CFLAGS) -o $@ $^ \
+	    $(PKG_LIBS)
+
+fuzz: $(FUZZ)
+	@mkdir -p $(FUZZ_CORPUS)
+	BW_TARGET=$(BW_TARGET) $(FUZZ) -max_len=4096 -print_final_stats=1 \
+	    -max_total_time=$(FUZZ_SECONDS) -artifact_prefix=build/fuzz/ \
+	    $(FUZZ_CORPUS) tests/fuzz/$(BW_TARGET)
+
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
 	    $(DESTDIR)$(PREFIX)/share/man/man8
