Bound the heads and trailers that the daemon reads

Cause: nothing bounded the lines that are not the body of a response; libcurl keeps all of them. An upstream that sends trailers without end took 129 MB of the daemon in 0.6 s, until the time of the request was over.

Change: all heads of a response together, interim ones and trailers included, have 64 KiB; beyond that the request ends and its connection is closed.

Test: test_http_client/bytes_without_end_are_cut_off, nine kinds of bytes, fast and dripping. Seen failing before in "trailers" (memory grew by 129,108 KB), the other eight kinds passed; after it 3 of 3 runs pass, and one of the sanitizer build.

--- a/include/bulrushwell/http_client.h
+++ b/include/bulrushwell/http_client.h
@@ -25,7 +25,8 @@
 	HTTP_NOT_SENT,	      /* no byte of the request was sent */
 	HTTP_CONNECTION_LOST, /* the connection ended before the response did */
 	HTTP_TIMEOUT,
-	HTTP_TOO_LARGE, /* body over http_request_t.max_response */
+	HTTP_TOO_LARGE, /* body over http_request_t.max_response, or long heads
+			 */
 	HTTP_MALFORMED	/* the response is not valid HTTP */
 } http_result_t;
 
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -11,6 +11,8 @@
 #define MAX_IDLE_CONNECTIONS 4096
 #define MAX_RESPONSE_HEADERS 16
 #define MAX_HEADER_BYTES 256
+/* Of all heads of a response, interim ones and trailers included. */
+#define MAX_HEAD_BYTES (64 * 1024)
 #define STATUS_LINE_START "HTTP/"
 #define MAX_IDLE_EASY_HANDLES 1024
 /* Connections whose start is remembered; beyond it all are forgotten. */
@@ -37,6 +39,7 @@
 	struct curl_slist *headers;
 	body_t *body;
 	size_t max_response;
+	size_t head_bytes;
 	bool too_large;
 	bool head_complete; /* of the last response, interim ones included */
 	http_connected_t connected;
@@ -121,6 +124,11 @@
 	http_response_t *response = &transfer->response;
 	size_t bytes = size * count, name, value, end;
 
+	transfer->head_bytes += bytes;
+	if (transfer->head_bytes > MAX_HEAD_BYTES) {
+		transfer->too_large = true;
+		return 0;
+	}
 	follow_head(transfer, data, bytes);
 	if (bytes < 3 || (data[0] != 'X' && data[0] != 'x') ||
 	    response->header_count == MAX_RESPONSE_HEADERS)
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "bulrushwell/http_client.h"
@@ -193,12 +194,131 @@
 	}
 }
 
+/* A server that sends its start, and then the same bytes without end. */
+typedef struct {
+	int listener;
+	const char *start;
+	const char *repeated;
+	int drip_ms; /* between repetitions; 0: as fast as they are taken */
+} endless_server_t;
+
+#define ENDLESS_TIMEOUT_MS 600
+#define ENDLESS_MARGIN_MS 400
+#define DRIP_MS 10
+#define BLOCK_REPETITIONS 512 /* of the bytes in one call of send() */
+#define MAX_GROWTH_KB (8 * 1024)
+
+/* Ends when the client has closed the connection. */
+static gpointer
+serve_without_end(gpointer context)
+{
+	const endless_server_t *server = context;
+	int fd = accept(server->listener, NULL, NULL);
+	GString *block = g_string_new(server->start);
+	char request[1024];
+
+	recv(fd, request, sizeof(request), 0);
+	while (send(fd, block->str, block->len, MSG_NOSIGNAL) >= 0) {
+		g_string_truncate(block, 0);
+		for (int i = 0;
+		     i < (server->drip_ms > 0 ? 1 : BLOCK_REPETITIONS); i++)
+			g_string_append(block, server->repeated);
+		g_usleep((gulong)server->drip_ms * 1000);
+	}
+	g_string_free(block, TRUE);
+	close(fd);
+	return NULL;
+}
+
+static long
+peak_memory_kb(void)
+{
+	struct rusage usage;
+
+	getrusage(RUSAGE_SELF, &usage);
+	return usage.ru_maxrss;
+}
+
+static void
+run_endless_case(
+    const char *name, const char *start, const char *repeated, int drip_ms)
+{
+	address_t address;
+	endless_server_t server = {
+	    .listener = listen_on_loopback(address, sizeof(address)),
+	    .start = start,
+	    .repeated = repeated,
+	    .drip_ms = drip_ms,
+	};
+	GThread *thread = g_thread_new("server", serve_without_end, &server);
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	http_client_t *client = http_client_create(loop);
+	calls_t calls = {0};
+	http_request_t request = make_request(address, &calls);
+	long memory_before = peak_memory_kb();
+	gint64 start_time = g_get_monotonic_time(), took;
+
+	request.timeout = MS(ENDLESS_TIMEOUT_MS);
+	assert_true(http_client_send(client, &request) != HANDLE_NONE);
+	while (calls.done == 0)
+		ev_run(loop, EVRUN_ONCE);
+	took = g_get_monotonic_time() - start_time;
+	g_thread_join(thread);
+	if (calls.result == HTTP_ANSWERED)
+		fail_msg("%s: counts as an answer", name);
+	if (took > MS(ENDLESS_TIMEOUT_MS + ENDLESS_MARGIN_MS))
+		fail_msg("%s: ended after %lld ms", name,
+		    (long long)(took / USEC_PER_MS));
+	if (peak_memory_kb() - memory_before > MAX_GROWTH_KB)
+		fail_msg("%s: memory grew by %ld KB", name,
+		    peak_memory_kb() - memory_before);
+	http_client_destroy(client);
+	ev_loop_destroy(loop);
+	close(server.listener);
+}
+
+/* Bytes that never become an answer end with the request's time, close the
+ * connection and need little memory. */
+static void
+bytes_without_end_are_cut_off(void **state)
+{
+	static const struct {
+		const char *name, *start, *repeated;
+	} cases[] = {
+	    {"a header line", "HTTP/1.1 200 OK\r\nX-A: ", "abcdefgh"},
+	    {"header lines", "HTTP/1.1 200 OK\r\n", "X-A: abcdefgh\r\n"},
+	    {"interim responses", "",
+		"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+	    {"the size of a chunk",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	    {"the extension of a chunk",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+		"ab"},
+	    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"2\r\nab\r\n"},
+	    {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "abcd"},
+	    {"trailers",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"0\r\n",
+		"X-A: b\r\n"},
+	    {"bytes without a line", "", "abcdefgh"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		run_endless_case(
+		    cases[i].name, cases[i].start, cases[i].repeated, 0);
+		run_endless_case(
+		    cases[i].name, cases[i].start, cases[i].repeated, DRIP_MS);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_context_is_freed_once_however_the_request_ends),
 	    cmocka_unit_test(a_response_that_is_cut_is_no_answer),
+	    cmocka_unit_test(bytes_without_end_are_cut_off),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
