--- a/tests/test_process_config.c
+++ b/tests/test_process_config.c
@@ -417,6 +417,53 @@
 	traffic_wait_complete(harness, 2);
 }
 
+static int64_t
+put_key(harness_t *harness, const char *secret)
+{
+	const contract_spec_t spec = {
+	    "kiln", secret, TRAFFIC_INDEX, "", 20000, 100, 500, 24, false};
+
+	return (int64_t)harness_put_contract(harness, &spec);
+}
+
+/* A node restarts, while the platform is up or down, after a key was replaced:
+ * it must not accept the old one, which another copy of the contract, or an
+ * answer of before, still names. */
+static void
+a_withdrawn_key_stays_withdrawn_after_a_restart(void **state)
+{
+	static const char query[] =
+	    "query reels --body 4711 --caller-address %s --key %s";
+	harness_t *harness = *state;
+	int64_t version;
+
+	traffic_start_tier(harness, 2, DEADLINE_MS);
+	version = put_key(harness, "first-secret-of-kiln");
+	for (int i = 0; i < 2; i++)
+		wait_adopted(harness, i, "kiln", version);
+	assert_int_equal(
+	    run_tool_as_caller(harness, query, "first-secret-of-kiln"), 0);
+	version = put_key(harness, "second-secret-of-kiln");
+	for (int i = 0; i < 2; i++)
+		wait_adopted(harness, i, "kiln", version);
+	for (int down = 0; down < 2; down++) {
+		if (down)
+			harness_post(harness->platform_address, "/fake/faults",
+			    "{\"down\":true}");
+		harness_kill_node(harness, 0);
+		harness_start_node(harness, 0);
+		harness_wait_node_ready(harness, 0);
+		assert_int_equal(
+		    run_tool_as_caller(harness, query, "first-secret-of-kiln"),
+		    4);
+		wait_adopted(harness, 0, "kiln", version);
+		traffic_wait_complete(harness, 0);
+		assert_int_equal(
+		    run_tool_as_caller(harness, query, "second-secret-of-kiln"),
+		    0);
+	}
+}
+
 /* ---- a peer that the test simulates ---- */
 
 typedef struct {
@@ -657,6 +704,7 @@
 	    HARNESS_TEST(cut_off_nodes_learn_or_refuse),
 	    HARNESS_TEST(a_paused_node_catches_up),
 	    HARNESS_TEST(a_node_starts_during_an_outage),
+	    HARNESS_TEST(a_withdrawn_key_stays_withdrawn_after_a_restart),
 	    HARNESS_TEST(old_versions_of_a_peer_are_ignored),
 	    HARNESS_TEST(unlisted_peers_are_dropped),
 	    HARNESS_TEST(peers_without_the_key_are_not_heard),
