Let one unreadable object hide only itself from the daemon

Cause: the daemon read the platform's list of objects as one JSON text. One object that the library refuses (a lone surrogate, a number out of range, NUL in a key, a key twice) made the list unreadable: nothing that changed was read any more, and a node that starts would never be ready.

A list of VMs is still read whole or not at all, as a VM that is absent counts as gone.

Test: test_process_config/an_unreadable_object_hides_only_itself; the stand-in of the platform stores texts as they are for it.

--- a/fakes/fake_platform.c
+++ b/fakes/fake_platform.c
@@ -404,6 +404,25 @@
 	fake_reply_text(reply, 200, "{}");
 }
 
+/* Stores @text as it is, like another writer would, JSON or not. */
+static void
+store_text(const json_t *command, fake_reply_t *reply)
+{
+	const char *kind = json_string_value(json_object_get(command, "kind"));
+	const char *name = json_string_value(json_object_get(command, "name"));
+	const char *text = json_string_value(json_object_get(command, "text"));
+
+	if (kind == NULL || name == NULL || text == NULL) {
+		fake_reply_text(reply, 400, "{\"error\":\"invalid\"}");
+		return;
+	}
+	g_mutex_lock(&platform.lock);
+	store_object(kind, name, strdup(text));
+	g_mutex_unlock(&platform.lock);
+	fake_server_wake_all(platform.server);
+	fake_reply_text(reply, 200, "{}");
+}
+
 static void
 get_counters(fake_reply_t *reply)
 {
@@ -426,6 +445,9 @@
 
 	if (fake_request_is(request, "POST", "/fake/faults") && command != NULL)
 		set_faults(command, request, reply);
+	else if (fake_request_is(request, "POST", "/fake/text") &&
+	    command != NULL)
+		store_text(command, reply);
 	else if (fake_request_is(request, "POST", "/fake/vms") &&
 	    command != NULL)
 		set_vms(command, reply);
--- a/source/platform/platform_client.c
+++ b/source/platform/platform_client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "bulrushwell/event.h"
+#include "bulrushwell/json_partial.h"
 
 #define PATH_SIZE 384
 
@@ -34,13 +35,20 @@
 
 static void start_watch(platform_client_t *client);
 
+/* An object that can't be read lacks its value, or is null in a list. */
 static json_t *
 parse_reply(const http_response_t *response)
 {
+	static const char *const divisible[] = {"objects", NULL};
+	static const json_partial_rules_t rules = {
+	    .flags = JSON_REJECT_DUPLICATES, .divisible = divisible};
 	slice_t body = http_response_body(response);
-	json_t *root =
-	    json_loadb(body.data, body.size, JSON_REJECT_DUPLICATES, NULL);
+	bool is_partial;
+	json_t *root = json_partial_parse(&rules, body, &is_partial);
 
+	if (is_partial)
+		event_log_sampled(EVENT_PLATFORM_BAD_REPLY,
+		    "a part of %zu bytes can't be read", body.size);
 	if (!json_is_object(root)) {
 		json_decref(root);
 		event_log(EVENT_PLATFORM_BAD_REPLY,
--- a/tests/test_process_config.c
+++ b/tests/test_process_config.c
@@ -417,6 +417,46 @@
 	traffic_wait_complete(harness, 2);
 }
 
+static void
+store_text(harness_t *harness, const char *text)
+{
+	json_t *command = json_pack(
+	    "{s:s,s:s,s:s}", "kind", "contract", "name", "odd", "text", text);
+	char *body = json_dumps(command, JSON_COMPACT);
+
+	harness_post(harness->platform_address, "/fake/text", body);
+	free(body);
+	json_decref(command);
+}
+
+/* Another writer stores what the JSON library refuses: the other contracts must
+ * be read, in a list and as changes. */
+static void
+an_unreadable_object_hides_only_itself(void **state)
+{
+	static const char *const texts[] = {
+	    "{\"a\":\"\\udcff\"}",
+	    "{\"a\":1e999}",
+	    "{\"a\":9223372036854775808}",
+	    "{\"a\\u0000\":1}",
+	    "{\"a\":1,\"a\":2}",
+	    "{\"a\":NaN}",
+	};
+	harness_t *harness = *state;
+
+	traffic_start_tier(harness, 2, DEADLINE_MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		store_text(harness, texts[i]);
+		wait_adopted(
+		    harness, 0, "kiln", put_contract(harness, "kiln", false));
+		traffic_wait_complete(harness, 0);
+	}
+	harness_kill_node(harness, 0);
+	harness_start_node(harness, 0);
+	harness_wait_node_ready(harness, 0);
+	traffic_wait_complete(harness, 0);
+}
+
 static int64_t
 put_key(harness_t *harness, const char *secret)
 {
@@ -704,6 +744,7 @@
 	    HARNESS_TEST(cut_off_nodes_learn_or_refuse),
 	    HARNESS_TEST(a_paused_node_catches_up),
 	    HARNESS_TEST(a_node_starts_during_an_outage),
+	    HARNESS_TEST(an_unreadable_object_hides_only_itself),
 	    HARNESS_TEST(a_withdrawn_key_stays_withdrawn_after_a_restart),
 	    HARNESS_TEST(old_versions_of_a_peer_are_ignored),
 	    HARNESS_TEST(unlisted_peers_are_dropped),
