Take a store's body that is cut for none

Cause: a body that JSON refuses was read in parts also when its end was missing. A list that was cut then had fewer objects and no sign that more follow: the list counted as complete, and the servers behind the cut as removed. The length of a response shows most cuts before; a store that sends a short body with its right length, or an object whose text is not balanced, would not be seen.

Change: a text whose outermost value does not end is none; the call counts as failed and is repeated.

Test: test_store_body/a_cut_body_is_none, seen failing before.

--- a/source/base/json_partial.c
+++ b/source/base/json_partial.c
@@ -208,7 +208,8 @@
 	json_t *value = read_whole(rules, start);
 
 	*is_partial = value == NULL && start.size > 0;
-	if (!*is_partial)
+	/* Of a text that is cut, what is missing would count as not there. */
+	if (!*is_partial || value_size(start) == 0)
 		return value;
 	return read_in_part(rules, start, 0);
 }
--- a/tests/test_store_body.c
+++ b/tests/test_store_body.c
@@ -131,6 +131,16 @@
 	}
 }
 
+/* A body that was cut would lack objects, which would count as removed. */
+static void
+a_cut_body_is_none(void **state)
+{
+	const char *whole = LIST(GOOD("a") "," BAD("x", "{\"a\":1e999}"));
+
+	for (size_t size = 0; size < strlen(whole); size++)
+		assert_null(store_body_parse(whole, size));
+}
+
 /* Nesting deeper than the stack would bear, wherever it stands. */
 static void
 deep_nesting_hides_no_object(void **state)
@@ -191,6 +201,7 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(an_unreadable_object_hides_no_other),
 	    cmocka_unit_test(an_unreadable_object_hides_no_event),
+	    cmocka_unit_test(a_cut_body_is_none),
 	    cmocka_unit_test(a_page_ends_with_a_readable_name),
 	    cmocka_unit_test(deep_nesting_hides_no_object),
 	    cmocka_unit_test(any_bytes_are_read_or_refused),
