--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -194,6 +194,76 @@
 	}
 }
 
+#define LONG_REQUEST_BYTES (6 * 1024 * 1024)
+#define RESET_ROUNDS 20
+
+/* Sends a response without a length, and resets the connection while the
+ * request is still arriving. */
+static gpointer
+serve_reset_response(gpointer context)
+{
+	const cut_server_t *server = context;
+	const struct linger reset = {1, 0};
+	int fd = accept(server->listener, NULL, NULL);
+	char request[1024];
+
+	if (recv(fd, request, sizeof(request), 0) > 0)
+		send(fd, server->response, server->size, MSG_NOSIGNAL);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	return NULL;
+}
+
+static http_result_t
+request_reset_response(const char *response, body_t *body)
+{
+	address_t address;
+	cut_server_t server = {
+	    .listener = listen_on_loopback(address, sizeof(address)),
+	    .response = response,
+	    .size = strlen(response),
+	};
+	GThread *thread = g_thread_new("server", serve_reset_response, &server);
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	http_client_t *client = http_client_create(loop);
+	calls_t calls = {0};
+	http_request_t request = make_request(address, &calls);
+
+	request.method = "POST";
+	request.body = body;
+	request.timeout = SECONDS(5);
+	request.fresh_connection = true;
+	assert_true(http_client_send(client, &request) != HANDLE_NONE);
+	while (calls.done == 0)
+		ev_run(loop, EVRUN_ONCE);
+	http_client_destroy(client);
+	ev_loop_destroy(loop);
+	g_thread_join(thread);
+	close(server.listener);
+	return calls.result;
+}
+
+/* A reset that a send meets must not pass for the end of a response. */
+static void
+a_reset_while_the_request_is_sent_is_no_answer(void **state)
+{
+	static const char *const responses[] = {
+	    "HTTP/1.1 200 OK\r\n\r\nabc",
+	    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+	};
+	char *bytes = g_malloc0(LONG_REQUEST_BYTES);
+	body_t *body = body_create(bytes, LONG_REQUEST_BYTES);
+
+	for (int round = 0; round < RESET_ROUNDS; round++)
+		for (size_t i = 0; i < G_N_ELEMENTS(responses); i++)
+			if (request_reset_response(responses[i], body) ==
+			    HTTP_ANSWERED)
+				fail_msg("response %zu counts as an answer", i);
+	body_unref(body);
+	g_free(bytes);
+}
+
 /* A server that sends its start, and then the same bytes without end. */
 typedef struct {
 	int listener;
@@ -318,6 +388,7 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_context_is_freed_once_however_the_request_ends),
 	    cmocka_unit_test(a_response_that_is_cut_is_no_answer),
+	    cmocka_unit_test(a_reset_while_the_request_is_sent_is_no_answer),
 	    cmocka_unit_test(bytes_without_end_are_cut_off),
 	};
 
