--- a/tests/test_process_config.c
+++ b/tests/test_process_config.c
@@ -1,6 +1,7 @@
 /* Tests that an accepted configuration comes into force on all nodes within a
  * short time and is never replaced by an older one. Also tests the command-line
  * tool that changes the configuration. */
+#include "lib/adoption.h"
 #include "lib/proxy.h"
 #include "lib/tool_run.h"
 #include "lib/traffic.h"
@@ -9,11 +10,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
-#include <unistd.h>
-#include <zmq.h>
-
-#include "bulrushwell/message.h"
 
 #define NODES 3
 #define DEADLINE_MS 1000
@@ -29,65 +25,6 @@
 	return command_line;
 }
 
-static int64_t
-stored_version(harness_t *harness, const char *customer)
-{
-	char *path = g_strdup_printf("/v1/objects/contract/%s", customer);
-	json_t *object = harness_get_json(harness->platform_address, path);
-	int64_t version =
-	    json_integer_value(json_object_get(object, "version"));
-
-	json_decref(object);
-	g_free(path);
-	return version;
-}
-
-/* The version of a contract that a node has adopted; 0 for none. */
-static int64_t
-adopted_version(harness_t *harness, int node, const char *customer)
-{
-	json_t *status = harness_get_json(
-	    harness->nodes[node].operator_address, "/v1/status");
-	const json_t *list = json_object_get(status, "contracts");
-	int64_t version = 0;
-
-	for (size_t i = 0; i < json_array_size(list); i++) {
-		const json_t *entry = json_array_get(list, i);
-
-		if (strcmp(
-			json_string_value(json_object_get(entry, "customer")),
-			customer) == 0)
-			version = json_integer_value(
-			    json_object_get(entry, "version"));
-	}
-	json_decref(status);
-	return version;
-}
-
-static void
-wait_adopted(
-    harness_t *harness, int node, const char *customer, int64_t version)
-{
-	usec_t until = clock_monotonic() + MS(WAIT_TIMEOUT_MS);
-
-	while (adopted_version(harness, node, customer) < version) {
-		if (clock_monotonic() > until)
-			fail_msg(
-			    "node-%d does not adopt contract %s version %lld",
-			    node + 1, customer, (long long)version);
-		g_usleep(10000);
-	}
-}
-
-static int64_t
-put_contract(harness_t *harness, const char *customer, bool retired)
-{
-	const contract_spec_t spec = {customer, "secret-of-the-other-customer",
-	    TRAFFIC_INDEX, "", 20000, 100, 500, 24, retired};
-
-	return (int64_t)harness_put_contract(harness, &spec);
-}
-
 /* ---- the tool ---- */
 
 /* Two operators read the same version and change it: the second write must
@@ -133,14 +70,14 @@
 	int64_t before;
 
 	traffic_start_backends(harness, DEADLINE_MS);
-	before = stored_version(harness, "acme");
+	before = adoption_stored_version(harness, "acme");
 	harness_post(
 	    harness->platform_address, "/fake/faults", "{\"lose_answers\":1}");
 	assert_int_equal(tool_run_exit_status(harness,
 			     add_platform_flag(harness,
 				 "contract update acme --rate-per-s 77")),
 	    0);
-	assert_int_equal(stored_version(harness, "acme"), before + 1);
+	assert_int_equal(adoption_stored_version(harness, "acme"), before + 1);
 }
 
 static void
@@ -223,8 +160,8 @@
 	    tool_run_exit_status(harness, add_platform_flag(harness, text)), 0);
 	g_free(text);
 	for (int i = 0; i < 2; i++)
-		assert_int_equal(adopted_version(harness, i, "acme"),
-		    stored_version(harness, "acme"));
+		assert_int_equal(adoption_version(harness, i, "acme"),
+		    adoption_stored_version(harness, "acme"));
 	harness_kill_node(harness, 0);
 	assert_int_equal(run_tool_as_caller(harness, query, TRAFFIC_SECRET), 9);
 }
@@ -311,12 +248,12 @@
 
 	proxy_set_mode(tier.platform_proxies[1], PROXY_HOLD);
 	proxy_set_mode(tier.platform_proxies[2], PROXY_DROP);
-	version = put_contract(harness, "kiln", false);
-	wait_adopted(harness, 0, "kiln", version);
+	version = adoption_put_contract(harness, "kiln", false);
+	adoption_wait(harness, 0, "kiln", version);
 	harness_post(
 	    harness->platform_address, "/fake/faults", "{\"down\":true}");
 	for (int i = 0; i < NODES; i++) {
-		wait_adopted(harness, i, "kiln", version);
+		adoption_wait(harness, i, "kiln", version);
 		traffic_wait_complete(harness, i);
 	}
 	destroy_proxies(&tier);
@@ -361,12 +298,12 @@
 			assert_string_equal(reply.kind, "isolated");
 			assert_true(reply.not_run);
 		}
-		version = put_contract(harness, "kiln", false);
+		version = adoption_put_contract(harness, "kiln", false);
 		if (!cases[i].isolated)
-			wait_adopted(harness, 2, "kiln", version);
+			adoption_wait(harness, 2, "kiln", version);
 		proxy_set_mode(tier.platform_proxies[2], PROXY_PASS);
 		set_peer_proxies(&tier, 2, PROXY_PASS);
-		wait_adopted(harness, 2, "kiln", version);
+		adoption_wait(harness, 2, "kiln", version);
 		harness_wait_node_ready(harness, 2);
 		traffic_wait_complete(harness, 2);
 	}
@@ -383,14 +320,14 @@
 
 	traffic_start_tier(harness, NODES, DEADLINE_MS);
 	harness_signal(harness, harness->nodes[1].process, SIGSTOP);
-	version = put_contract(harness, "kiln", false);
-	wait_adopted(harness, 0, "kiln", version);
-	version = put_contract(harness, "kiln", true);
-	wait_adopted(harness, 0, "kiln", version);
+	version = adoption_put_contract(harness, "kiln", false);
+	adoption_wait(harness, 0, "kiln", version);
+	version = adoption_put_contract(harness, "kiln", true);
+	adoption_wait(harness, 0, "kiln", version);
 	harness_post(
 	    harness->platform_address, "/fake/faults", "{\"down\":true}");
 	harness_signal(harness, harness->nodes[1].process, SIGCONT);
-	wait_adopted(harness, 1, "kiln", version);
+	adoption_wait(harness, 1, "kiln", version);
 	traffic_wait_complete(harness, 1);
 }
 
@@ -447,8 +384,8 @@
 	traffic_start_tier(harness, 2, DEADLINE_MS);
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
 		store_text(harness, texts[i]);
-		wait_adopted(
-		    harness, 0, "kiln", put_contract(harness, "kiln", false));
+		adoption_wait(harness, 0, "kiln",
+		    adoption_put_contract(harness, "kiln", false));
 		traffic_wait_complete(harness, 0);
 	}
 	harness_kill_node(harness, 0);
@@ -480,12 +417,12 @@
 	traffic_start_tier(harness, 2, DEADLINE_MS);
 	version = put_key(harness, "first-secret-of-kiln");
 	for (int i = 0; i < 2; i++)
-		wait_adopted(harness, i, "kiln", version);
+		adoption_wait(harness, i, "kiln", version);
 	assert_int_equal(
 	    run_tool_as_caller(harness, query, "first-secret-of-kiln"), 0);
 	version = put_key(harness, "second-secret-of-kiln");
 	for (int i = 0; i < 2; i++)
-		wait_adopted(harness, i, "kiln", version);
+		adoption_wait(harness, i, "kiln", version);
 	for (int down = 0; down < 2; down++) {
 		if (down)
 			harness_post(harness->platform_address, "/fake/faults",
@@ -496,7 +433,7 @@
 		assert_int_equal(
 		    run_tool_as_caller(harness, query, "first-secret-of-kiln"),
 		    4);
-		wait_adopted(harness, 0, "kiln", version);
+		adoption_wait(harness, 0, "kiln", version);
 		traffic_wait_complete(harness, 0);
 		assert_int_equal(
 		    run_tool_as_caller(harness, query, "second-secret-of-kiln"),
@@ -504,234 +441,6 @@
 	}
 }
 
-/* ---- a peer that the test simulates ---- */
-
-typedef struct {
-	void *context;
-	void *socket;
-	const char *node;
-	const char *vm;
-	const char *address; /* as stated in its heartbeats */
-	uint64_t sequence;
-} test_peer_t;
-
-static test_peer_t
-open_peer(const char *node, const char *vm, const char *address, const char *to)
-{
-	test_peer_t peer = {.node = node, .vm = vm, .address = address};
-	char *endpoint = g_strdup_printf("tcp://%s", to);
-	int linger = 0;
-
-	peer.context = zmq_ctx_new();
-	peer.socket = zmq_socket(peer.context, ZMQ_DEALER);
-	zmq_setsockopt(peer.socket, ZMQ_LINGER, &linger, sizeof(linger));
-	assert_int_equal(zmq_connect(peer.socket, endpoint), 0);
-	g_free(endpoint);
-	return peer;
-}
-
-static void
-close_peer(test_peer_t *peer)
-{
-	zmq_close(peer->socket);
-	zmq_ctx_term(peer->context);
-}
-
-static void
-send_message(test_peer_t *peer, message_t *message)
-{
-	writer_t writer;
-
-	strcpy(message->sender, peer->node);
-	message->sender_incarnation = 1;
-	writer_init(&writer);
-	message_encode(message, &writer);
-	/* Without a connection the message is lost, as a message between two
-	 * nodes may be. */
-	zmq_send(
-	    peer->socket, writer.buffer.data, writer.buffer.size, ZMQ_DONTWAIT);
-	writer_free(&writer);
-}
-
-static void
-send_heartbeat(test_peer_t *peer)
-{
-	message_t message = {.kind = MESSAGE_HEARTBEAT};
-	peer_report_t *report = &message.heartbeat.report;
-
-	message.heartbeat.sequence = ++peer->sequence;
-	strcpy(report->vm, peer->vm);
-	strcpy(report->data_centre, "dc-1");
-	strcpy(report->address, peer->address);
-	report->state = NODE_STATE_READY;
-	report->platform_age_ms = -1;
-	send_message(peer, &message);
-}
-
-static void
-push_contract(
-    test_peer_t *peer, const char *name, uint64_t version, const char *text)
-{
-	message_t message = {.kind = MESSAGE_CONFIG_PUSH};
-	config_object_t object = {.kind = CONFIG_CONTRACT,
-	    .version = version,
-	    .text = slice_from(text)};
-
-	strcpy(object.name, name);
-	message.config.object_count = 1;
-	message.config.objects = &object;
-	send_message(peer, &message);
-}
-
-static bool
-is_peer_live(harness_t *harness, int node, const char *name)
-{
-	json_t *status = harness_get_json(
-	    harness->nodes[node].operator_address, "/v1/status");
-	const json_t *list = json_object_get(status, "peers");
-	bool live = false;
-
-	for (size_t i = 0; i < json_array_size(list); i++) {
-		const json_t *entry = json_array_get(list, i);
-
-		if (strcmp(json_string_value(json_object_get(entry, "node")),
-			name) == 0)
-			live = json_is_true(json_object_get(entry, "live"));
-	}
-	json_decref(status);
-	return live;
-}
-
-static void
-wait_peer_live(harness_t *harness, test_peer_t *peer)
-{
-	usec_t until = clock_monotonic() + MS(WAIT_TIMEOUT_MS);
-
-	do {
-		assert_true(clock_monotonic() < until);
-		send_heartbeat(peer);
-		g_usleep(10000);
-	} while (!is_peer_live(harness, 0, peer->node));
-}
-
-static char *
-contract_text(harness_t *harness, const char *customer)
-{
-	char *path = g_strdup_printf("/v1/objects/contract/%s", customer);
-	json_t *object = harness_get_json(harness->platform_address, path);
-	char *text = json_dumps(json_object_get(object, "value"), JSON_COMPACT);
-
-	json_decref(object);
-	g_free(path);
-	return text;
-}
-
-/* A peer that was paused or restored from a backup pushes old versions: neither
- * a retired contract nor earlier limits may come into force again. The adoption
- * of a newer version of a third contract, sent last, shows that the pushes have
- * been handled. */
-static void
-old_versions_of_a_peer_are_ignored(void **state)
-{
-	harness_t *harness = *state;
-	test_peer_t peer;
-	int64_t first, retired;
-	char *text, *old;
-
-	traffic_start_backends(harness, DEADLINE_MS);
-	harness_add_nodes(harness, 2);
-	harness_start_node(harness, 0);
-	harness_wait_status(harness->nodes[0].operator_address, "/healthz", 200,
-	    WAIT_TIMEOUT_MS);
-	first = put_contract(harness, "kiln", false);
-	text = contract_text(harness, "kiln");
-	old = contract_text(harness, TRAFFIC_CUSTOMER);
-	retired = put_contract(harness, "kiln", true);
-	wait_adopted(harness, 0, "kiln", retired);
-	peer = open_peer("node-2", "vm-2", harness->nodes[1].peer_address,
-	    harness->nodes[0].peer_address);
-	wait_peer_live(harness, &peer);
-	push_contract(&peer, "kiln", (uint64_t)first, text);
-	free(text);
-	push_contract(&peer, TRAFFIC_CUSTOMER, 1, old);
-	free(old);
-	put_contract(harness, "later", false);
-	text = contract_text(harness, "later");
-	push_contract(&peer, "later", 1000000, text);
-	free(text);
-	wait_adopted(harness, 0, "later", 1000000);
-	assert_int_equal(adopted_version(harness, 0, "kiln"), retired);
-	assert_int_equal(adopted_version(harness, 0, TRAFFIC_CUSTOMER),
-	    stored_version(harness, TRAFFIC_CUSTOMER));
-	close_peer(&peer);
-}
-
-/* Messages of a peer that is not listed must be dropped. A heartbeat of a
- * listed peer follows on the same connection; once that peer is live, the
- * earlier messages have been handled. */
-static void
-unlisted_peers_are_dropped(void **state)
-{
-	harness_t *harness = *state;
-	test_peer_t peer;
-	char *text;
-
-	traffic_start_backends(harness, DEADLINE_MS);
-	harness_add_nodes(harness, 2);
-	harness_start_node(harness, 0);
-	harness_wait_status(harness->nodes[0].operator_address, "/healthz", 200,
-	    WAIT_TIMEOUT_MS);
-	peer = open_peer("stranger", "vm-9", harness->nodes[1].peer_address,
-	    harness->nodes[0].peer_address);
-	send_heartbeat(&peer);
-	text = contract_text(harness, "acme");
-	push_contract(&peer, "acme", 1000000, text);
-	free(text);
-	peer.node = "node-2";
-	peer.vm = "vm-2";
-	wait_peer_live(harness, &peer);
-	assert_false(is_peer_live(harness, 0, "stranger"));
-	assert_int_equal(adopted_version(harness, 0, "acme"),
-	    stored_version(harness, "acme"));
-	close_peer(&peer);
-}
-
-/* With a peer key, messages of a process that lacks the key are dropped, even
- * under the name of a listed peer. */
-static void
-peers_without_the_key_are_not_heard(void **state)
-{
-	harness_t *harness = *state;
-	char public_key[41], secret_key[41];
-	char *file = g_strdup_printf("%s/test-logs/peer-%d.key",
-	    harness_build_directory(), (int)getpid());
-	test_peer_t peer;
-
-	assert_int_equal(zmq_curve_keypair(public_key, secret_key), 0);
-	assert_true(g_file_set_contents(file, secret_key, -1, NULL));
-	chmod(file, 0600);
-	traffic_start_backends(harness, DEADLINE_MS);
-	harness_add_nodes(harness, 3);
-	for (int i = 0; i < 2; i++)
-		harness->nodes[i].peer_key_file = file;
-	for (int i = 0; i < 2; i++)
-		harness_start_node(harness, i);
-	for (int i = 0; i < 2; i++)
-		traffic_wait_complete(harness, i);
-	assert_true(is_peer_live(harness, 0, "node-2"));
-	peer = open_peer("node-3", "vm-3", harness->nodes[2].peer_address,
-	    harness->nodes[0].peer_address);
-	/* Sends heartbeats for two seconds. A peer with the key would be live
-	 * within 100 ms. */
-	for (int i = 0; i < 20; i++) {
-		send_heartbeat(&peer);
-		g_usleep(100000);
-		assert_false(is_peer_live(harness, 0, "node-3"));
-	}
-	close_peer(&peer);
-	g_free(file);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -746,9 +455,6 @@
 	    HARNESS_TEST(a_node_starts_during_an_outage),
 	    HARNESS_TEST(an_unreadable_object_hides_only_itself),
 	    HARNESS_TEST(a_withdrawn_key_stays_withdrawn_after_a_restart),
-	    HARNESS_TEST(old_versions_of_a_peer_are_ignored),
-	    HARNESS_TEST(unlisted_peers_are_dropped),
-	    HARNESS_TEST(peers_without_the_key_are_not_heard),
 	};
 
 	/* The tool stores the name of the user who makes a change. */
