Log the daemon's events on peers and claims as key=value

PEER_UP, PEER_SILENT, PEER_REPLACED and PEER_GONE said a name, CLAIM_CONFLICT, CLAIM_READ_BACK and CLAIM_UNKNOWN an object or a kind of error. They are key=value now like the gateway's lines, with the address, the incarnation and how long ago the peer was heard, and with the call, its outcome and what follows.

--- a/source/claim/claim.c
+++ b/source/claim/claim.c
@@ -179,9 +179,8 @@
 		claim_attempt_set_outcome(attempt, ENTRY_RELEASED, &not_sent);
 	} else {
 		event_log(EVENT_CLAIM_UNKNOWN,
-		    "claim object %s, key %s: the upstream may have executed "
-		    "the reservation",
-		    attempt->object->name, attempt->request.key);
+		    "object=%s key=%s outcome=unknown", attempt->object->name,
+		    attempt->request.key);
 		claim_attempt_set_outcome(attempt, ENTRY_UNKNOWN, &unknown);
 	}
 }
--- a/source/claim/claim_object.c
+++ b/source/claim/claim_object.c
@@ -269,8 +269,7 @@
 	}
 	event_log(result == CLAIM_IO_CONFLICT ? EVENT_CLAIM_CONFLICT
 					      : EVENT_CLAIM_READ_BACK,
-	    "claim object %s, version %llu: reading it to see whether the "
-	    "write was applied",
-	    object->name, (unsigned long long)object->version);
+	    "object=%s version=%llu next=read", object->name,
+	    (unsigned long long)object->version);
 	handle_write_in_doubt(object);
 }
--- a/source/node/node_peer.c
+++ b/source/node/node_peer.c
@@ -119,6 +119,23 @@
 	g_free(heartbeat->wanted_loans);
 }
 
+/* Names the incarnation that the event is about, and how long ago the peer was
+ * heard, -1 if never. */
+static void
+log_peer(event_number_t event, const membership_action_t *action,
+    const peer_t *peer, usec_t now)
+{
+	bool was_heard = peer != NULL && peer->heard_at != 0;
+	usec_t age = was_heard ? now - peer->heard_at : -USEC_PER_MS;
+
+	event_log(event, "peer=%s address=%s incarnation=%llu heard_ms=%lld",
+	    action->node, peer != NULL ? peer->address : "",
+	    (unsigned long long)(action->incarnation != 0 || peer == NULL
+		    ? action->incarnation
+		    : peer->incarnation),
+	    (long long)(age / USEC_PER_MS));
+}
+
 static void
 handle_membership_action(
     node_t *node, const membership_action_t *action, usec_t now)
@@ -136,23 +153,20 @@
 			    node->peer_socket, peer->node, peer->address);
 		return;
 	case MEMBERSHIP_UP:
-		event_log(EVENT_PEER_UP, "%s incarnation %llu", action->node,
-		    (unsigned long long)action->incarnation);
+		log_peer(EVENT_PEER_UP, action, peer, now);
 		return;
 	case MEMBERSHIP_SILENT:
-		event_log(EVENT_PEER_SILENT, "%s", action->node);
+		log_peer(EVENT_PEER_SILENT, action, peer, now);
 		query_peer_lost(node->queries, action->node, now);
 		permit_peer_lost(node, action->node, now);
 		return;
 	case MEMBERSHIP_REPLACED:
-		event_log(EVENT_PEER_REPLACED, "%s incarnation %llu",
-		    action->node, (unsigned long long)action->incarnation);
+		log_peer(EVENT_PEER_REPLACED, action, peer, now);
 		query_peer_lost(node->queries, action->node, now);
 		permit_peer_lost(node, action->node, now);
 		return;
 	case MEMBERSHIP_GONE:
-		event_log(EVENT_PEER_GONE, "%s incarnation %llu", action->node,
-		    (unsigned long long)action->incarnation);
+		log_peer(EVENT_PEER_GONE, action, peer, now);
 		return;
 	}
 }
--- a/source/node/node_reserve.c
+++ b/source/node/node_reserve.c
@@ -302,7 +302,9 @@
 	else if (error_is_not_run(error))
 		result = CLAIM_DISPATCH_NOT_SENT;
 	if (result == CLAIM_DISPATCH_UNKNOWN)
-		event_log(EVENT_CLAIM_UNKNOWN, "%s", error_kind(error));
+		event_log(EVENT_CLAIM_UNKNOWN,
+		    "dispatch=%llu error=%s status=%d outcome=unknown",
+		    (unsigned long long)tag, error_kind(error), http_status);
 	claim_dispatch_done(node->claims, tag, result, http_status, body,
 	    clock_monotonic(), clock_wall());
 }
@@ -343,9 +345,13 @@
 	claim_call_t *call = context;
 
 	if (result == PLATFORM_OUTCOME_UNKNOWN)
-		event_log(EVENT_CLAIM_READ_BACK, "%s", call->object);
+		event_log(EVENT_CLAIM_READ_BACK,
+		    "object=%s call=write outcome=unknown next=read",
+		    call->object);
 	else if (result == PLATFORM_CONFLICT)
-		event_log(EVENT_CLAIM_CONFLICT, "%s", call->object);
+		event_log(EVENT_CLAIM_CONFLICT,
+		    "object=%s call=write outcome=conflict next=read",
+		    call->object);
 	claim_write_done(call->node->claims, call->object,
 	    claim_io_result(result), version, clock_monotonic(), clock_wall());
 }
