--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -273,6 +273,55 @@
 	}
 }
 
+static const struct {
+	const char *text;	 /* a number of the configuration */
+	usec_t timeout;		 /* of a route with this timeout_ms */
+	uint32_t max_body_bytes; /* of limits with this number; 0: default */
+} numbers[] = {
+    {"500", MS(500), 500},
+    {"-65536", MS(30000), 0},
+    {"-1e300", MS(30000), 0},
+    {"1e300", MS(1000000000), UINT32_MAX},
+    {"4294967296", MS(1000000000), UINT32_MAX},
+};
+
+/* A number out of range must not become another one, which depends on the
+ * processor: a limit of -65536 bytes refused every body, or none. */
+static void
+numbers_out_of_range_do_no_harm(void **state)
+{
+	route_table_t *unset = route_table_create(1);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		char *text = g_strdup_printf(
+		    "{\"version\":7,\"routes\":[" ROUTE(
+			",\"service\":\"s\",\"timeout_ms\":%s,"
+			"\"max_attempts\":%s,\"priority\":%s") "],"
+							       "\"limits\":{"
+							       "\"max_body_"
+							       "bytes\":%s}}",
+		    numbers[i].text, numbers[i].text, numbers[i].text,
+		    numbers[i].text);
+		json_t *spec = json_loads(text, 0, NULL);
+		char message[128] = "";
+		route_table_t *table =
+		    decode_config(spec, message, sizeof(message));
+		uint32_t expected = numbers[i].max_body_bytes != 0
+		    ? numbers[i].max_body_bytes
+		    : route_table_limits(unset)->max_body_bytes;
+
+		assert_non_null(table);
+		assert_int_equal(
+		    route_table_route(table, 0)->timeout, numbers[i].timeout);
+		assert_int_equal(
+		    route_table_limits(table)->max_body_bytes, expected);
+		route_table_unref(table);
+		json_decref(spec);
+		g_free(text);
+	}
+	route_table_unref(unset);
+}
+
 /* The work for a path must not grow with the square of its slashes. Before
  * this guard each match of such a path took seconds. */
 static void
@@ -396,6 +445,7 @@
 	    cmocka_unit_test(a_flag_overrides_its_environment_variable),
 	    cmocka_unit_test(server_entries_are_checked),
 	    cmocka_unit_test(configurations_are_adopted_whole_or_not),
+	    cmocka_unit_test(numbers_out_of_range_do_no_harm),
 	    cmocka_unit_test(long_paths_are_matched_at_once),
 	    cmocka_unit_test(messages_are_read_in_any_pieces),
 	};
