Hold each kind to its own bound in the exploration of the store's client

Both kinds were checked at the later of the two bounds: news of servers had 12.5 s instead of the 7.2 s that the terms add up to.

--- a/tests/lib/store_model.c
+++ b/tests/lib/store_model.c
@@ -643,14 +643,10 @@
 }
 
 bool
-store_model_is_current(const store_model_t *model)
+store_model_is_current(const store_model_t *model, store_channel_id_t kind)
 {
-	for (int i = 0; i < STORE_KINDS; i++) {
-		store_channel_id_t kind = (store_channel_id_t)i;
-
-		for (uint32_t j = 0; j < object_count(kind); j++)
-			if (!knows_state(model, kind, j, model->revision))
-				return false;
-	}
+	for (uint32_t i = 0; i < object_count(kind); i++)
+		if (!knows_state(model, kind, i, model->revision))
+			return false;
 	return true;
 }
--- a/tests/lib/store_model.h
+++ b/tests/lib/store_model.h
@@ -112,7 +112,8 @@
  * they only say which revision is known. */
 void store_model_tell(store_model_t *model);
 
-/** store_model_is_current() - Whether the client knows the store's state. */
-bool store_model_is_current(const store_model_t *model);
+/** store_model_is_current() - Whether the client knows the state of a kind. */
+bool store_model_is_current(
+    const store_model_t *model, store_channel_id_t kind);
 
 #endif
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -60,7 +60,6 @@
 #define SLOW_LATENCY MS(1200)
 #define GROWN_MARGIN SECONDS(3) /* of a poll after other polls were lost */
 #define RETRY_DELAY MS(1200)	/* the longest, with its jitter */
-#define LIST_TIMEOUT SECONDS(3) /* of a list call that was lost */
 #define LAST_PROBE SECONDS(6)	/* the interval of a follower, and... */
 #define PROBE_JITTER MS(1200)	/* ...its jitter */
 #define REPORT_DELAY MS(300)	/* until a poll counts as lost */
@@ -69,7 +68,6 @@
 	(POLL_WAIT + GROWN_MARGIN + RETRY_DELAY + CALLS_OF_A_READ)
 #define CONFIG_NEWS_MAX \
 	(OLD_TIME + LAST_PROBE + PROBE_JITTER + REPORT_DELAY + CALLS_OF_A_READ)
-#define NEWS_MAX MAX(SERVERS_NEWS_MAX, CONFIG_NEWS_MAX)
 
 static const model_settings_t settings = {
     .machine = {.watches = {[STORE_CONFIG] = {.poll_wait = CONFIG_POLL_WAIT,
@@ -199,6 +197,16 @@
 	    QUIET_TIME / CONFIG_POLL_WAIT + 8;
 }
 
+static void
+expect_news(store_model_t *model, store_channel_id_t kind, usec_t latest)
+{
+	store_model_run(model, latest);
+	if (model->failure == NULL && !store_model_is_current(model, kind))
+		model->failure = kind == STORE_SERVERS
+		    ? "servers are not heard of in time"
+		    : "a configuration is not heard of in time";
+}
+
 /*
  * After the last fault the node reads for itself, the store changes once more,
  * and all has to be heard in time; later the node is quiet.
@@ -210,6 +218,7 @@
 	store_model_t model;
 	const char *failure;
 	uint64_t calls;
+	usec_t start;
 
 	if (played->failure != NULL)
 		return played->failure;
@@ -223,9 +232,9 @@
 		store_model_set_source(&model, STORE_SOURCE_SELF);
 	store_model_change(&model, STORE_CONFIG, 0, true);
 	store_model_change(&model, STORE_SERVERS, 1, !has_server(&model, 1));
-	store_model_run(&model, model.now + NEWS_MAX);
-	if (model.failure == NULL && !store_model_is_current(&model))
-		model.failure = "news are not heard in time";
+	start = model.now;
+	expect_news(&model, STORE_SERVERS, start + SERVERS_NEWS_MAX);
+	expect_news(&model, STORE_CONFIG, start + CONFIG_NEWS_MAX);
 	if (model.source == STORE_SOURCE_SELF_FOR_OTHERS)
 		store_model_set_source(&model, STORE_SOURCE_SELF);
 	calls = count_calls(&model);
@@ -420,12 +429,12 @@
 };
 
 static usec_t
-time_to_hear(store_model_t *model)
+time_to_hear(store_model_t *model, store_channel_id_t kind)
 {
 	usec_t start = model->now;
 
-	while (
-	    !store_model_is_current(model) && model->now - start < SECONDS(30))
+	while (!store_model_is_current(model, kind) &&
+	    model->now - start < SECONDS(30))
 		store_model_run(model, model->now + MS(10));
 	return model->now - start;
 }
@@ -443,7 +452,7 @@
 
 		store_model_lose_calls(model);
 		store_model_change(model, kind, 0, true);
-		time = time_to_hear(model);
+		time = time_to_hear(model, kind);
 		worst = MAX(worst, time);
 		store_model_run(model, end);
 	}
