Do not date the leave of a server that is first seen leaving

Cause: a server is forgotten when its drain time is over. An entry that had lapsed in an outage of the registry and was written again after that counted as a new server that had begun to leave when the registry was last read.

--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -15,9 +15,16 @@
 /* Attempts at once on a server, before there are samples. */
 #define INITIAL_CONCURRENCY_LIMIT 4.0
 
-/* Last report of a removed server, by which older reports are recognised. */
+/* A server may have begun to leave at any time before. */
+#define LEAVING_SINCE_UNKNOWN 1
+
+/*
+ * Last report of a removed server, by which older reports are recognised, and
+ * what it has said, which holds if its entry comes back.
+ */
 typedef struct {
 	server_entry_t entry;
+	bool said_leaving;
 	usec_t removed_at;
 } removed_server_t;
 
@@ -34,6 +41,7 @@
 	removed_server_t *removed = g_new0(removed_server_t, 1);
 
 	removed->entry = server->entry;
+	removed->said_leaving = server->said_leaving;
 	removed->removed_at = pool_now(pool);
 	g_hash_table_replace(pool->removed_servers, removed->entry.id, removed);
 }
@@ -71,6 +79,27 @@
 	pool_server_destroy(server);
 }
 
+/* Whether the entry now describes another process than before. */
+static bool
+is_different_process(const server_entry_t *old, const server_entry_t *new)
+{
+	return old->incarnation != new->incarnation ||
+	    strcmp(old->service, new->service) != 0 ||
+	    old->address.sin_addr.s_addr != new->address.sin_addr.s_addr ||
+	    old->address.sin_port != new->address.sin_port;
+}
+
+/* Whether the process, whose entry is back, has said that it leaves. */
+static bool
+has_said_leaving(const pool_t *pool, const server_entry_t *entry)
+{
+	const removed_server_t *removed =
+	    g_hash_table_lookup(pool->removed_servers, entry->id);
+
+	return removed != NULL && removed->said_leaving &&
+	    !is_different_process(&removed->entry, entry);
+}
+
 static void
 add_server(pool_t *pool, const server_entry_t *entry, usec_t now)
 {
@@ -78,6 +107,10 @@
 
 	server->upstream = pool_get_upstream(pool, entry->service);
 	server->entry = *entry;
+	server->said_leaving = has_said_leaving(pool, entry);
+	/* Its entry may have lapsed while it was already leaving. */
+	if (entry->draining || server->said_leaving)
+		server->leaving_since = LEAVING_SINCE_UNKNOWN;
 	server->connections = g_ptr_array_new();
 	server_health_init(&server->health, INITIAL_CONCURRENCY_LIMIT, now);
 	g_ptr_array_add(server->upstream->servers, server);
@@ -87,16 +120,6 @@
 	    entry->id, entry->service, entry->draining ? "draining" : "ready");
 }
 
-/* Whether the entry now describes another process than before. */
-static bool
-is_different_process(const server_entry_t *old, const server_entry_t *new)
-{
-	return old->incarnation != new->incarnation ||
-	    strcmp(old->service, new->service) != 0 ||
-	    old->address.sin_addr.s_addr != new->address.sin_addr.s_addr ||
-	    old->address.sin_port != new->address.sin_port;
-}
-
 /* Whether @new was sent before @old: reports may arrive out of order. */
 static bool
 is_stale_report(const server_entry_t *old, const server_entry_t *new)
@@ -117,7 +140,8 @@
 	if (!leaving) {
 		server->leaving_since = 0;
 	} else if (server->leaving_since == 0) {
-		server->leaving_since = MAX(pool->registry_current_at, 1);
+		server->leaving_since =
+		    MAX(pool->registry_current_at, LEAVING_SINCE_UNKNOWN);
 		server->leaving_learned_at = now;
 		event_log(EVENT_SERVER_LEAVING,
 		    "server=%s upstream=%s age_ms=%lld said_so=%d",
