Let an outage of the registry excuse no announced leave

What callers saw: a shard without other servers could send queries to a server up to 0.4 s (of a bound of 6 s) after its drain time, around an outage.

Cause: a server whose entry is missing after an outage is used for 2.6 s more, as the entry may have lapsed. That held also if the entry had said "draining" before, heard from relays while this node did not reach the registry.

--- a/source/gateway/pool_servers.c
+++ b/source/gateway/pool_servers.c
@@ -250,9 +250,9 @@
 }
 
 /*
- * Whether the entry may have expired because of a registry outage: it was found
- * missing since the outage began, and its end is so recent that the entry may
- * still come back.
+ * Whether the entry may have expired because of a registry outage: the server
+ * had not announced that it leaves, it was found missing since the outage
+ * began, and its end is so recent that the entry may still come back.
  */
 static bool
 may_reappear(const pool_t *pool, const upstream_server_t *server, usec_t now)
@@ -262,8 +262,8 @@
 	    ? MIN(pool->registry_back_at, learned_at)
 	    : learned_at;
 
-	return !server->registered && !server->said_leaving &&
-	    pool->registry_lost_at != 0 &&
+	return !server->registered && !server->entry.draining &&
+	    !server->said_leaving && pool->registry_lost_at != 0 &&
 	    learned_at >= pool->registry_lost_at &&
 	    now - ended_at < EXPIRED_ENTRY_GRACE;
 }
--- a/tests/test_server_orders.c
+++ b/tests/test_server_orders.c
@@ -446,6 +446,7 @@
 
 static const order_case_t order_cases[] = {
     {"doeuolb", "an entry that lapsed and is back prolongs no leave"},
+    {"odutrer", "an announced leave that lapses in an outage is no lapse"},
 };
 
 static void
