Share the search for failing orders between the explorations

test_store_orders had its own shrinking, its table of orders and its random loop; lib/orders, which test_server_orders brought, has them for both.

--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -17,6 +17,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "lib/orders.h"
 #include "lib/random.h"
 #include "lib/store_model.h"
 
@@ -276,35 +277,7 @@
 	return failure;
 }
 
-/* Leaves out events for as long as the order still fails. */
-static void
-shrink(char *order)
-{
-	size_t at = order[0] == '-' ? 1 : 0;
-
-	while (order[at] != '\0') {
-		char *shorter = g_strdup(order);
-
-		memmove(shorter + at, shorter + at + 1, strlen(shorter + at));
-		if (play_order(shorter, NULL) != NULL) {
-			memcpy(order, shorter, strlen(shorter) + 1);
-			at = order[0] == '-' ? 1 : 0;
-		} else {
-			at++;
-		}
-		g_free(shorter);
-	}
-}
-
-static void
-fail_order(const char *failing)
-{
-	char *order = g_strdup(failing);
-
-	shrink(order);
-	fail_msg("BW_ORDER=%s: %s (found as %s)", order,
-	    play_order(order, NULL), failing);
-}
+static const orders_t orders = {.letters = EVENTS, .play = play_order};
 
 /* All orders of up to @depth events that begin with @order, at its end. */
 static uint64_t
@@ -314,7 +287,7 @@
 	uint64_t played = 1;
 
 	if (find_failure(model) != NULL)
-		fail_order(order);
+		orders_fail(&orders, order);
 	for (uint32_t i = 0; i < LETTERS && depth > 0; i++) {
 		store_model_t next;
 
@@ -334,12 +307,11 @@
 {
 	uint32_t depth =
 	    (uint32_t)environment_number("BW_DEPTH", DEFAULT_DEPTH);
-	const char *only = getenv("BW_ORDER");
 	uint64_t played = 0;
 
-	if (only != NULL && play_order(only, stderr) != NULL)
-		fail_order(only);
-	for (int i = 0; i < 2 && only == NULL; i++) {
+	if (orders_play_given(&orders))
+		return;
+	for (int i = 0; i < 2; i++) {
 		char order[64] = "";
 		store_model_t model;
 
@@ -352,11 +324,6 @@
 	    (unsigned long long)played, depth);
 }
 
-typedef struct {
-	const char *order;
-	const char *guards; /* what the order once broke */
-} order_case_t;
-
 static const order_case_t order_cases[] = {
     {"czoolocxgol", "a list that runs does not count as a lost poll"},
     {"zwfawml", "a poll of a slow store does not count as held"},
@@ -367,38 +334,16 @@
 static void
 orders_that_once_failed_keep_the_promises(void **state)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
-		const order_case_t *test = &order_cases[i];
-		const char *failure = play_order(test->order, NULL);
-
-		if (failure != NULL)
-			fail_msg("%s (BW_ORDER=%s): %s", test->guards,
-			    test->order, failure);
-	}
+	orders_play_cases(&orders, order_cases, G_N_ELEMENTS(order_cases));
 }
 
 static void
 random_long_orders_keep_the_promises(void **state)
 {
-	uint64_t first = environment_number("BW_SEED", 1);
-	uint64_t count = environment_number("BW_STEPS", DEFAULT_RANDOM_ORDERS);
+	static const char *const begins[] = {"", "-"};
 
-	if (getenv("BW_ORDER") != NULL)
-		return;
-	for (uint64_t seed = first; seed < first + count; seed++) {
-		random_t random = {seed};
-		char order[RANDOM_DEPTH + 2] = "";
-		int events = 1 + (int)random_below(&random, RANDOM_DEPTH);
-
-		if (random_below(&random, 2) == 0)
-			order[0] = '-';
-		while (events-- > 0)
-			order[strlen(order)] =
-			    EVENTS[random_below(&random, LETTERS)];
-		if (play_order(order, NULL) != NULL)
-			fail_order(order);
-	}
-	print_message("%llu random orders\n", (unsigned long long)count);
+	orders_play_random(&orders, begins, G_N_ELEMENTS(begins), RANDOM_DEPTH,
+	    DEFAULT_RANDOM_ORDERS);
 }
 
 /* A way to notice that the store has lost a poll, and what it costs. */
