Give relays a moment to return before followers poll the store

Cause: in an outage of the store relays fall silent after 1.3 s, and when the store is back, each follower polled both kinds as soon as its probe was answered, while the relays came back within half a second.

Change: after the answered probe a follower waits for what 0.6 of the drain bound leaves after the worst time of its relays, 0.8 s at most (0.1 s with a bound of 3 s), unless the probe has found a configuration that relays have missed.

Measured: test_store_orders/a_follower_waits_for_relays_after_an_outage fails before (2 polls) and passes; all orders of 4 events and 200,000 random ones pass.

--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -33,6 +33,9 @@
 #define POLL_MARGIN_MIN MS(250)
 /* Share of drain-ms within which peers must report a leaving server. */
 #define PEER_DELAY_SHARE 0.6
+/* After an outage of the store, peers that send its changes are back by then.
+ */
+#define PEER_RETURN_WAIT_MAX MS(800)
 /* A stop ends this long before the process would be killed. */
 #define STOP_MARGIN MS(600)
 
@@ -172,6 +175,26 @@
 	return 0;
 }
 
+/* The time that a leaving server gives is shared by all that delays the news
+ * of it. */
+static void
+divide_drain_time(usec_t drain, gateway_settings_t *settings)
+{
+	double time = (double)drain;
+	usec_t peer_time = (usec_t)(PEER_DELAY_SHARE * time);
+
+	settings->discovery_interval = (usec_t)(DISCOVERY_SHARE * time);
+	settings->registry_poll_wait =
+	    MAX((usec_t)(POLL_WAIT_SHARE * time), POLL_WAIT_MIN);
+	settings->registry_answer_margin =
+	    MAX((usec_t)(POLL_MARGIN_SHARE * time), POLL_MARGIN_MIN);
+	settings->drain_limit = (usec_t)(LAST_RESORT_SHARE * time);
+	/* Peers are followed only if they report a leaving server in time. */
+	settings->may_follow_peers = peer_time >= PEER_CHANGE_DELAY_MAX;
+	settings->peer_return_wait =
+	    CLAMP(peer_time - PEER_CHANGE_DELAY_MAX, 0, PEER_RETURN_WAIT_MAX);
+}
+
 static int
 parse_limits(char **values, gateway_settings_t *settings, char *message,
     size_t message_size)
@@ -195,19 +218,8 @@
 		return BW_E_SETTINGS;
 	settings->store_history = (usec_t)(history_s * USEC_PER_SEC);
 	settings->retries.window = (usec_t)(window_s * USEC_PER_SEC);
-	settings->discovery_interval =
-	    (usec_t)(DISCOVERY_SHARE * drain_ms * USEC_PER_MS);
-	settings->registry_poll_wait = MAX(
-	    (usec_t)(POLL_WAIT_SHARE * drain_ms * USEC_PER_MS), POLL_WAIT_MIN);
-	settings->registry_answer_margin =
-	    MAX((usec_t)(POLL_MARGIN_SHARE * drain_ms * USEC_PER_MS),
-		POLL_MARGIN_MIN);
-	settings->drain_limit =
-	    (usec_t)(LAST_RESORT_SHARE * drain_ms * USEC_PER_MS);
-	/* Peers are followed only if they report a leaving server in time. */
-	settings->may_follow_peers =
-	    PEER_DELAY_SHARE * drain_ms * USEC_PER_MS >= PEER_CHANGE_DELAY_MAX;
 	settings->stop_limit = (usec_t)(stop_s * USEC_PER_SEC) - STOP_MARGIN;
+	divide_drain_time((usec_t)(drain_ms * USEC_PER_MS), settings);
 	return 0;
 }
 
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -25,6 +25,8 @@
 	struct sockaddr_in peer_address;
 	bool has_peer_address;
 	bool may_follow_peers; /* relays report a leaving server in time */
+	/* A node that followed peers waits so long for them after an outage. */
+	usec_t peer_return_wait;
 	struct sockaddr_in store_address;
 	usec_t store_history; /* the store keeps changes this long */
 	retry_limits_t retries;
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -15,6 +15,7 @@
 #include "../platform/decode_server.h"
 #include "../source/gateway/gateway_settings.h"
 #include "../source/http/http_message.h"
+#include "../source/peers/peer_group.h"
 #include "bulrushwell/error.h"
 
 #define REQUIRED_FLAGS                                             \
@@ -122,6 +123,11 @@
 		    load(&row, &settings, message, sizeof(message)), 0);
 		assert_int_equal(
 		    settings.may_follow_peers, cases[i].may_follow);
+		/* The wait for peers delays the news as well. */
+		if (cases[i].may_follow)
+			assert_true(
+			    settings.peer_return_wait + PEER_CHANGE_DELAY_MAX <=
+			    settings.registry_poll_wait);
 	}
 }
 
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -52,6 +52,7 @@
 #define CONFIG_POLL_WAIT SECONDS(16)
 #define CONFIG_ANSWER_MARGIN SECONDS(3)
 #define CONFIG_CHANGE_DELAY MS(400)
+#define PEER_RETURN_WAIT MS(800)
 #define PROBE_INTERVAL SECONDS(2)
 #define RELAY_PROBE_INTERVAL MS(500)
 #define FOLLOWER_PROBE_INTERVAL SECONDS(6)
@@ -81,6 +82,7 @@
 	.probe_intervals = {[STORE_SOURCE_SELF] = PROBE_INTERVAL,
 	    [STORE_SOURCE_SELF_FOR_OTHERS] = RELAY_PROBE_INTERVAL,
 	    [STORE_SOURCE_PEERS] = FOLLOWER_PROBE_INTERVAL},
+	.peer_return_wait = PEER_RETURN_WAIT,
 	.seed = 1},
     .latency = LATENCY,
     .slow_latency = SLOW_LATENCY};
@@ -456,11 +458,72 @@
 	}
 }
 
+typedef struct {
+	const char *name;
+	usec_t silence; /* of the other nodes after the store is back */
+	bool
+	    has_change; /* the store has a configuration that they don't know */
+	bool polls;
+} return_case_t;
+
+static const return_case_t return_cases[] = {
+    {"others are back soon", PEER_RETURN_WAIT - MS(150), false, false},
+    {"others stay silent", PEER_RETURN_WAIT + MS(200), false, true},
+    {"the probe has found what others have missed", MS(300), true, true},
+};
+
+/* Polls between the end of an outage and the return of the other nodes. */
+static uint64_t
+polls_after_outage(const return_case_t *test)
+{
+	store_model_t model;
+	uint64_t polls;
+
+	store_model_open(&model, &settings);
+	store_model_run(&model, model.now + START_TIME);
+	store_model_set_source(&model, STORE_SOURCE_PEERS);
+	model.is_away = true;
+	store_model_lose_calls(&model);
+	store_model_set_source(&model, STORE_SOURCE_SELF);
+	store_model_run(&model, model.now + LONG_TIME);
+	polls =
+	    model.call_counts[STORE_CONFIG] + model.call_counts[STORE_SERVERS];
+	model.is_away = false;
+	if (test->has_change)
+		store_model_change(&model, STORE_CONFIG, 0, true);
+	while (model.calls[STORE_PROBE].running)
+		store_model_step(&model);
+	store_model_step(&model);
+	store_model_run(&model, model.now + test->silence);
+	store_model_set_source(&model, STORE_SOURCE_PEERS);
+	polls = model.call_counts[STORE_CONFIG] +
+	    model.call_counts[STORE_SERVERS] - polls;
+	store_model_close(&model);
+	return polls;
+}
+
+/*
+ * Guards against polls by all nodes at the end of each outage, although those
+ * that read the store for them are back at once.
+ */
+static void
+a_follower_waits_for_relays_after_an_outage(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(return_cases); i++) {
+		uint64_t polls = polls_after_outage(&return_cases[i]);
+
+		if ((polls > 0) != return_cases[i].polls)
+			fail_msg("%s: %llu polls", return_cases[i].name,
+			    (unsigned long long)polls);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_lost_poll_costs_few_calls_and_little_time),
+	    cmocka_unit_test(a_follower_waits_for_relays_after_an_outage),
 	    cmocka_unit_test(orders_that_once_failed_keep_the_promises),
 	    cmocka_unit_test(every_short_order_keeps_the_promises),
 	    cmocka_unit_test(random_long_orders_keep_the_promises),
