--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -41,6 +41,7 @@
 	GHashTable *poll_counts;  /* by kind: long polls since the start */
 	GHashTable *lost_counts;  /* by kind: polls that were lost */
 	GHashTable *list_counts;  /* by kind: lists that may not be old */
+	GHashTable *write_counts; /* by kind: calls, refused ones included */
 	GPtrArray *old_objects;	  /* stored_object_t; NULL: lists are current */
 	json_int_t old_revision;
 };
@@ -283,6 +284,7 @@
 	const char *target_name = is_create ? requested_name : name;
 
 	g_mutex_lock(&store->lock);
+	add_to_count(store->write_counts, kind, 1);
 	if (target_name == NULL) {
 		fake_reply_text(reply, 400, "{}");
 	} else if (is_create !=
@@ -392,6 +394,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->list_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->write_counts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->revision = 1;
 	store->page_size = page_size;
 	harness_find_unused_address(store->address);
@@ -415,6 +419,7 @@
 	g_hash_table_destroy(store->poll_counts);
 	g_hash_table_destroy(store->lost_counts);
 	g_hash_table_destroy(store->list_counts);
+	g_hash_table_destroy(store->write_counts);
 	if (store->old_objects != NULL)
 		g_ptr_array_free(store->old_objects, TRUE);
 	g_mutex_clear(&store->lock);
@@ -548,6 +553,12 @@
 	return read_count(store, store->list_counts, kind);
 }
 
+uint32_t
+object_store_write_count(object_store_t *store, const char *kind)
+{
+	return read_count(store, store->write_counts, kind);
+}
+
 uint32_t
 object_store_poll_count(object_store_t *store, const char *kind)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -78,6 +78,10 @@
  * that may not be old. */
 uint32_t object_store_list_count(object_store_t *store, const char *kind);
 
+/** object_store_write_count() - Number of write calls of a kind since the
+ * start, refused ones included. */
+uint32_t object_store_write_count(object_store_t *store, const char *kind);
+
 /** object_store_call_count() - Number of calls since the start. */
 uint64_t object_store_call_count(object_store_t *store);
 
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -30,6 +30,7 @@
 /* By then all nodes must know of a request that is suspected of crashing
  * servers. */
 #define SUSPECT_DELAY_MS 4000
+#define AFTER_START_MS 1000  /* by then a node has entered the registry */
 #define CHANGE_PAUSE_MS 2200 /* exceeds a node's delay after a change */
 
 static int64_t
@@ -310,6 +311,39 @@
 	world_destroy(world);
 }
 
+/*
+ * Guards against a node that writes its entry again at each restart although
+ * nothing in it has changed, and against one whose entry names an address of
+ * the process before.
+ */
+static void
+a_restart_writes_only_what_has_changed(void **state)
+{
+	gateway_world_t *world = world_create(*state);
+	gateway_fleet_t fleet = {0};
+	fleet_gateway_t *last = &fleet.gateways[FLEET_GATEWAYS - 1];
+	uint32_t writes;
+
+	fleet_create(&fleet, world);
+	wait_for_roles(&fleet);
+	writes = object_store_write_count(world->store, "nodes");
+	harness_kill(world->harness, last->process);
+	fleet_start(&fleet, FLEET_GATEWAYS - 1);
+	wait_for_roles(&fleet);
+	assert_int_equal(
+	    object_store_write_count(world->store, "nodes"), writes);
+	harness_kill(world->harness, last->process);
+	harness_find_unused_address(last->peers);
+	fleet_start(&fleet, FLEET_GATEWAYS - 1);
+	/* It counts the nodes after it has written its entry. */
+	harness_wait_status(last->health, "/ready", 200, WORLD_START_MS);
+	g_usleep(AFTER_START_MS * 1000);
+	assert_int_equal(
+	    object_store_write_count(world->store, "nodes"), writes + 1);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
 static int
 request_status(const gateway_fleet_t *fleet, int gateway, const char *path)
 {
@@ -495,6 +529,7 @@
 	    HARNESS_TEST(followers_learn_in_time_when_relays_fail),
 	    HARNESS_TEST(a_node_that_was_cut_off_learns_in_time),
 	    HARNESS_TEST(all_catch_up_after_an_outage),
+	    HARNESS_TEST(a_restart_writes_only_what_has_changed),
 	    HARNESS_TEST(a_request_that_crashes_servers_is_known_to_all),
 	    HARNESS_TEST(a_request_whose_answers_are_lost_is_not_suspected),
 	    HARNESS_TEST(one_crash_refuses_no_shared_content),
