Send no long poll before a node knows whether it follows relays

Cause: a node polled both kinds as soon as it had listed them, and cancelled the polls a second later, when it had heard of the relays of its data centre: two calls a start for nothing, on the large site about 600.

--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -36,6 +36,8 @@
 /* After an outage of the store, peers that send its changes are back by then.
  */
 #define PEER_RETURN_WAIT_MAX MS(800)
+/* Nodes that start at the same time have found each other by then. */
+#define PEER_HELLO_WAIT_MAX MS(1400)
 /* A stop ends this long before the process would be killed. */
 #define STOP_MARGIN MS(600)
 
@@ -193,6 +195,9 @@
 	settings->may_follow_peers = peer_time >= PEER_CHANGE_DELAY_MAX;
 	settings->peer_return_wait =
 	    CLAMP(peer_time - PEER_CHANGE_DELAY_MAX, 0, PEER_RETURN_WAIT_MAX);
+	if (settings->has_peer_address && settings->may_follow_peers)
+		settings->peer_hello_wait =
+		    MIN(settings->discovery_interval, PEER_HELLO_WAIT_MAX);
 }
 
 static int
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -27,6 +27,8 @@
 	bool may_follow_peers; /* relays report a leaving server in time */
 	/* A node that followed peers waits so long for them after an outage. */
 	usec_t peer_return_wait;
+	/* After its start a node waits so long to hear of peers. */
+	usec_t peer_hello_wait;
 	struct sockaddr_in store_address;
 	usec_t store_history; /* the store keeps changes this long */
 	retry_limits_t retries;
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -40,6 +40,7 @@
 #define SHORT_TIME MS(60)
 #define MEDIUM_TIME MS(400)
 #define LONG_TIME SECONDS(4)
+#define LISTING_TIME MS(100) /* until all has been listed */
 #define OLD_TIME SECONDS(5)
 #define START_TIME SECONDS(20)
 #define QUIET_TIME SECONDS(60)
@@ -53,6 +54,7 @@
 #define CONFIG_ANSWER_MARGIN SECONDS(3)
 #define CONFIG_CHANGE_DELAY MS(400)
 #define PEER_RETURN_WAIT MS(800)
+#define FIRST_POLL_DELAY MS(1400)
 #define PROBE_INTERVAL SECONDS(2)
 #define RELAY_PROBE_INTERVAL MS(500)
 #define FOLLOWER_PROBE_INTERVAL SECONDS(6)
@@ -65,6 +67,7 @@
 #define LAST_PROBE SECONDS(6)	/* the interval of a follower, and... */
 #define PROBE_JITTER MS(1200)	/* ...its jitter */
 #define REPORT_DELAY MS(300)	/* until a poll counts as lost */
+#define CALLS_OF_A_START 4 /* configuration, two pages, changes since then */
 #define CALLS_OF_A_READ (6 * LATENCY) /* history gone, pages, changes since */
 #define SERVERS_NEWS_MAX \
 	(POLL_WAIT + GROWN_MARGIN + RETRY_DELAY + CALLS_OF_A_READ)
@@ -74,10 +77,12 @@
 static const model_settings_t settings = {
     .machine = {.watches = {[STORE_CONFIG] = {.poll_wait = CONFIG_POLL_WAIT,
 				.answer_margin = CONFIG_ANSWER_MARGIN,
-				.change_delay = CONFIG_CHANGE_DELAY},
+				.change_delay = CONFIG_CHANGE_DELAY,
+				.first_poll_delay = FIRST_POLL_DELAY},
 		    [STORE_SERVERS] = {.poll_wait = POLL_WAIT,
 			.answer_margin = ANSWER_MARGIN,
 			.change_delay = CHANGE_DELAY,
+			.first_poll_delay = FIRST_POLL_DELAY,
 			.may_list_old = true}},
 	.probe_intervals = {[STORE_SOURCE_SELF] = PROBE_INTERVAL,
 	    [STORE_SOURCE_SELF_FOR_OTHERS] = RELAY_PROBE_INTERVAL,
@@ -518,11 +523,33 @@
 	}
 }
 
+/*
+ * Guards against long polls by all nodes at their start, which those that hear
+ * of others that read the store for them end at once.
+ */
+static void
+a_new_follower_sends_no_poll(void **state)
+{
+	store_model_t model;
+
+	store_model_open(&model, &settings);
+	store_model_run(&model, model.now + LISTING_TIME);
+	assert_true(store_model_is_current(&model, STORE_CONFIG));
+	assert_true(store_model_is_current(&model, STORE_SERVERS));
+	store_model_run(&model, model.now + FIRST_POLL_DELAY - LISTING_TIME);
+	store_model_set_source(&model, STORE_SOURCE_PEERS);
+	store_model_run(&model, model.now + LONG_TIME);
+	assert_int_equal(count_calls(&model) - model.call_counts[STORE_PROBE],
+	    CALLS_OF_A_START);
+	store_model_close(&model);
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_lost_poll_costs_few_calls_and_little_time),
+	    cmocka_unit_test(a_new_follower_sends_no_poll),
 	    cmocka_unit_test(a_follower_waits_for_relays_after_an_outage),
 	    cmocka_unit_test(orders_that_once_failed_keep_the_promises),
 	    cmocka_unit_test(every_short_order_keeps_the_promises),
