Let a relay send what it reads first after an outage

Cause: a node is a relay while the store answers it. After an outage its poll was often answered before its role was looked at (four times a second), so the changes that the outage had held back were read but not sent, and all followers lacked them and read the store themselves.

Measured: test_peers/the_changes_that_make_a_relay_are_sent fails before (role alone, nothing sent) and passes.

--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -487,7 +487,10 @@
 void
 peer_link_store_answered(peer_link_t *link)
 {
-	link->store_answered_at = loop_clock_now(link->loop);
+	usec_t now = loop_clock_now(link->loop);
+
+	link->store_answered_at = now;
+	update_role(link, now);
 }
 
 void
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -80,7 +80,7 @@
     peer_link_t *link, const peer_node_t *nodes, uint32_t count);
 
 /** peer_link_store_answered() - Records that the store has just answered this
- * node. */
+ * node, which may make it a relay. */
 void peer_link_store_answered(peer_link_t *link);
 
 /**
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -527,8 +527,9 @@
 {
 }
 
+/* The link of a node that is the first by name of many. */
 static peer_link_t *
-create_relay(struct ev_loop *loop)
+create_link(struct ev_loop *loop)
 {
 	const struct sockaddr_in own = {.sin_family = AF_INET};
 	const peer_link_handlers_t handlers = {.role = ignore_role};
@@ -544,6 +545,14 @@
 	}
 	peer_link_set_handlers(link, &handlers);
 	peer_link_set_nodes(link, nodes, MANY_NODES);
+	return link;
+}
+
+static peer_link_t *
+create_relay(struct ev_loop *loop)
+{
+	peer_link_t *link = create_link(loop);
+
 	peer_link_store_answered(link);
 	while (peer_link_role(link) != PEER_RELAY)
 		ev_run(loop, EVRUN_ONCE);
@@ -578,6 +587,29 @@
 	g_string_free(content, TRUE);
 }
 
+/*
+ * After an outage, what a node reads first makes it a relay again and is what
+ * the others lack. If it was not sent, all of them read the store.
+ */
+static void
+the_changes_that_make_a_relay_are_sent(void **state)
+{
+	static const char content[] = "[{\"a\":1}]";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	loop_clock_t clock;
+	peer_link_t *link;
+
+	loop_clock_start(&clock, loop);
+	link = create_link(loop);
+	assert_int_equal(peer_link_role(link), PEER_ALONE);
+	peer_link_changes_read(
+	    link, PEER_SERVERS, false, 10, slice_from(content));
+	assert_int_equal(peer_link_role(link), PEER_RELAY);
+	assert_true(peer_link_counters(link)->sent > 0);
+	peer_link_destroy(link);
+	ev_loop_destroy(loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -593,6 +625,7 @@
 	    cmocka_unit_test(one_node_takes_the_place_of_a_relay),
 	    cmocka_unit_test(a_follower_that_lacks_changes_asks_soon),
 	    cmocka_unit_test(changes_are_sent_in_small_bursts),
+	    cmocka_unit_test(the_changes_that_make_a_relay_are_sent),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
