--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -544,11 +544,65 @@
 	store_model_close(&model);
 }
 
+typedef struct {
+	const char *name;
+	store_source_t source;
+	uint64_t max_probes; /* in an outage of 10 s */
+	usec_t max_time;     /* from its end until the store is reached */
+} outage_case_t;
+
+/* A probe that gets no answer takes 1.5 s, then come the delays of its retries,
+ * each with a jitter of a fifth. */
+static const outage_case_t outage_cases[] = {
+    {"a node alone", STORE_SOURCE_SELF, 7, MS(480) + MS(1500)},
+    {"a relay", STORE_SOURCE_SELF_FOR_OTHERS, 7, MS(480) + MS(1500)},
+    {"a follower", STORE_SOURCE_PEERS, 4, MS(3840) + MS(1500)},
+};
+
+/*
+ * Guards against probes of all nodes in an outage, which are refused or wait,
+ * although a few suffice to notice its end.
+ */
+static void
+an_outage_costs_few_probes(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(outage_cases); i++) {
+		const outage_case_t *test = &outage_cases[i];
+		store_model_t model;
+		uint64_t probes;
+		usec_t end;
+
+		store_model_open(&model, &settings);
+		store_model_run(&model, model.now + START_TIME);
+		store_model_set_source(&model, test->source);
+		store_model_run(&model, model.now + SECONDS(1));
+		model.is_away = true;
+		store_model_lose_calls(&model);
+		probes = model.call_counts[STORE_PROBE];
+		store_model_run(&model, model.now + SECONDS(10));
+		probes = model.call_counts[STORE_PROBE] - probes;
+		if (probes > test->max_probes)
+			fail_msg("%s: %llu probes", test->name,
+			    (unsigned long long)probes);
+		model.is_away = false;
+		end = model.now;
+		probes = model.call_counts[STORE_PROBE];
+		while (model.call_counts[STORE_PROBE] == probes &&
+		    model.now < end + SECONDS(30))
+			store_model_step(&model);
+		if (model.now - end > test->max_time)
+			fail_msg("%s: reached after %lld ms", test->name,
+			    (long long)((model.now - end) / USEC_PER_MS));
+		store_model_close(&model);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_lost_poll_costs_few_calls_and_little_time),
+	    cmocka_unit_test(an_outage_costs_few_probes),
 	    cmocka_unit_test(a_new_follower_sends_no_poll),
 	    cmocka_unit_test(a_follower_waits_for_relays_after_an_outage),
 	    cmocka_unit_test(orders_that_once_failed_keep_the_promises),
