Date nothing by an answer of the store that may be cut

What callers could see: while all servers of a shard leave, one of them gets requests for longer than its drain time.

Cause: a poll that brings changes counted as all changes up to the time when it was sent. The store cuts long answers, so a leave in the rest was dated after the part before it.

--- a/tests/lib/store_model.c
+++ b/tests/lib/store_model.c
@@ -420,13 +420,37 @@
 	answer->response.has_next_page = end < object_count(kind);
 }
 
+/*
+ * The store cuts long answers. Return: the revision up to which the changes of
+ * a kind after @after fit into one answer.
+ */
+static int64_t
+cut_answer(const store_model_t *model, store_channel_id_t kind, int64_t after,
+    int64_t revision)
+{
+	uint32_t changes = 0;
+
+	for (int64_t i = after; i < revision; i++)
+		if (model->changes[i].kind == kind &&
+		    ++changes > MODEL_ANSWER_CHANGES)
+			return i;
+	return revision;
+}
+
 static void
 fill_poll_answer(const store_model_t *model, store_channel_id_t channel,
     model_answer_t *answer)
 {
 	store_channel_id_t kind = kind_of(channel);
 
+	int64_t cut;
+
 	answer->after = model->calls[channel].query.revision;
+	cut = cut_answer(model, kind, answer->after, answer->revision);
+	if (cut < answer->revision)
+		answer->response.changes = MODEL_MANY_CHANGES;
+	answer->revision = cut;
+	answer->response.revision = cut;
 	for (uint32_t i = 0; i < object_count(kind); i++) {
 		int64_t last = last_change(model, kind, i, answer->revision);
 
--- a/tests/lib/store_model.h
+++ b/tests/lib/store_model.h
@@ -19,6 +19,8 @@
 #define MODEL_SERVERS 3
 #define MODEL_PAGE 2 /* servers in a response to a list call */
 #define MODEL_CHANGES_MAX 64
+#define MODEL_ANSWER_CHANGES 2 /* of a kind in an answer to a poll */
+#define MODEL_MANY_CHANGES 100 /* stands for those of an answer that is cut */
 
 /** typedef model_settings_t - The client, and how the store is in general. */
 typedef struct {
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -336,6 +336,7 @@
     {"zwfawml", "a poll of a slow store does not count as held"},
     {"-lcmzplxl", "a slow report does not count as lost"},
     {"czrplutt", "a refusal says nothing about the latency"},
+    {"-wcc", "an answer that the store has cut does not date what follows"},
 };
 
 static void
