Let a node that is behind its relays read the store at once

Cause: a node that had missed a datagram waited for a probe before it polled. The store turned it away for 9 s, and since probes of such a node come up to 3.8 s apart; then it waited for relays to return, which it had.

Measured: test_process_gateway_peers/a_node_that_was_cut_off_learns_in_time, now also with 10.5 s without the store, fails before and passes.

--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -47,7 +47,7 @@
 	peer_batch_t *batches[PEER_TOPICS];
 	usec_t store_answered_at; /* when the store last answered; 0: never */
 	usec_t distrust_until;	  /* relays are not relied on until then */
-	usec_t missing_requested_at; /* or when the role last changed */
+	usec_t missing_requested_at;
 	peer_link_counters_t counters;
 };
 
@@ -134,6 +134,19 @@
 	return role;
 }
 
+/* Requests changes that a relay knows and this node lacks to be read from the
+ * store. */
+static void
+request_missing_changes(peer_link_t *link, usec_t now)
+{
+	link->missing_requested_at = now;
+	for (int i = 0; i < PEER_TOPICS; i++)
+		if (peer_group_has_newer(
+			link->group, (peer_topic_t)i, &link->positions[i], now))
+			link->handlers.behind(
+			    link->handlers.context, (peer_topic_t)i);
+}
+
 static void
 update_role(peer_link_t *link, usec_t now)
 {
@@ -148,24 +161,9 @@
 	    (long long)link->positions[PEER_CONFIG].revision,
 	    (long long)link->positions[PEER_SERVERS].revision);
 	link->role = role;
-	link->missing_requested_at = now;
 	link->handlers.role(link->handlers.context, role);
-}
-
-/* Requests changes that a relay knows and this node lacks to be read from the
- * store. This is needed although this node polls the store: a long poll that is
- * still waiting does not prove that nothing has changed. */
-static void
-request_missing_changes(peer_link_t *link, usec_t now)
-{
-	if (now - link->missing_requested_at < MISSING_REQUEST_INTERVAL)
-		return;
-	link->missing_requested_at = now;
-	for (int i = 0; i < PEER_TOPICS; i++)
-		if (peer_group_has_newer(
-			link->group, (peer_topic_t)i, &link->positions[i], now))
-			link->handlers.behind(
-			    link->handlers.context, (peer_topic_t)i);
+	if (role == PEER_ALONE)
+		request_missing_changes(link, now);
 }
 
 static void
@@ -178,7 +176,10 @@
 	resend_reports(link);
 	if (link->role == PEER_RELAY)
 		send_status(link, now);
-	if (link->role == PEER_ALONE)
+	/* Again, although it polls the store: a long poll that is still waiting
+	 * does not prove that nothing has changed. */
+	if (link->role == PEER_ALONE &&
+	    now - link->missing_requested_at >= MISSING_REQUEST_INTERVAL)
 		request_missing_changes(link, now);
 	ev_timer_set(
 	    timer, TICK_S + TICK_JITTER_S * (g_random_double() - 0.5), 0.0);
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -23,7 +23,8 @@
 #define RECONNECT_UPDATE_TIMEOUT_MS 2400
 #define EXTRA_ENTRIES 400
 #define EXTRA_ENTRY_WORDS 60
-#define DISCONNECT_MS 4500 /* long enough for a failed probe */
+#define DISCONNECT_MS 4500	 /* long enough for a failed probe */
+#define LONG_DISCONNECT_MS 10500 /* long enough for five */
 #define POLL_STEP_MS 20
 #define CHANGES 3
 #define DEADLINE_MS 1500
@@ -271,26 +272,36 @@
  * long.
  */
 static void
-a_node_that_was_cut_off_learns_in_time(void **state)
+reconnect_last_node(harness_t *harness, int disconnect_ms)
 {
-	gateway_world_t *world = world_create(*state);
+	gateway_world_t *world = world_create(harness);
 	gateway_fleet_t fleet = {0};
 	int last = FLEET_GATEWAYS - 1;
+	char situation[64];
 	gint64 deadline;
 
+	snprintf(situation, sizeof(situation),
+	    "reconnected to the store after %d ms", disconnect_ms);
 	fleet_create(&fleet, world);
 	wait_for_roles(&fleet);
 	proxy_set_mode(fleet.gateways[last].store_proxy, PROXY_HOLD);
 	write_many_entries(world);
-	g_usleep(DISCONNECT_MS * 1000);
+	g_usleep((gulong)disconnect_ms * 1000);
 	proxy_set_mode(fleet.gateways[last].store_proxy, PROXY_PASS);
 	publish_change(&fleet, 0);
 	deadline = g_get_monotonic_time() + RECONNECT_UPDATE_TIMEOUT_MS * 1000;
-	wait_for_node(&fleet, last, 1, deadline, "reconnected to the store");
+	wait_for_node(&fleet, last, 1, deadline, situation);
 	fleet_destroy(&fleet);
 	world_destroy(world);
 }
 
+static void
+a_node_that_was_cut_off_learns_in_time(void **state)
+{
+	reconnect_last_node(*state, DISCONNECT_MS);
+	reconnect_last_node(*state, LONG_DISCONNECT_MS);
+}
+
 /* Changes whose history was dropped during an outage must not be missed. */
 static void
 all_catch_up_after_an_outage(void **state)
