Let three nodes of a group serve it for the data centre

Cause: on the large site ten nodes of a data centre served each group of shards, each for six receiving nodes: 1.6 queries a second a node, too few to notice which of 45 servers are slow before they are well again.

Change: all receiving nodes prefer one of the same three nodes of a group.

Measured: test_serving_peers fails before (7 nodes serve group 0 of 77 nodes) and passes; after a failure the group stays with three.

--- a/source/gateway/serving_peers.c
+++ b/source/gateway/serving_peers.c
@@ -10,8 +10,14 @@
 
 #define PEER_CONNECTIONS 64 /* to one peer */
 #define PEER_SLOTS 32	    /* requests of this node that a peer runs at once */
+/*
+ * Nodes of each group that serve it for all others while they are healthy. What
+ * a node learns of the servers, and its connections to them, serve all requests
+ * that it gets, so few nodes with many requests are faster than many with few.
+ */
+#define ACTIVE_NODES 3
 /* Peers of each group that are kept connected; the first one is used. */
-#define CONNECTED_PEERS 3
+#define CONNECTED_PEERS ACTIVE_NODES
 #define MAX_RESPONSE_BYTES ((size_t)1024 * 1024)
 #define GROUP_NAME_MAX 32
 
@@ -100,8 +106,9 @@
 	}
 	pool_reconcile_servers(peers->pool, present, now);
 	g_hash_table_destroy(present);
-	/* Nodes of a group prefer different peers. */
-	pool_set_nodes(peers->pool, 1, peers->own_position / peers->groups);
+	/* Nodes of a group prefer different ones of the active nodes. */
+	pool_set_nodes(
+	    peers->pool, 1, peers->own_position / peers->groups % ACTIVE_NODES);
 }
 
 static void
