--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -610,6 +610,28 @@
 	ev_loop_destroy(loop);
 }
 
+/* Nothing else carries what a server says of itself, and a datagram may be
+ * lost. */
+static void
+a_reported_leave_is_sent_twice(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	loop_clock_t clock;
+	peer_link_t *link;
+
+	loop_clock_start(&clock, loop);
+	link = create_link(loop);
+	peer_link_report_leaving(link, "i-1", 7);
+	assert_int_equal(peer_link_counters(link)->sent, MANY_NODES);
+	while (peer_link_counters(link)->sent < 2 * MANY_NODES)
+		ev_run(loop, EVRUN_ONCE);
+	for (int i = 0; i < 3; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_int_equal(peer_link_counters(link)->sent, 2 * MANY_NODES);
+	peer_link_destroy(link);
+	ev_loop_destroy(loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -625,6 +647,7 @@
 	    cmocka_unit_test(one_node_takes_the_place_of_a_relay),
 	    cmocka_unit_test(a_follower_that_lacks_changes_asks_soon),
 	    cmocka_unit_test(changes_are_sent_in_small_bursts),
+	    cmocka_unit_test(a_reported_leave_is_sent_twice),
 	    cmocka_unit_test(the_changes_that_make_a_relay_are_sent),
 	};
 
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -116,12 +116,34 @@
 	}
 }
 
+/* Another writer's entries, which no JSON reader takes as they are. */
+static void
+write_odd_entries(gateway_world_t *world)
+{
+	static const char *const texts[] = {"{\"service\":\"\\udcff\"}",
+	    "{\"slots\":1e999}", "{\"a\\u0000\":1}", "[[[[-]]]]", "-"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "odd-%zu", i);
+		object_store_put_text(world->store, "servers", name, texts[i]);
+	}
+}
+
+typedef struct {
+	const char *situation;
+	store_fault_t fault;
+	bool has_odd_entries;
+} polls_case_t;
+
 /* The world's own gateway has no peers and would poll for itself. */
 static void
-check_polls_of_changes(
-    harness_t *harness, store_fault_t fault, const char *situation)
+check_polls_of_changes(harness_t *harness, const polls_case_t *row)
 {
-	static const uint32_t max_polls = RELAYS * CHANGES;
+	/* The first odd entry is reported at once, the others after a pause. */
+	uint32_t changes = CHANGES + (row->has_odd_entries ? 2 : 0);
+	uint32_t max_polls = RELAYS * changes;
 	gateway_world_t *world = world_create(harness);
 	gateway_fleet_t fleet = {0};
 	uint32_t config_polls, server_polls;
@@ -129,17 +151,21 @@
 	fleet_create(&fleet, world);
 	wait_for_roles(&fleet);
 	harness_kill(world->harness, world->gateway);
-	object_store_set_fault(world->store, fault);
+	object_store_set_fault(world->store, row->fault);
 	config_polls = object_store_poll_count(world->store, "config");
 	server_polls = object_store_poll_count(world->store, "servers");
-	publish_changes(&fleet, situation);
+	if (row->has_odd_entries) {
+		write_odd_entries(world);
+		g_usleep(CHANGE_PAUSE_MS * 1000);
+	}
+	publish_changes(&fleet, row->situation);
 	config_polls =
 	    object_store_poll_count(world->store, "config") - config_polls;
 	server_polls =
 	    object_store_poll_count(world->store, "servers") - server_polls;
 	if (config_polls > max_polls || server_polls > max_polls)
 		fail_msg("%s: %u polls of the configuration, %u of servers",
-		    situation, config_polls, server_polls);
+		    row->situation, config_polls, server_polls);
 	fleet_destroy(&fleet);
 	world_destroy(world);
 }
@@ -147,14 +173,20 @@
 /*
  * Guards against polls of the store by each node: its calls then grow with the
  * number of nodes. A relay polls once for each change, also when its probe
- * hears of the change before its poll does.
+ * hears of the change before its poll does, and followers take what it sends
+ * beside entries that can't be read.
  */
 static void
 only_relays_poll_the_store(void **state)
 {
-	check_polls_of_changes(*state, STORE_SERVING, "a prompt store");
-	check_polls_of_changes(
-	    *state, STORE_REPORTING_LATE, "a store that reports late");
+	static const polls_case_t rows[] = {
+	    {"a prompt store", STORE_SERVING, false},
+	    {"a store that reports late", STORE_REPORTING_LATE, false},
+	    {"odd entries", STORE_SERVING, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		check_polls_of_changes(*state, &rows[i]);
 }
 
 typedef enum {
