Let serving nodes report in time for the soft deadline

Cause: a receiving node that reaches its soft deadline answers with what there is, if that is enough, but a serving node with one slow shard reports nothing before a millisecond (or the delay of timers) ahead of that time.

Change: the receiving node learns how much later than allowed reports arrive, and asks for them as early as 19 of 20 need (module report_timing; the estimator of timer delays, delay_estimate, serves both).

--- a/source/gateway/client_timing.c
+++ b/source/gateway/client_timing.c
@@ -2,16 +2,11 @@
 
 #include <glib.h>
 
-#include "bulrushwell/histogram.h"
+#include "delay_estimate.h"
 
-#define DELAY_QUANTILE 0.99	 /* of the responses should be in time */
-#define DELAY_INITIAL MS(2)	 /* until there are samples */
-#define DELAY_MIN_SAMPLES 16	 /* fewer do not show the tail */
-#define DELAY_DECAY_SAMPLES 512	 /* between halvings of all counts */
-#define DELAY_REFRESH_SAMPLES 16 /* between updates of the quantile */
-#define WAIT_INTERVAL_REQUESTS                        \
-	64 /* after two intervals a wait is forgotten \
-	    */
+#define DELAY_QUANTILE 0.99	  /* of the responses should be in time */
+#define DELAY_INITIAL MS(2)	  /* until there are samples */
+#define WAIT_INTERVAL_REQUESTS 64 /* after two of them a wait is forgotten */
 /* Part of the target latency that the client may need for itself. */
 #define CLIENT_PROCESSING_RATIO 0.025
 /*
@@ -24,10 +19,7 @@
 
 struct client_timing {
 	double link_mbps;
-	histogram_t *delays;
-	uint32_t since_refresh;
-	uint32_t since_decay;
-	usec_t delay;
+	delay_estimate_t *delay;
 };
 
 usec_t
@@ -51,8 +43,7 @@
 	client_timing_t *timing = g_new0(client_timing_t, 1);
 
 	timing->link_mbps = link_mbps;
-	timing->delays = histogram_create();
-	timing->delay = DELAY_INITIAL;
+	timing->delay = delay_estimate_create(DELAY_QUANTILE, DELAY_INITIAL);
 	return timing;
 }
 
@@ -61,29 +52,20 @@
 {
 	if (timing == NULL)
 		return;
-	histogram_destroy(timing->delays);
+	delay_estimate_destroy(timing->delay);
 	g_free(timing);
 }
 
 void
 client_timing_record_delay(client_timing_t *timing, usec_t delay)
 {
-	histogram_record(timing->delays, MAX(delay, 0));
-	if (++timing->since_decay >= DELAY_DECAY_SAMPLES) {
-		timing->since_decay = 0;
-		histogram_decay(timing->delays);
-	}
-	if (++timing->since_refresh < DELAY_REFRESH_SAMPLES ||
-	    histogram_count(timing->delays) < DELAY_MIN_SAMPLES)
-		return;
-	timing->since_refresh = 0;
-	timing->delay = histogram_quantile(timing->delays, DELAY_QUANTILE);
+	delay_estimate_record(timing->delay, delay);
 }
 
 usec_t
 client_timing_delay(const client_timing_t *timing)
 {
-	return timing->delay;
+	return delay_estimate_get(timing->delay);
 }
 
 /* Time that the response takes on the link of this VM. */
@@ -99,7 +81,7 @@
     const client_timing_t *timing, const client_request_t *request)
 {
 	usec_t target = request->target_latency;
-	usec_t margin = request->round_trip + timing->delay +
+	usec_t margin = request->round_trip + client_timing_delay(timing) +
 	    transmission_time(timing, request->response_bytes) +
 	    (usec_t)(CLIENT_PROCESSING_RATIO * (double)target);
 
--- a/source/gateway/exchange_engine.c
+++ b/source/gateway/exchange_engine.c
@@ -75,6 +75,7 @@
 	engine->pool = pool_create(loop, &pool_settings, &handlers);
 	engine->limiter = limiter_create();
 	engine->timing = client_timing_create(settings->link_mbps);
+	engine->report_timing = report_timing_create();
 	engine->suspects = suspect_list_create();
 	engine->route_states = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, free_route_state);
@@ -90,6 +91,7 @@
 	pool_destroy(engine->pool);
 	limiter_destroy(engine->limiter);
 	client_timing_destroy(engine->timing);
+	report_timing_destroy(engine->report_timing);
 	suspect_list_destroy(engine->suspects);
 	route_table_unref(engine->table);
 	g_hash_table_destroy(engine->route_states);
--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -14,9 +14,6 @@
 #define ACCEPT_TIME_MIN MS(8)
 #define ACCEPT_DELAYS 2
 #define ACCEPT_TIME_RATIO 0.4
-/* Part of the time until the soft deadline that a response needs to come back,
- * in typical delays of a timer. */
-#define RETURN_TIME_MIN MS(1)
 /* Part of the time after the soft deadline within which a peer must report. */
 #define REPORT_TIME_RATIO 0.5
 #define STATUS_PROCESSING 102 /* the peer has accepted the request */
@@ -33,18 +30,16 @@
 }
 
 static void
-add_group_header(
-    const exchange_t *exchange, uint32_t group, usec_t now, buffer_t *head)
+add_group_header(const exchange_t *exchange, uint32_t group,
+    usec_t report_allowance, buffer_t *head)
 {
 	const route_t *route = exchange->route;
-	usec_t return_time =
-	    MAX(client_timing_delay(exchange->engine->timing), RETURN_TIME_MIN);
-	usec_t soft = MAX(exchange->soft_deadline - now - return_time, 0);
 	char text[GROUP_TEXT_MAX];
 
 	snprintf(text, sizeof(text), GROUP_HEADER ": %u %u %llx %lld\r\n",
 	    group, exchange->group_count,
-	    (unsigned long long)route->targets_hash, (long long)soft);
+	    (unsigned long long)route->targets_hash,
+	    (long long)report_allowance);
 	buffer_append_text(head, text);
 }
 
@@ -109,6 +104,8 @@
 	latency_model_t *latency = exchange->route_state->group_latency;
 	upstream_server_t *peer = serving_peers_choose(
 	    engine->peers, group->group, latency_model_typical(latency), now);
+	usec_t report_allowance = report_timing_allowance(
+	    engine->report_timing, exchange->soft_deadline - now);
 	buffer_t *head = &engine->attempt_head;
 	pool_request_t request = {
 	    .head = head,
@@ -122,13 +119,14 @@
 	if (peer == NULL || peer->health.failure_rate > MAX_PEER_FAILURE_RATE)
 		return;
 	head_build_unfinished(exchange, now, head);
-	add_group_header(exchange, group->group, now, head);
+	add_group_header(exchange, group->group, report_allowance, head);
 	buffer_append(head, "\r\n", 2);
 	group->attempt = pool_start_attempt(
 	    serving_peers_pool(engine->peers), peer, &request, group, now);
 	if (group->attempt == NULL)
 		return;
 	engine->counters.groups_asked++;
+	group->report_due_at = now + report_allowance;
 	group->check_at = now + accept_time(exchange, now);
 	for (uint32_t i = group->group; i < exchange->task_count;
 	     i += exchange->group_count)
@@ -318,6 +316,17 @@
 		handle_failure(group, attempt, "bad_answer", now);
 }
 
+/* The first report is sent when it is due, later ones as shards answer. */
+static void
+record_report(group_attempt_t *group, usec_t now)
+{
+	if (group->reported)
+		return;
+	group->reported = true;
+	report_timing_record(
+	    group->exchange->engine->report_timing, now - group->report_due_at);
+}
+
 void
 groups_on_interim(void *owner, const http_message_t *response)
 {
@@ -329,6 +338,7 @@
 		group->check_at = report_due(exchange);
 		return;
 	}
+	record_report(group, engine_now(exchange->engine));
 	/* One without records only says that the peer works on it. */
 	group->check_at = 0;
 	switch (group_response_take_interim(group, response)) {
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -5,6 +5,7 @@
 #include "bulrushwell/suspect.h"
 #include "client_timing.h"
 #include "exchange.h"
+#include "report_timing.h"
 #include "retry_schedule.h"
 #include "serving_peers.h"
 #include "shard_groups.h"
@@ -71,6 +72,10 @@
 	usec_t check_at;    /* when the peer must have shown that it works on
 			     * it; 0: it has */
 	bool accepted;	    /* at the last check */
+	usec_t
+	    report_due_at; /* when the peer was to report, see report_timing.h
+			    */
+	bool reported;
 } group_attempt_t;
 
 struct exchange {
@@ -122,6 +127,7 @@
 	pool_t *pool;
 	limiter_t *limiter; /* limits concurrent fan-outs */
 	client_timing_t *timing;
+	report_timing_t *report_timing;
 	serving_peers_t *peers;
 	suspect_list_t *suspects;
 	engine_reports_t reports; /* functions may be NULL */
