Refuse answers whose lines break the grammar of HTTP

What callers saw: an answer of a server with status 000 became the client's answer, with a status line "HTTP/1.1 000"; so did one whose head had a blank in the name of a field, with that line passed on. A blank after Content-Length or Transfer-Encoding set the length of the body and was passed on too, beside the gateway's own Content-Length.

Cause: http_message took whatever http_parser takes. The parser of the Debian package is built without its strict mode: it reads any digits as a status, a blank as a part of a name, any byte as a reason, LF or CR and another byte as a line end, and folded lines. The gateway reads servers, other gateways and the store with it; clients were given what it had read.

Change: http_grammar checks the status line and the field lines of RFC 9112 byte by byte before the parser sees them, in heads, interim responses and trailers. A broken answer ends its connection as HTTP_CLOSED_MALFORMED did before: the attempt may have run, so it is repeated where the route allows, and answered 502 where not. Where the RFC leaves a choice (bare LF, folded values, a missing blank after the status, digits beyond 599), the answer is refused: what stands between clients and servers must not read more into it than others do. The new event SERVER_MALFORMED names server and request.

--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -348,7 +348,14 @@
 on_closed(void *owner, http_connection_t *http, http_close_reason_t reason)
 {
 	pool_connection_t *connection = owner;
+	const upstream_server_t *server = connection->server;
+	const attempt_t *attempt = connection->attempt;
 
+	if (reason == HTTP_CLOSED_MALFORMED)
+		event_log_sampled(EVENT_SERVER_MALFORMED,
+		    "server=%s upstream=%s request=%s", server->entry.id,
+		    server->upstream->name,
+		    attempt != NULL ? attempt->request_id : "-");
 	pool_connection_fail(connection, reason == HTTP_CLOSED_CONNECT_FAILED);
 }
 
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -111,6 +111,21 @@
 	return message->no_body ? SKIP_BODY : 0;
 }
 
+/* After the size of the last chunk, trailers follow. The parser stops there, as
+ * they pass the grammar first. */
+static int
+on_chunk_header(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+
+	if (parser->type != HTTP_RESPONSE || parser->content_length > 0)
+		return 0;
+	http_grammar_start(&message->grammar, HTTP_LINES_TRAILERS);
+	message->part = HTTP_PART_LINES;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t size)
 {
@@ -138,6 +153,7 @@
     .on_header_field = on_header_field,
     .on_header_value = on_header_value,
     .on_headers_complete = on_headers_complete,
+    .on_chunk_header = on_chunk_header,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
@@ -147,6 +163,9 @@
 {
 	http_parser_init(&message->parser, type);
 	message->parser.data = message;
+	http_grammar_start(&message->grammar, HTTP_LINES_RESPONSE);
+	message->part =
+	    type == HTTP_RESPONSE ? HTTP_PART_LINES : HTTP_PART_BODY;
 }
 
 void
@@ -194,23 +213,68 @@
 	    message->parser.status_code / 100 == 1;
 }
 
+/*
+ * Limits @size to the bytes that the parser may have next: up to the end of the
+ * lines, if it is in lines.
+ *
+ * Return: false when the grammar does not allow them.
+ */
+static bool
+check_lines(http_message_t *message, const char *data, size_t *size)
+{
+	size_t used;
+
+	if (message->part != HTTP_PART_LINES)
+		return true;
+	switch (http_grammar_read(&message->grammar, data, *size, &used)) {
+	case HTTP_GRAMMAR_BROKEN:
+		return false;
+	case HTTP_GRAMMAR_END:
+		message->part = HTTP_PART_BODY;
+		break;
+	case HTTP_GRAMMAR_MORE:
+		break;
+	}
+	*size = used;
+	return true;
+}
+
+/* Return: false when the parser has refused the bytes. */
+static bool
+parse(http_message_t *message, const char *data, size_t size, size_t *used)
+{
+	http_parser *parser = &message->parser;
+
+	*used += http_parser_execute(parser, &callbacks, data, size);
+	if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED && !message->complete)
+		http_parser_pause(parser, 0);
+	return message->complete || HTTP_PARSER_ERRNO(parser) == HPE_OK;
+}
+
+static http_feed_t
+complete_result(http_message_t *message)
+{
+	if (!is_interim(message))
+		return HTTP_FEED_DONE;
+	return ++message->interims > HTTP_MAX_INTERIMS ? HTTP_FEED_BAD
+						       : HTTP_FEED_INTERIM;
+}
+
 http_feed_t
 http_message_feed(
     http_message_t *message, const char *data, size_t size, size_t *used)
 {
 	*used = 0;
 	while (*used < size) {
+		size_t next = size - *used;
+
 		message->started = true;
-		*used += http_parser_execute(
-		    &message->parser, &callbacks, data + *used, size - *used);
-		if (message->complete && is_interim(message))
-			return ++message->interims > HTTP_MAX_INTERIMS
-			    ? HTTP_FEED_BAD
-			    : HTTP_FEED_INTERIM;
-		if (message->complete)
-			return HTTP_FEED_DONE;
-		if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK)
+		if (!check_lines(message, data + *used, &next))
+			return HTTP_FEED_BAD;
+		if (!parse(message, data + *used, next, used))
 			return message->failure;
+		if (message->complete)
+			return complete_result(message);
 	}
 	return HTTP_FEED_MORE;
 }
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -6,13 +6,16 @@
 #include <stdint.h>
 
 #include "bulrushwell/buffer.h"
+#include "bulrushwell/http_grammar.h"
 #include "bulrushwell/slice.h"
 
 /**
  * DOC: Incremental HTTP/1.1 parser
  *
  * A message owns copies of the target, the headers and the whole body, so that
- * what is forwarded is built from parsed fields and never from raw input.
+ * what is forwarded is built from parsed fields and never from raw input. The
+ * lines of a response pass the grammar before the parser, which takes more than
+ * that.
  */
 
 #define HTTP_MAX_HEADERS 96
@@ -33,8 +36,13 @@
 	uint32_t value_offset, value_size;
 } http_header_t;
 
+/** typedef http_part_t - What the next byte of a message belongs to. */
+typedef enum { HTTP_PART_LINES, HTTP_PART_BODY } http_part_t;
+
 typedef struct {
 	http_parser parser;
+	http_grammar_t grammar; /* of the lines of a response */
+	http_part_t part;
 	buffer_t text; /* target, header names and values */
 	uint32_t target_size;
 	http_header_t headers[HTTP_MAX_HEADERS];
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -32,6 +32,7 @@
 	uint32_t fault_count;
 	int delay_ms;
 	const char *headers; /* further ones; see plain_server_set_headers() */
+	const answer_case_t *row; /* see plain_server_set_case() */
 	bool stopping;
 	plain_server_record_t record;
 	GHashTable *run_counts; /* by request id */
@@ -347,6 +348,25 @@
 	return headers;
 }
 
+static void
+send_case(const plain_connection_t *connection, const char *more)
+{
+	plain_server_t *server = connection->server;
+	const answer_case_t *row;
+	GString *response;
+	char *fields = g_strdup_printf("Bulrushwell-Request-Id: %s\r\n"
+				       "Bulrushwell-Response-Stamp: %s\r\n%s",
+	    connection->request_id, connection->stamp, more);
+
+	g_mutex_lock(&server->lock);
+	row = server->row;
+	g_mutex_unlock(&server->lock);
+	response = answer_case_text(row, fields);
+	send_text(connection, response->str, response->len);
+	g_string_free(response, TRUE);
+	g_free(fields);
+}
+
 /* Returns whether the connection stays open. */
 static bool
 respond(plain_connection_t *connection, plain_fault_t fault)
@@ -434,6 +454,9 @@
 	case PLAIN_ENDLESS_LINE:
 		send_endlessly(connection, fault);
 		return false;
+	case PLAIN_CASE:
+		send_case(connection, more);
+		return false;
 	}
 	return false;
 }
@@ -629,6 +652,14 @@
 	g_mutex_unlock(&server->lock);
 }
 
+void
+plain_server_set_case(plain_server_t *server, const answer_case_t *row)
+{
+	g_mutex_lock(&server->lock);
+	server->row = row;
+	g_mutex_unlock(&server->lock);
+}
+
 void
 plain_server_set_drip(plain_server_t *server, int ms)
 {
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "answer_cases.h"
+
 /**
  * DOC: Upstream server stub on plain sockets
  *
@@ -45,7 +47,8 @@
 	PLAIN_ENDLESS_BODY,	/* beyond its length */
 	PLAIN_ENDLESS_UNFRAMED, /* a body without a length */
 	PLAIN_ENDLESS_TRAILERS,
-	PLAIN_ENDLESS_LINE /* bytes that never form a line */
+	PLAIN_ENDLESS_LINE, /* bytes that never form a line */
+	PLAIN_CASE	    /* see plain_server_set_case() */
 } plain_fault_t;
 
 typedef struct plain_server plain_server_t;
@@ -85,12 +88,19 @@
 
 /**
  * plain_server_set_headers() - Adds header lines to each response of
- * PLAIN_ANSWER, PLAIN_NOT_RUN, PLAIN_FAIL, PLAIN_OVERLOADED and PLAIN_TRUNCATE,
- * and to the second one of PLAIN_EXTRA.
+ * PLAIN_ANSWER, PLAIN_NOT_RUN, PLAIN_FAIL, PLAIN_OVERLOADED, PLAIN_TRUNCATE and
+ * PLAIN_CASE, and to the second one of PLAIN_EXTRA.
  * @lines: each ends with CRLF; "": none; must outlive the server
  */
 void plain_server_set_headers(plain_server_t *server, const char *lines);
 
+/**
+ * plain_server_set_case() - Sets the response of PLAIN_CASE, which has the id
+ * of the request and a stamp, and ends the connection in order.
+ * @row: must outlive the server
+ */
+void plain_server_set_case(plain_server_t *server, const answer_case_t *row);
+
 /** plain_server_run_count() - How often the request with this id was run. */
 uint32_t plain_server_run_count(plain_server_t *server, const char *request_id);
 
--- /dev/null
+++ b/tests/test_broken_answers.c
@@ -0,0 +1,180 @@
+/* Guards everything that reads responses against taking a broken one for an
+ * answer: the gateway's reader of servers, peers and the store. Sound
+ * responses, also unusual ones, must be read by all. */
+#include "lib/runner.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "../platform/store_call.h"
+#include "../source/http/http_message.h"
+#include "lib/answer_cases.h"
+#include "lib/raw_server.h"
+
+#define LIMIT_BYTES 65536
+#define CALL_TIMEOUT SECONDS(5)
+
+/* What a reader made of a response. */
+typedef struct {
+	bool answered;
+	int status;
+	GString *body;
+} reading_t;
+
+typedef reading_t (*reader_t)(const GString *response);
+
+static void
+set_reading(reading_t *reading, int status, const char *body, size_t size)
+{
+	reading->answered = true;
+	reading->status = status;
+	reading->body = g_string_new_len(body, (gssize)size);
+}
+
+static reading_t
+read_in_pieces(const GString *response, size_t piece)
+{
+	reading_t reading = {0};
+	http_feed_t fed = HTTP_FEED_MORE;
+	http_message_t message;
+	size_t used = 0;
+
+	http_message_init(&message, HTTP_RESPONSE, LIMIT_BYTES, LIMIT_BYTES);
+	while (fed == HTTP_FEED_MORE && used < response->len) {
+		size_t taken;
+
+		fed = http_message_feed(&message, response->str + used,
+		    MIN(piece, response->len - used), &taken);
+		used += taken;
+		if (fed != HTTP_FEED_INTERIM)
+			continue;
+		http_message_skip_interim(&message);
+		fed = HTTP_FEED_MORE;
+	}
+	if (fed == HTTP_FEED_MORE && message.ends_at_close)
+		fed = http_message_finish(&message);
+	if (fed == HTTP_FEED_DONE && used == response->len)
+		set_reading(&reading, http_message_status(&message),
+		    message.body.data, message.body.size);
+	http_message_free(&message);
+	return reading;
+}
+
+static reading_t
+read_whole(const GString *response)
+{
+	return read_in_pieces(response, response->len);
+}
+
+static reading_t
+read_bytewise(const GString *response)
+{
+	return read_in_pieces(response, 1);
+}
+
+typedef struct {
+	struct ev_loop *loop;
+	reading_t reading;
+} call_t;
+
+static void
+on_store_response(void *context, int status, json_t *body)
+{
+	call_t *call = context;
+	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	if (status != 0)
+		set_reading(&call->reading, status, text,
+		    text != NULL ? strlen(text) : 0);
+	free(text);
+	ev_break(call->loop, EVBREAK_ALL);
+}
+
+static reading_t
+read_by_store_client(const GString *response)
+{
+	raw_server_t *server =
+	    raw_server_create((slice_t){response->str, response->len});
+	struct sockaddr_in address = raw_server_socket_address(server);
+	call_t call = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	store_channel_t *channel =
+	    store_channel_create(call.loop, &address, on_store_response, &call);
+
+	store_channel_call(channel, "GET", "/", NULL, CALL_TIMEOUT);
+	ev_run(call.loop, 0);
+	store_channel_destroy(channel);
+	ev_loop_destroy(call.loop);
+	raw_server_destroy(server);
+	return call.reading;
+}
+
+static bool
+is_expected(const answer_case_t *row, const reading_t *reading)
+{
+	slice_t body = answer_case_body(row);
+
+	if (!row->sound)
+		return !reading->answered;
+	return reading->answered &&
+	    reading->status == answer_case_status(row) &&
+	    reading->body->len == body.size &&
+	    memcmp(reading->body->str, body.data, body.size) == 0;
+}
+
+static void
+print_failure(const answer_case_t *row, const reading_t *reading)
+{
+	print_error("%s response with %s: ", row->sound ? "sound" : "broken",
+	    row->name);
+	if (reading->answered)
+		print_error("status %d, a body of %zu bytes\n", reading->status,
+		    reading->body->len);
+	else
+		print_error("no answer\n");
+}
+
+/* Prints all rows that fail. */
+static void
+check_cases(const answer_case_t *rows, size_t count, reader_t read)
+{
+	int failures = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		GString *response = answer_case_text(&rows[i], "X-Id: 1\r\n");
+		reading_t reading = read(response);
+
+		if (!is_expected(&rows[i], &reading)) {
+			print_failure(&rows[i], &reading);
+			failures++;
+		}
+		if (reading.body != NULL)
+			g_string_free(reading.body, TRUE);
+		g_string_free(response, TRUE);
+	}
+	if (failures > 0)
+		fail_msg("%d of %zu responses", failures, count);
+}
+
+#define LINES_TEST(reader)                                                     \
+	static void lines_##reader(void **state)                               \
+	{                                                                      \
+		check_cases(                                                   \
+		    answer_line_cases, answer_line_case_count, read_##reader); \
+	}
+
+LINES_TEST(whole)
+LINES_TEST(bytewise)
+LINES_TEST(by_store_client)
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(lines_whole),
+	    cmocka_unit_test(lines_bytewise),
+	    cmocka_unit_test(lines_by_store_client),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -348,6 +348,85 @@
 	stop_among_stubs(&stub_world);
 }
 
+static uint32_t
+count_stub_requests(const stub_world_t *stub_world)
+{
+	uint32_t requests = 0;
+
+	for (int i = 0; i < STUBS; i++) {
+		plain_server_record_t record;
+
+		plain_server_get_record(stub_world->stubs[i], &record);
+		requests += record.requests;
+	}
+	return requests;
+}
+
+/* Sends queries until one is passed to a stand-in, as nodes whose answers are
+ * of no use are left out for a while. Return: whether the client was given what
+ * the stand-in said. */
+static bool
+is_taken_from_a_stub(stub_world_t *stub_world, const answer_case_t *row)
+{
+	gint64 until = g_get_monotonic_time() +
+	    SETTLE_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
+	uint32_t before = count_stub_requests(stub_world);
+	bool taken = false;
+
+	for (int i = 0; i < STUBS; i++)
+		plain_server_set_case(stub_world->stubs[i], row);
+	set_stub_faults(stub_world, PLAIN_CASE);
+	while (count_stub_requests(stub_world) == before) {
+		http_reply_t result = world_request(
+		    &stub_world->view, "GET", "/all/x", DEADLINE_MS, NULL);
+		const char *stamps =
+		    http_reply_header(&result, "bulrushwell-part-stamps");
+
+		taken = stamps != NULL && strstr(stamps, "forged") != NULL;
+		http_reply_clear(&result);
+		if (g_get_monotonic_time() > until)
+			fail_msg("%s: no stand-in was asked", row->name);
+	}
+	return taken;
+}
+
+static const answer_case_t *
+find_line_case(const char *name)
+{
+	for (size_t i = 0; i < answer_line_case_count; i++)
+		if (strcmp(answer_line_cases[i].name, name) == 0)
+			return &answer_line_cases[i];
+	fail_msg("no case \"%s\"", name);
+	return NULL;
+}
+
+/* What a peer says of shards counts only in a sound answer. */
+static void
+a_broken_answer_of_a_peer_counts_for_nothing(void **state)
+{
+	static const char shards[] =
+	    "Gateway-Shards: 0,1\r\n"
+	    "Bulrushwell-Part-Stamps: forged, forged\r\n";
+	static const char *const names[] = {"an ordinary response",
+	    "status 000", "two blanks before the status",
+	    "a control byte in the name", "a blank in the name",
+	    "a blank after Content-Length", "a folded value",
+	    "a blank in the name of a trailer", "a tab in the reason"};
+	stub_world_t stub_world;
+
+	start_among_stubs(&stub_world, *state);
+	for (int i = 0; i < STUBS; i++)
+		plain_server_set_headers(stub_world.stubs[i], shards);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		const answer_case_t *row = find_line_case(names[i]);
+
+		if (is_taken_from_a_stub(&stub_world, row) != row->sound)
+			fail_msg("%s: %s", row->name,
+			    row->sound ? "not taken" : "taken");
+	}
+	stop_among_stubs(&stub_world);
+}
+
 /*
  * A peer that has accepted a query and falls silent may have sent its shards as
  * often as the route allows. Guards a client against waiting for it until its
@@ -451,6 +530,7 @@
 	    HARNESS_TEST(queries_are_divided_among_nodes),
 	    HARNESS_TEST(a_failing_serving_node_costs_no_answer),
 	    HARNESS_TEST(whatever_a_peer_answers_the_query_is_whole),
+	    HARNESS_TEST(a_broken_answer_of_a_peer_counts_for_nothing),
 	    HARNESS_TEST(a_peer_that_falls_silent_is_not_waited_for),
 	    HARNESS_TEST(group_requests_that_make_no_sense_are_refused),
 	    HARNESS_TEST(clients_can_not_ask_for_a_group),
