Refuse broken answers in the daemon's HTTP client

What callers saw: a reservation was answered 200 after a server's answer with "http/1.1" as its version, with control bytes or blanks in a field's name, with status 999, or with field lines that are none. The client of the store and the health checks of the daemon read with the same code.

Cause: http_client takes what libcurl takes. libcurl reports each line of a head as it came, but checks little of it, and ends a head also at a bare LF.

Change: http_heads checks all lines that libcurl reports with http_grammar, in interim heads, the final head and trailers, and replaces what the client knew itself of heads that are cut or too long. A broken line ends the transfer as HTTP_MALFORMED, which is logged as SERVER_MALFORMED with the URL.

Why it works: libcurl passes on every line of a head, unaltered, before anything of the body; the first that the grammar does not allow ends the transfer.

--- a/include/bulrushwell/http_grammar.h
+++ b/include/bulrushwell/http_grammar.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHWELL_HTTP_GRAMMAR_H
 #define BULRUSHWELL_HTTP_GRAMMAR_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 /**
@@ -39,6 +40,7 @@
 typedef struct {
 	http_grammar_state_t state;
 	size_t position; /* in the status line, in bytes */
+	bool is_interim; /* the status is 100 to 199 */
 } http_grammar_t;
 
 /** http_grammar_start() - Prepares for the first byte of @lines. */
@@ -55,4 +57,8 @@
 http_grammar_result_t http_grammar_read(
     http_grammar_t *grammar, const char *data, size_t size, size_t *used);
 
+/** http_grammar_is_interim() - Whether the status line that was read is that of
+ * an interim response. */
+bool http_grammar_is_interim(const http_grammar_t *grammar);
+
 #endif
--- a/source/http/http_grammar.c
+++ b/source/http/http_grammar.c
@@ -1,7 +1,5 @@
 #include "bulrushwell/http_grammar.h"
 
-#include <stdbool.h>
-
 #define IS_DIGIT(byte) ((byte) >= '0' && (byte) <= '9')
 #define DELETE 0x7f
 
@@ -58,6 +56,8 @@
 {
 	if (!fits_status_line(grammar->position, byte))
 		return false;
+	if (status_line[grammar->position] == 'c')
+		grammar->is_interim = byte == '1';
 	if (++grammar->position == STATUS_LINE_BYTES)
 		grammar->state = GRAMMAR_REASON;
 	return true;
@@ -141,3 +141,9 @@
 	return grammar->state == GRAMMAR_ENDED ? HTTP_GRAMMAR_END
 					       : HTTP_GRAMMAR_MORE;
 }
+
+bool
+http_grammar_is_interim(const http_grammar_t *grammar)
+{
+	return grammar->is_interim;
+}
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -8,12 +8,12 @@
 #include <string.h>
 #include <strings.h>
 
+#include "bulrushwell/event.h"
+#include "bulrushwell/http_heads.h"
+
 #define MAX_IDLE_CONNECTIONS 4096
 #define MAX_RESPONSE_HEADERS 16
 #define MAX_HEADER_BYTES 256
-/* Of all heads of a response, interim ones and trailers included. */
-#define MAX_HEAD_BYTES (64 * 1024)
-#define STATUS_LINE_START "HTTP/"
 #define MAX_IDLE_EASY_HANDLES 1024
 /* Connections whose start is remembered; beyond it all are forgotten. */
 #define MAX_KNOWN_CONNECTIONS (4 * MAX_IDLE_CONNECTIONS)
@@ -39,9 +39,8 @@
 	struct curl_slist *headers;
 	body_t *body;
 	size_t max_response;
-	size_t head_bytes;
-	bool too_large;
-	bool head_complete; /* of the last response, interim ones included */
+	http_heads_t heads;
+	bool body_too_large;
 	http_connected_t connected;
 	http_done_t done;
 	void *context;
@@ -97,25 +96,13 @@
 	size_t bytes = size * count;
 
 	if (transfer->response.body->len + bytes > transfer->max_response) {
-		transfer->too_large = true;
+		transfer->body_too_large = true;
 		return 0;
 	}
 	g_string_append_len(transfer->response.body, data, (gssize)bytes);
 	return bytes;
 }
 
-/* libcurl reports a head that ends in the middle as a response without a body,
- * so its blank line is looked for. Lines after the body belong to no head. */
-static void
-follow_head(transfer_t *transfer, const char *line, size_t bytes)
-{
-	if (bytes > 0 && (line[0] == '\r' || line[0] == '\n'))
-		transfer->head_complete = true;
-	else if (bytes >= strlen(STATUS_LINE_START) &&
-	    memcmp(line, STATUS_LINE_START, strlen(STATUS_LINE_START)) == 0)
-		transfer->head_complete = false;
-}
-
 /* Stores only headers whose names begin with 'X': callers read no others. */
 static size_t
 on_header(char *data, size_t size, size_t count, void *context)
@@ -124,12 +111,8 @@
 	http_response_t *response = &transfer->response;
 	size_t bytes = size * count, name, value, end;
 
-	transfer->head_bytes += bytes;
-	if (transfer->head_bytes > MAX_HEAD_BYTES) {
-		transfer->too_large = true;
-		return 0;
-	}
-	follow_head(transfer, data, bytes);
+	if (http_heads_read(&transfer->heads, data, bytes) != HTTP_HEADS_SOUND)
+		return 0; /* ends the transfer */
 	if (bytes < 3 || (data[0] != 'X' && data[0] != 'x') ||
 	    response->header_count == MAX_RESPONSE_HEADERS)
 		return bytes;
@@ -245,9 +228,13 @@
 	long sent = 0;
 
 	if (code == CURLE_OK)
-		return transfer->head_complete ? HTTP_ANSWERED
-					       : HTTP_CONNECTION_LOST;
-	if (transfer->too_large)
+		return http_heads_complete(&transfer->heads)
+		    ? HTTP_ANSWERED
+		    : HTTP_CONNECTION_LOST;
+	if (transfer->heads.result == HTTP_HEADS_BROKEN)
+		return HTTP_MALFORMED;
+	if (transfer->heads.result == HTTP_HEADS_TOO_LARGE ||
+	    transfer->body_too_large)
 		return HTTP_TOO_LARGE;
 	curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &sent);
 	if (sent == 0)
@@ -264,6 +251,15 @@
 	}
 }
 
+static void
+log_malformed(CURL *easy)
+{
+	const char *url = NULL;
+
+	curl_easy_getinfo(easy, CURLINFO_EFFECTIVE_URL, &url);
+	event_log_sampled(EVENT_SERVER_MALFORMED, "url=%s", url);
+}
+
 static void
 finish_transfer(http_client_t *client, transfer_t *transfer, CURLcode code)
 {
@@ -273,6 +269,8 @@
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 	transfer->response.status = (int)status;
+	if (result == HTTP_MALFORMED)
+		log_malformed(transfer->easy);
 	transfer->done(transfer->context, result, &transfer->response);
 	transfer = table_get(client->transfers, handle);
 	if (transfer != NULL)
@@ -506,6 +504,7 @@
 	transfer->easy = acquire_easy(client);
 	transfer->body = body_ref(request->body);
 	transfer->max_response = request->max_response;
+	http_heads_start(&transfer->heads);
 	transfer->connected = request->connected;
 	transfer->done = request->done;
 	transfer->context = request->context;
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -125,6 +125,10 @@
 	read_header(connection->data,
 	    "Bulrushwell-Request-Id:", connection->request_id,
 	    sizeof(connection->request_id));
+	if (connection->request_id[0] == '\0')
+		read_header(connection->data,
+		    "X-Request-Id:", connection->request_id,
+		    sizeof(connection->request_id));
 	return true;
 }
 
@@ -148,6 +152,7 @@
 
 	g_mutex_lock(&server->lock);
 	record->requests++;
+	record->with_body += connection->body_size > 0;
 	read_header(connection->data, "Bulrushwell-Deadline-Ms:", deadline,
 	    sizeof(deadline));
 	record->last_deadline_ms = atol(deadline);
@@ -354,9 +359,11 @@
 	plain_server_t *server = connection->server;
 	const answer_case_t *row;
 	GString *response;
-	char *fields = g_strdup_printf("Bulrushwell-Request-Id: %s\r\n"
-				       "Bulrushwell-Response-Stamp: %s\r\n%s",
-	    connection->request_id, connection->stamp, more);
+	const char *id = connection->request_id;
+	char *fields =
+	    g_strdup_printf("Bulrushwell-Request-Id: %s\r\nX-Request-Id: %s\r\n"
+			    "Bulrushwell-Response-Stamp: %s\r\n%s",
+		id, id, connection->stamp, more);
 
 	g_mutex_lock(&server->lock);
 	row = server->row;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -1,6 +1,6 @@
 /* Guards everything that reads responses against taking a broken one for an
- * answer: the gateway's reader of servers, peers and the store. Sound
- * responses, also unusual ones, must be read by all. */
+ * answer: the gateway's reader of servers, peers and the store, and the
+ * daemon's. Sound responses, also unusual ones, must be read by all. */
 #include "lib/runner.h"
 
 #include <ev.h>
@@ -9,6 +9,7 @@
 
 #include "../platform/store_call.h"
 #include "../source/http/http_message.h"
+#include "bulrushwell/http_client.h"
 #include "lib/answer_cases.h"
 #include "lib/raw_server.h"
 
@@ -78,6 +79,45 @@
 	reading_t reading;
 } call_t;
 
+static void
+on_client_done(
+    void *context, http_result_t result, const http_response_t *response)
+{
+	call_t *call = context;
+	slice_t body = http_response_body(response);
+
+	if (result == HTTP_ANSWERED)
+		set_reading(&call->reading, http_response_status(response),
+		    body.data, body.size);
+	ev_break(call->loop, EVBREAK_ALL);
+}
+
+static reading_t
+read_by_daemon(const GString *response)
+{
+	raw_server_t *server =
+	    raw_server_create((slice_t){response->str, response->len});
+	call_t call = {.loop = ev_loop_new(EVFLAG_AUTO)};
+	http_client_t *client = http_client_create(call.loop);
+	const http_request_t request = {
+	    .method = "GET",
+	    .address = raw_server_address(server),
+	    .path = "/",
+	    .timeout = CALL_TIMEOUT,
+	    .max_response = LIMIT_BYTES,
+	    .fresh_connection = true,
+	    .done = on_client_done,
+	    .context = &call,
+	};
+
+	assert_true(http_client_send(client, &request) != HANDLE_NONE);
+	ev_run(call.loop, 0);
+	http_client_destroy(client);
+	ev_loop_destroy(call.loop);
+	raw_server_destroy(server);
+	return call.reading;
+}
+
 static void
 on_store_response(void *context, int status, json_t *body)
 {
@@ -165,6 +205,7 @@
 
 LINES_TEST(whole)
 LINES_TEST(bytewise)
+LINES_TEST(by_daemon)
 LINES_TEST(by_store_client)
 
 int
@@ -173,6 +214,7 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(lines_whole),
 	    cmocka_unit_test(lines_bytewise),
+	    cmocka_unit_test(lines_by_daemon),
 	    cmocka_unit_test(lines_by_store_client),
 	};
 
--- /dev/null
+++ b/tests/test_process_broken.c
@@ -0,0 +1,149 @@
+/* Guards the daemon's callers against broken answers of
+ * servers: none is passed on or counts as the outcome of a reservation. */
+#include "lib/harness.h"
+#include "lib/plain_server.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define SERVICE "stub"
+#define CALLER_KEY "stub-key"
+#define DEADLINE_MS 1000
+#define WAIT_MS 15000 /* longer than a server is left out */
+#define ALWAYS UINT32_MAX
+
+/* A node, and a stub as the only server of a service. */
+typedef struct {
+	harness_t *harness;
+	plain_server_t *server;
+} world_t;
+
+static void
+put_service(const world_t *world)
+{
+	harness_put_object(world->harness, "service", SERVICE,
+	    json_pack("{s:s,s:i,s:i,s:[{s:s,s:s,s:s,s:s,s:s}]}", "service",
+		SERVICE, "slots", 2, "connections", 8, "servers", "server",
+		SERVICE "-s1", "address", plain_server_address(world->server),
+		"incarnation", "1", "data_centre", "dc1", "state", "live"));
+}
+
+static world_t
+start_world(harness_t *harness)
+{
+	const contract_spec_t contract = {
+	    .customer = "customer",
+	    .key = CALLER_KEY,
+	    .indexes = "",
+	    .services = SERVICE,
+	    .rate_per_s = 1000,
+	    .concurrency = 50,
+	    .deadline_ms = DEADLINE_MS,
+	    .repeat_window_h = 24,
+	};
+	world_t world = {
+	    .harness = harness, .server = plain_server_create("stub")};
+
+	harness_start_platform(harness);
+	harness_put_contract(harness, &contract);
+	put_service(&world);
+	harness_start_tier(harness, 1);
+	return world;
+}
+
+static void
+set_answer(const world_t *world, const answer_case_t *row, const char *headers)
+{
+	plain_server_set_case(world->server, row);
+	plain_server_set_headers(world->server, headers);
+	plain_server_set_fault(world->server, PLAIN_CASE, ALWAYS);
+}
+
+static uint32_t
+count_reservations(const world_t *world)
+{
+	plain_server_record_t record;
+
+	plain_server_get_record(world->server, &record);
+	return record.with_body;
+}
+
+static http_reply_t
+try_reserve(const world_t *world)
+{
+	static int serial;
+	char key_line[96];
+	const char *headers[] = {
+	    "Authorization: Bearer " CALLER_KEY, key_line, NULL};
+
+	snprintf(key_line, sizeof(key_line), "Idempotency-Key: %lld-row-%d",
+	    (long long)(clock_wall() / USEC_PER_SEC), ++serial);
+	return harness_http("POST", world->harness->nodes[0].caller_address,
+	    "/v1/reserve/" SERVICE, headers, "reel", WAIT_MS);
+}
+
+/* Makes reservations until one reaches the server, and returns its reply. */
+static http_reply_t
+reserve(const world_t *world)
+{
+	usec_t until = clock_monotonic() + MS(WAIT_MS);
+	uint32_t before = count_reservations(world);
+
+	while (clock_monotonic() < until) {
+		http_reply_t reply = try_reserve(world);
+
+		if (count_reservations(world) > before)
+			return reply;
+		http_reply_clear(&reply);
+		g_usleep(10 * 1000);
+	}
+	fail_msg("no reservation reaches the server");
+	return (http_reply_t){0};
+}
+
+static const answer_case_t *
+find_line_case(const char *name)
+{
+	for (size_t i = 0; i < answer_line_case_count; i++)
+		if (strcmp(answer_line_cases[i].name, name) == 0)
+			return &answer_line_cases[i];
+	fail_msg("no case \"%s\"", name);
+	return NULL;
+}
+
+static const char *const case_names[] = {"an ordinary response",
+    "a name in lower case", "two blanks before the status", "status 000",
+    "status 999", "a control byte in the name", "a blank in the name",
+    "a blank after the name", "a control byte in the value", "a folded value",
+    "a blank in the name of a trailer", "chunks and a trailer",
+    "a broken name in an interim response", "an interim response"};
+
+static void
+callers_get_sound_answers_only(void **state)
+{
+	world_t world = start_world(*state);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(case_names); i++) {
+		const answer_case_t *row = find_line_case(case_names[i]);
+		http_reply_t reply;
+		bool answered;
+
+		set_answer(&world, row, "");
+		reply = reserve(&world);
+		answered = reply.status == answer_case_status(row);
+		if (answered != row->sound)
+			fail_msg("%s: status %d", row->name, reply.status);
+		http_reply_clear(&reply);
+	}
+	plain_server_destroy(world.server);
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct CMUnitTest tests[] = {
+	    HARNESS_TEST(callers_get_sound_answers_only),
+	};
+
+	return RUN_TESTS(argc, argv, tests);
+}
