Believe no leave that a broken answer announces to the daemon

What callers saw: after one broken answer with the header X-Draining, the server got no more requests until its incarnation changed; as the only server of its service, all reservations there were refused.

Cause: on_attempt_done() looked for the header also when the attempt had ended without an answer. Headers that came before the broken line, or before a cut, are kept.

Change: only an answer announces a leave, as at the gateway. A server that leaves says so in its next answer and its health report too.

--- a/source/node/node_attempt.c
+++ b/source/node/node_attempt.c
@@ -130,11 +130,11 @@
 	http_attempt_t *attempt = context;
 	served_service_t *served = attempt->served;
 	slice_t bytes = http_response_body(response);
+	bool answered = result == HTTP_ANSWERED;
 	attempt_outcome_t outcome = {
 	    .result = classify_result(attempt, result, response),
-	    .http_status =
-		result == HTTP_ANSWERED ? http_response_status(response) : 0,
-	    .announced_drain =
+	    .http_status = answered ? http_response_status(response) : 0,
+	    .announced_drain = answered &&
 		http_response_header(response, "X-Draining") != NULL,
 	};
 
--- a/tests/test_process_broken.c
+++ b/tests/test_process_broken.c
@@ -1,5 +1,6 @@
 /* Guards the daemon's callers against broken answers of
- * servers: none is passed on or counts as the outcome of a reservation. */
+ * servers: none is passed on or counts as the outcome of a reservation, and
+ * nothing that such an answer says of its server is believed. */
 #include "lib/harness.h"
 #include "lib/plain_server.h"
 
@@ -138,11 +139,36 @@
 	plain_server_destroy(world.server);
 }
 
+/* A server that leaves gets no more requests; this one has not said so in any
+ * answer. */
+static void
+a_broken_answer_does_not_end_a_server(void **state)
+{
+	world_t world = start_world(*state);
+	http_reply_t reply;
+
+	set_answer(&world, find_line_case("an ordinary response"), "");
+	reply = reserve(&world);
+	assert_int_equal(reply.status, 200);
+	http_reply_clear(&reply);
+	set_answer(
+	    &world, find_line_case("a blank in the name"), "X-Draining: 1\r\n");
+	reply = reserve(&world);
+	assert_int_not_equal(reply.status, 200);
+	http_reply_clear(&reply);
+	set_answer(&world, find_line_case("an ordinary response"), "");
+	reply = reserve(&world);
+	assert_int_equal(reply.status, 200);
+	http_reply_clear(&reply);
+	plain_server_destroy(world.server);
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    HARNESS_TEST(callers_get_sound_answers_only),
+	    HARNESS_TEST(a_broken_answer_does_not_end_a_server),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
