--- a/include/bulrushwell/tool_http.h
+++ b/include/bulrushwell/tool_http.h
@@ -33,7 +33,7 @@
 
 typedef struct {
 	tool_http_result_t result;
-	int status; /* HTTP status; 0 if none was received */
+	int status; /* HTTP status; 0 unless TOOL_HTTP_RESPONDED */
 	GString *body;
 	json_t *json;		   /* NULL if the body is not JSON */
 	char transport_error[160]; /* empty if the transfer succeeded */
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -1,6 +1,7 @@
 /* Guards everything that reads responses against taking a broken one for an
- * answer: the gateway's reader of servers, peers and the store, and the
- * daemon's. Sound responses, also unusual ones, must be read by all. */
+ * answer: the gateway's reader of servers, peers and the store, the daemon's,
+ * the store's client on top of them, and the tool's. Sound responses, also
+ * unusual ones, must be read by all. */
 #include "lib/runner.h"
 
 #include <ev.h>
@@ -10,6 +11,7 @@
 #include "../platform/store_call.h"
 #include "../source/http/http_message.h"
 #include "bulrushwell/http_client.h"
+#include "bulrushwell/tool_http.h"
 #include "lib/answer_cases.h"
 #include "lib/raw_server.h"
 
@@ -149,6 +151,29 @@
 	return call.reading;
 }
 
+static reading_t
+read_by_tool(const GString *response)
+{
+	raw_server_t *server =
+	    raw_server_create((slice_t){response->str, response->len});
+	const tool_http_request_t request = {
+	    .method = "GET",
+	    .address = raw_server_address(server),
+	    .path = "/",
+	    .timeout = CALL_TIMEOUT,
+	};
+	tool_http_response_t answer;
+	reading_t reading = {0};
+
+	tool_http_send(&request, &answer);
+	if (answer.result == TOOL_HTTP_RESPONDED)
+		set_reading(&reading, answer.status, answer.body->str,
+		    answer.body->len);
+	tool_http_response_clear(&answer);
+	raw_server_destroy(server);
+	return reading;
+}
+
 static bool
 is_expected(const answer_case_t *row, const reading_t *reading)
 {
@@ -196,6 +221,25 @@
 		fail_msg("%d of %zu responses", failures, count);
 }
 
+/* An answer that ends anywhere before its end is none. */
+static void
+check_cuts(reader_t read)
+{
+	GString *response = answer_case_text(&answer_line_cases[0], "");
+	size_t whole = response->len;
+
+	while (response->len > 1) {
+		reading_t reading;
+
+		g_string_truncate(response, response->len - 1);
+		reading = read(response);
+		if (reading.answered)
+			fail_msg("%zu of %zu bytes count as an answer",
+			    response->len, whole);
+	}
+	g_string_free(response, TRUE);
+}
+
 #define LINES_TEST(reader)                                                     \
 	static void lines_##reader(void **state)                               \
 	{                                                                      \
@@ -207,6 +251,13 @@
 LINES_TEST(bytewise)
 LINES_TEST(by_daemon)
 LINES_TEST(by_store_client)
+LINES_TEST(by_tool)
+
+static void
+cut_by_tool(void **state)
+{
+	check_cuts(read_by_tool);
+}
 
 int
 main(int argc, char **argv)
@@ -216,6 +267,8 @@
 	    cmocka_unit_test(lines_bytewise),
 	    cmocka_unit_test(lines_by_daemon),
 	    cmocka_unit_test(lines_by_store_client),
+	    cmocka_unit_test(lines_by_tool),
+	    cmocka_unit_test(cut_by_tool),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
