Limit the memory of all bodies that arrive from servers

What callers saw (the report of other operators, which can happen here): servers of several services sent bodies without end, and the gateway kept up to 8 MB of each of them at once. On a VM with 160 MB its process would have been killed, with the requests of all other clients.

Cause: the size of a body was limited, their number was not: it is that of the connections to servers. Heads, interim heads, chunk sizes, trailers and a single endless body were bounded already (test_process_gateway_endless, the first two tests, passed before any change). A connection also kept its last body until the next request.

Change: response_memory limits all bodies of the process together, to 32 MB or a quarter of the VM's memory, and a body may hold no more than what is left for the others: n endless ones get one part in n + 1 each, so a short answer still fits. A body over its share ends its connection and is logged as SERVER_TOO_LARGE, as are answers over the limits that there were. A connection frees a body once it is delivered, unless the next request was sent meanwhile (test_http_connection/a_request_sent_from_the_callback_is_kept).

The tests let AddressSanitizer keep less of what was freed, as it counts as memory of the process.

--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -47,6 +47,7 @@
 	X(SERVER_FOUND, 605, INFO, "discovery reports a new server")           \
 	X(SERVER_REPLACED, 606, WARN, "another server has the address")        \
 	X(SERVER_MALFORMED, 607, WARN, "a server's answer is not valid HTTP")  \
+	X(SERVER_TOO_LARGE, 608, WARN, "a server's answer is too large")       \
 	X(SUSPECT_ADDED, 610, WARN, "a request ran when a server died")        \
 	X(SUSPECT_REFUSED, 611, WARN,                                          \
 	    "a request that kills servers is refused")                         \
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -345,17 +345,25 @@
 }
 
 static void
-on_closed(void *owner, http_connection_t *http, http_close_reason_t reason)
+log_unusable(const pool_connection_t *connection, event_number_t event)
 {
-	pool_connection_t *connection = owner;
 	const upstream_server_t *server = connection->server;
 	const attempt_t *attempt = connection->attempt;
 
+	event_log_sampled(event, "server=%s upstream=%s request=%s",
+	    server->entry.id, server->upstream->name,
+	    attempt != NULL ? attempt->request_id : "-");
+}
+
+static void
+on_closed(void *owner, http_connection_t *http, http_close_reason_t reason)
+{
+	pool_connection_t *connection = owner;
+
 	if (reason == HTTP_CLOSED_MALFORMED)
-		event_log_sampled(EVENT_SERVER_MALFORMED,
-		    "server=%s upstream=%s request=%s", server->entry.id,
-		    server->upstream->name,
-		    attempt != NULL ? attempt->request_id : "-");
+		log_unusable(connection, EVENT_SERVER_MALFORMED);
+	else if (reason == HTTP_CLOSED_TOO_LARGE)
+		log_unusable(connection, EVENT_SERVER_TOO_LARGE);
 	pool_connection_fail(connection, reason == HTTP_CLOSED_CONNECT_FAILED);
 }
 
--- a/source/http/http_connection.c
+++ b/source/http/http_connection.c
@@ -139,6 +139,8 @@
 		connection->state = HTTP_CONNECTION_BUSY;
 		http_message_reset(response);
 		response->no_body = no_body;
+	} else if (connection->state == HTTP_CONNECTION_IDLE) {
+		http_message_reset(response); /* frees the body */
 	}
 	return !final;
 }
@@ -157,6 +159,15 @@
 	return true;
 }
 
+static http_close_reason_t
+failure_reason(http_feed_t fed)
+{
+	return fed == HTTP_FEED_HEADERS_TOO_LARGE ||
+		fed == HTTP_FEED_BODY_TOO_LARGE
+	    ? HTTP_CLOSED_TOO_LARGE
+	    : HTTP_CLOSED_MALFORMED;
+}
+
 static void
 parse_bytes(http_connection_t *connection, const char *data, size_t size)
 {
@@ -180,7 +191,7 @@
 			continue;
 		}
 		if (fed != HTTP_FEED_DONE) {
-			end_connection(connection, HTTP_CLOSED_MALFORMED);
+			end_connection(connection, failure_reason(fed));
 			return;
 		}
 		if (!deliver_response(connection, size > 0))
--- a/source/http/http_connection.h
+++ b/source/http/http_connection.h
@@ -25,7 +25,8 @@
 typedef enum {
 	HTTP_CLOSED_CONNECT_FAILED, /* it could not be established */
 	HTTP_CLOSED_BY_PEER,	    /* end of file or reset */
-	HTTP_CLOSED_MALFORMED	    /* unexpected data or not valid HTTP */
+	HTTP_CLOSED_MALFORMED,	    /* unexpected data or not valid HTTP */
+	HTTP_CLOSED_TOO_LARGE	    /* the head or the body of a response */
 } http_close_reason_t;
 
 typedef struct http_connection http_connection_t;
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "bulrushwell/response_memory.h"
+
 #define MAX_NUMBER_DIGITS 9
 
 static const char *const hop_headers[] = {"connection", "keep-alive",
@@ -133,6 +135,9 @@
 
 	if (message->body.size + size > message->max_body_bytes)
 		return stop_parsing(message, HTTP_FEED_BODY_TOO_LARGE);
+	if (parser->type == HTTP_RESPONSE &&
+	    !response_memory_take(&message->body_held, size))
+		return stop_parsing(message, HTTP_FEED_BODY_TOO_LARGE);
 	buffer_append(&message->body, at, size);
 	return 0;
 }
@@ -176,6 +181,7 @@
 	message->max_header_bytes = max_header_bytes;
 	message->max_body_bytes = max_body_bytes;
 	message->body = (buffer_t){0};
+	message->body_held = 0;
 	start_parser(message, type);
 	http_message_reset(message);
 }
@@ -186,6 +192,7 @@
 	start_parser(message, (enum http_parser_type)message->parser.type);
 	buffer_clear(&message->text);
 	buffer_clear(&message->body);
+	response_memory_release(&message->body_held);
 	message->target_size = 0;
 	message->header_count = 0;
 	message->failure = HTTP_FEED_BAD;
@@ -204,6 +211,7 @@
 {
 	buffer_free(&message->text);
 	buffer_free(&message->body);
+	response_memory_release(&message->body_held);
 }
 
 static bool
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -27,7 +27,7 @@
 	HTTP_FEED_INTERIM, /* an interim response is complete */
 	HTTP_FEED_BAD,	   /* not valid HTTP */
 	HTTP_FEED_HEADERS_TOO_LARGE,
-	HTTP_FEED_BODY_TOO_LARGE
+	HTTP_FEED_BODY_TOO_LARGE /* or no memory is left for responses */
 } http_feed_t;
 
 /** typedef http_header_t - Positions in http_message_t.text, in bytes. */
@@ -48,6 +48,7 @@
 	http_header_t headers[HTTP_MAX_HEADERS];
 	uint32_t header_count;
 	buffer_t body;
+	size_t body_held; /* of the response memory */
 	size_t max_header_bytes;
 	size_t max_body_bytes;
 	http_feed_t failure; /* returned when the parser stops */
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -10,6 +10,7 @@
 
 #include "bulrushwell/event.h"
 #include "bulrushwell/http_heads.h"
+#include "bulrushwell/response_memory.h"
 
 #define MAX_IDLE_CONNECTIONS 4096
 #define MAX_RESPONSE_HEADERS 16
@@ -40,6 +41,7 @@
 	body_t *body;
 	size_t max_response;
 	http_heads_t heads;
+	size_t body_held; /* of the response memory */
 	bool body_too_large;
 	http_connected_t connected;
 	http_done_t done;
@@ -95,7 +97,8 @@
 	transfer_t *transfer = context;
 	size_t bytes = size * count;
 
-	if (transfer->response.body->len + bytes > transfer->max_response) {
+	if (transfer->response.body->len + bytes > transfer->max_response ||
+	    !response_memory_take(&transfer->body_held, bytes)) {
 		transfer->body_too_large = true;
 		return 0;
 	}
@@ -217,6 +220,7 @@
 	curl_slist_free_all(transfer->headers);
 	body_unref(transfer->body);
 	g_string_free(transfer->response.body, TRUE);
+	response_memory_release(&transfer->body_held);
 	if (transfer->free_context != NULL)
 		transfer->free_context(transfer->context);
 	table_remove(client->transfers, transfer->handle);
@@ -252,12 +256,12 @@
 }
 
 static void
-log_malformed(CURL *easy)
+log_unusable(CURL *easy, event_number_t event)
 {
 	const char *url = NULL;
 
 	curl_easy_getinfo(easy, CURLINFO_EFFECTIVE_URL, &url);
-	event_log_sampled(EVENT_SERVER_MALFORMED, "url=%s", url);
+	event_log_sampled(event, "url=%s", url);
 }
 
 static void
@@ -270,7 +274,9 @@
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 	transfer->response.status = (int)status;
 	if (result == HTTP_MALFORMED)
-		log_malformed(transfer->easy);
+		log_unusable(transfer->easy, EVENT_SERVER_MALFORMED);
+	else if (result == HTTP_TOO_LARGE)
+		log_unusable(transfer->easy, EVENT_SERVER_TOO_LARGE);
 	transfer->done(transfer->context, result, &transfer->response);
 	transfer = table_get(client->transfers, handle);
 	if (transfer != NULL)
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -382,6 +382,77 @@
 	}
 }
 
+#define CROWD 96
+#define CROWD_MAX_BODY_BYTES (4 * 1024 * 1024)
+/* A body's buffer may have twice the size of its bytes. */
+#define CROWD_MAX_GROWTH_KB (2 * 32 * 1024 + 16 * 1024)
+
+const char *__asan_default_options(void);
+
+/* Called by AddressSanitizer at the start, if the program is built with it: the
+ * memory that it keeps after it was freed isn't the client's. */
+const char *
+__asan_default_options(void)
+{
+	return "quarantine_size_mb=8";
+}
+
+typedef struct {
+	endless_server_t server;
+	GThread *thread;
+	calls_t calls;
+	address_t address;
+} crowd_member_t;
+
+static void
+start_member(crowd_member_t *member, http_client_t *client)
+{
+	http_request_t request;
+
+	member->server = (endless_server_t){
+	    .listener =
+		listen_on_loopback(member->address, sizeof(member->address)),
+	    .start = "HTTP/1.1 200 OK\r\n\r\n",
+	    .repeated = "abcdefgh",
+	};
+	member->thread =
+	    g_thread_new("server", serve_without_end, &member->server);
+	request = make_request(member->address, &member->calls);
+	request.timeout = SECONDS(5);
+	request.max_response = CROWD_MAX_BODY_BYTES;
+	assert_true(http_client_send(client, &request) != HANDLE_NONE);
+}
+
+/* Bodies without end from many servers at once need little memory together. */
+static void
+a_crowd_without_end_is_cut_off(void **state)
+{
+	crowd_member_t *crowd = g_new0(crowd_member_t, CROWD);
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	http_client_t *client = http_client_create(loop);
+	long memory_before = peak_memory_kb();
+
+	for (int i = 0; i < CROWD; i++)
+		start_member(&crowd[i], client);
+	for (int i = 0; i < CROWD; i++) {
+		while (crowd[i].calls.done == 0)
+			ev_run(loop, EVRUN_ONCE);
+		assert_int_equal(crowd[i].calls.result, HTTP_TOO_LARGE);
+	}
+	http_client_destroy(client);
+	ev_loop_destroy(loop);
+	for (int i = 0; i < CROWD; i++) {
+		g_thread_join(crowd[i].thread);
+		close(crowd[i].server.listener);
+	}
+	g_free(crowd);
+	if (peak_memory_kb() - memory_before > CROWD_MAX_GROWTH_KB)
+		fail_msg(
+		    "memory grew by %ld KB", peak_memory_kb() - memory_before);
+	print_message(
+	    "memory grew by %ld KB\n", peak_memory_kb() - memory_before);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -390,6 +461,7 @@
 	    cmocka_unit_test(a_response_that_is_cut_is_no_answer),
 	    cmocka_unit_test(a_reset_while_the_request_is_sent_is_no_answer),
 	    cmocka_unit_test(bytes_without_end_are_cut_off),
+	    cmocka_unit_test(a_crowd_without_end_is_cut_off),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
--- a/tests/test_http_connection.c
+++ b/tests/test_http_connection.c
@@ -58,6 +58,8 @@
 
 typedef struct {
 	struct ev_loop *loop;
+	bool sends_head; /* the first response is followed by a HEAD request */
+	int responses;
 	http_connection_t *connection;
 	int peer; /* the server's side */
 	int body_size;
@@ -78,6 +80,15 @@
 	fixture_t *fixture = owner;
 
 	fixture->body_size = (int)response->body.size;
+	fixture->responses++;
+	if (fixture->sends_head && fixture->responses == 1) {
+		buffer_t head = {0};
+
+		buffer_append_text(&head, "HEAD / HTTP/1.1\r\n\r\n");
+		http_connection_send(
+		    connection, &head, (slice_t){NULL, 0}, true);
+		buffer_free(&head);
+	}
 	return true;
 }
 
@@ -246,12 +257,39 @@
 	}
 }
 
+/* The next request may be sent while a response is delivered; that it is a HEAD
+ * request must not be forgotten. */
+static void
+a_request_sent_from_the_callback_is_kept(void **state)
+{
+	static const char response[] = FRAMED;
+	fixture_t fixture;
+	char request[256];
+
+	fixture_start(&fixture);
+	fixture.sends_head = true;
+	send_request(&fixture, false);
+	assert_true(recv(fixture.peer, request, sizeof(request), 0) > 0);
+	send(fixture.peer, FRAMED "abcdefgh", strlen(FRAMED "abcdefgh"), 0);
+	while (fixture.responses == 0)
+		ev_run(fixture.loop, EVRUN_ONCE);
+	assert_int_equal(fixture.body_size, 8);
+	assert_true(recv(fixture.peer, request, sizeof(request), 0) > 0);
+	send(fixture.peer, response, strlen(response), 0);
+	close(fixture.peer);
+	run_loop(&fixture);
+	assert_int_equal(fixture.responses, 2);
+	assert_int_equal(fixture.body_size, 0);
+	fixture_end(&fixture);
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(only_whole_responses_are_delivered),
 	    cmocka_unit_test(a_part_of_a_head_is_no_response),
+	    cmocka_unit_test(a_request_sent_from_the_callback_is_kept),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
--- a/tests/test_process_gateway_endless.c
+++ b/tests/test_process_gateway_endless.c
@@ -16,6 +16,10 @@
 #define DRIP_MS 20
 /* Bodies of at most 8 MB are buffered, from few servers at once here. */
 #define MAX_MEMORY_KB (64 * 1024)
+#define CROWD_CLIENTS 48
+#define CROWD_MS 3000
+#define CROWD_DEADLINE_MS 2000
+#define SMALLEST_VM_KB (160 * 1024) /* memory of a VM */
 
 static const struct {
 	const char *name;
@@ -125,12 +129,78 @@
 		run_case(*state, i, DRIP_MS);
 }
 
+/* Sends requests until it is told to stop. */
+typedef struct {
+	gateway_world_t *world;
+	gint stop;
+} crowd_t;
+
+static gpointer
+run_client(gpointer context)
+{
+	crowd_t *crowd = context;
+
+	while (!g_atomic_int_get(&crowd->stop)) {
+		http_reply_t result = world_request(
+		    crowd->world, "GET", "/all/x", CROWD_DEADLINE_MS, NULL);
+
+		http_reply_clear(&result);
+	}
+	return NULL;
+}
+
+/* Many requests at once meet bodies without end: together, these must fit into
+ * the memory of the smallest VM, and other clients must be served. */
+static void
+run_crowd_case(harness_t *harness, const char *name, plain_fault_t fault)
+{
+	crowd_t crowd = {.world = world_create(harness)};
+	gint64 until =
+	    g_get_monotonic_time() + CROWD_MS * G_TIME_SPAN_MILLISECOND;
+	GThread *threads[CROWD_CLIENTS];
+	long peak;
+
+	for (int i = 0; i < WORLD_SHARDS; i++)
+		world_fault_service(crowd.world, i, fault, UINT32_MAX);
+	for (int i = 0; i < CROWD_CLIENTS; i++)
+		threads[i] = g_thread_new("client", run_client, &crowd);
+	while (g_get_monotonic_time() < until) {
+		http_reply_t result = world_request(
+		    crowd.world, "GET", "/one/x", CROWD_DEADLINE_MS, NULL);
+
+		if (result.status != 200)
+			fail_msg("%s: a neighbour got %d", name, result.status);
+		http_reply_clear(&result);
+	}
+	g_atomic_int_set(&crowd.stop, 1);
+	for (int i = 0; i < CROWD_CLIENTS; i++)
+		g_thread_join(threads[i]);
+	peak = peak_memory_kb(crowd.world);
+	print_message("%s: at most %ld KB\n", name, peak);
+	if (peak > SMALLEST_VM_KB)
+		fail_msg("%s: %ld KB of %d", name, peak, SMALLEST_VM_KB);
+	world_destroy(crowd.world);
+}
+
+static void
+bodies_without_end_fit_into_memory_together(void **state)
+{
+	/* Memory that AddressSanitizer keeps after it was freed isn't the
+	 * gateway's. */
+	g_setenv("ASAN_OPTIONS", "quarantine_size_mb=8", TRUE);
+	run_crowd_case(*state, "chunks", PLAIN_ENDLESS_CHUNKS);
+	run_crowd_case(
+	    *state, "a body without a length", PLAIN_ENDLESS_UNFRAMED);
+	g_unsetenv("ASAN_OPTIONS");
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    HARNESS_TEST(bytes_without_end_are_cut_off),
 	    HARNESS_TEST(drips_without_end_are_cut_off),
+	    HARNESS_TEST(bodies_without_end_fit_into_memory_together),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
