Refuse answers whose fields contradict each other on their length

What callers saw: bodies that were not the server's. At the gateway, an answer with a transfer encoding other than "chunked" was passed on without that field: compressed bytes, or chunks with their sizes, as the body. At the daemon and the tool, "Content-Length: 4x", "4, 2" or two different lengths counted as one of them, and chunks beside a length were read.

Cause: the field lines are sound, their values are not; http_parser and libcurl each take a part of these (RFC 9112, sections 6.1 to 6.3).

Change: http_framing demands one Content-Length that is a number, or the one encoding "chunked", or neither, for the reader of the gateway and, in http_heads, for those on libcurl. No other encoding is ever asked for.

--- a/include/bulrushwell/http_heads.h
+++ b/include/bulrushwell/http_heads.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 
+#include "bulrushwell/http_framing.h"
 #include "bulrushwell/http_grammar.h"
 
 /**
@@ -18,13 +19,15 @@
 
 typedef enum {
 	HTTP_HEADS_SOUND,
-	HTTP_HEADS_BROKEN,   /* the grammar does not allow it */
+	HTTP_HEADS_BROKEN,   /* the grammar does not allow it, or where the
+				body ends can't be told */
 	HTTP_HEADS_TOO_LARGE /* more than HTTP_HEADS_MAX_BYTES */
 } http_heads_result_t;
 
 /** typedef http_heads_t - Its fields are private. */
 typedef struct {
 	http_grammar_t grammar;
+	http_framing_t framing; /* of the head that is read */
 	http_heads_result_t result;
 	size_t bytes;
 	bool complete; /* the final head is */
--- a/include/bulrushwell/slice.h
+++ b/include/bulrushwell/slice.h
@@ -35,4 +35,19 @@
 	return slice_equal(a, slice_from(text));
 }
 
+/** slice_trim() - Without the blanks and tabs at both ends. */
+static inline slice_t
+slice_trim(slice_t text)
+{
+	while (text.size > 0 && (*text.data == ' ' || *text.data == '\t')) {
+		text.data++;
+		text.size--;
+	}
+	while (text.size > 0 &&
+	    (text.data[text.size - 1] == ' ' ||
+		text.data[text.size - 1] == '\t'))
+		text.size--;
+	return text;
+}
+
 #endif
--- a/source/http/http_heads.c
+++ b/source/http/http_heads.c
@@ -7,19 +7,44 @@
 	http_grammar_start(&heads->grammar, HTTP_LINES_RESPONSE);
 }
 
-/* After an interim head follows another one, after the final one trailers. */
+/* A line that has passed the grammar has a colon, unless it is a status line or
+ * empty; what stands before a colon of these is no name of a field. */
 static void
+note_field(http_heads_t *heads, const char *line, size_t size)
+{
+	const char *colon = memchr(line, ':', size);
+	slice_t value;
+
+	if (colon == NULL)
+		return;
+	value.data = colon + 1;
+	value.size = (size_t)(line + size - strlen("\r\n") - value.data);
+	http_framing_add(
+	    &heads->framing, (slice_t){line, (size_t)(colon - line)}, value);
+}
+
+/*
+ * After an interim head follows another one, after the final one trailers.
+ *
+ * Return: whether the head that ends says where its body ends.
+ */
+static bool
 end_head(http_heads_t *heads)
 {
+	bool sound = heads->complete || http_framing_is_sound(&heads->framing);
+
+	heads->framing = (http_framing_t){0};
 	heads->complete =
 	    heads->complete || !http_grammar_is_interim(&heads->grammar);
 	http_grammar_start(&heads->grammar,
 	    heads->complete ? HTTP_LINES_TRAILERS : HTTP_LINES_RESPONSE);
+	return sound;
 }
 
 static http_heads_result_t
 read_line(http_heads_t *heads, const char *line, size_t size)
 {
+	bool sound = true;
 	size_t used;
 
 	heads->bytes += size;
@@ -29,12 +54,13 @@
 	case HTTP_GRAMMAR_BROKEN:
 		return HTTP_HEADS_BROKEN;
 	case HTTP_GRAMMAR_END:
-		end_head(heads);
+		sound = end_head(heads);
 		break;
 	case HTTP_GRAMMAR_MORE:
+		note_field(heads, line, size);
 		break;
 	}
-	return used == size ? HTTP_HEADS_SOUND : HTTP_HEADS_BROKEN;
+	return sound && used == size ? HTTP_HEADS_SOUND : HTTP_HEADS_BROKEN;
 }
 
 http_heads_result_t
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "bulrushwell/http_framing.h"
 #include "bulrushwell/response_memory.h"
 
 #define MAX_NUMBER_DIGITS 9
@@ -87,6 +88,18 @@
 	return 0;
 }
 
+/* Whether the head says without contradiction where the body ends. */
+static bool
+is_framing_sound(const http_message_t *message)
+{
+	http_framing_t framing = {0};
+
+	for (uint32_t i = 0; i < message->header_count; i++)
+		http_framing_add(&framing, http_header_name(message, i),
+		    http_header_value(message, i));
+	return http_framing_is_sound(&framing);
+}
+
 /* Whether the body ends with the connection (RFC 9112, section 6.3): it has
  * neither a length nor chunks. */
 static bool
@@ -103,12 +116,15 @@
 {
 	http_message_t *message = parser->data;
 	bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+	bool is_response = parser->type == HTTP_RESPONSE;
 
 	message->headers_done = true;
 	parser->upgrade = 0;
+	if (is_response && !is_framing_sound(message))
+		return stop_parsing(message, HTTP_FEED_BAD);
 	if (has_length && parser->content_length > message->max_body_bytes)
 		return stop_parsing(message, HTTP_FEED_BODY_TOO_LARGE);
-	if (parser->type == HTTP_RESPONSE && !message->no_body)
+	if (is_response && !message->no_body)
 		message->ends_at_close = ends_at_close(parser);
 	return message->no_body ? SKIP_BODY : 0;
 }
@@ -336,14 +352,9 @@
 http_header_value(const http_message_t *message, uint32_t index)
 {
 	const http_header_t *header = &message->headers[index];
-	slice_t value = {
-	    message->text.data + header->value_offset, header->value_size};
 
-	while (value.size > 0 &&
-	    (value.data[value.size - 1] == ' ' ||
-		value.data[value.size - 1] == '\t'))
-		value.size--;
-	return value;
+	return slice_trim((slice_t){
+	    message->text.data + header->value_offset, header->value_size});
 }
 
 bool
@@ -376,20 +387,6 @@
 	return false;
 }
 
-static slice_t
-trim(slice_t text)
-{
-	while (text.size > 0 && (*text.data == ' ' || *text.data == '\t')) {
-		text.data++;
-		text.size--;
-	}
-	while (text.size > 0 &&
-	    (text.data[text.size - 1] == ' ' ||
-		text.data[text.size - 1] == '\t'))
-		text.size--;
-	return text;
-}
-
 bool
 http_list_has_token(slice_t list, slice_t token)
 {
@@ -397,7 +394,7 @@
 		const char *comma = memchr(list.data, ',', list.size);
 		size_t size =
 		    comma != NULL ? (size_t)(comma - list.data) : list.size;
-		slice_t item = trim((slice_t){list.data, size});
+		slice_t item = slice_trim((slice_t){list.data, size});
 
 		if (item.size == token.size &&
 		    strncasecmp(item.data, token.data, token.size) == 0)
@@ -415,7 +412,7 @@
 {
 	int64_t number = 0;
 
-	text = trim(text);
+	text = slice_trim(text);
 	if (text.size == 0 || text.size > MAX_NUMBER_DIGITS)
 		return -1;
 	for (size_t i = 0; i < text.size; i++) {
--- a/tests/lib/answer_cases.c
+++ b/tests/lib/answer_cases.c
@@ -252,6 +252,67 @@
 };
 const size_t answer_line_case_count = G_N_ELEMENTS(answer_line_cases);
 
+#define NO_LENGTH LENGTH_LINE("")
+#define NO_BODY BODY(""), .bodiless = true
+#define ENCODED(value)                                  \
+	LENGTH_LINE("Transfer-Encoding:" value "\r\n"), \
+	    BODY("4\r\n[22]\r\n0\r\n\r\n")
+
+const answer_case_t answer_length_cases[] = {
+    /* Content-Length = 1*DIGIT */
+    {"leading zeros", LENGTH_LINE("Content-Length: 0004\r\n"), SOUND},
+    {"no body", LENGTH_LINE("Content-Length: 0\r\n"), NO_BODY, SOUND,
+	.status = 404, STATUS_LINE("HTTP/1.1 404 No\r\n")},
+    {"an empty length", LENGTH_LINE("Content-Length:\r\n")},
+    {"a length of blanks", LENGTH_LINE("Content-Length:  \r\n")},
+    {"a positive length", LENGTH_LINE("Content-Length: +4\r\n")},
+    {"a negative length", LENGTH_LINE("Content-Length: -4\r\n")},
+    {"a length and a letter", LENGTH_LINE("Content-Length: 4x\r\n")},
+    {"a letter and a length", LENGTH_LINE("Content-Length: x4\r\n")},
+    {"a word as length", LENGTH_LINE("Content-Length: four\r\n")},
+    {"a hexadecimal length", LENGTH_LINE("Content-Length: 0x4\r\n")},
+    {"a fraction as length", LENGTH_LINE("Content-Length: 4.0\r\n")},
+    {"a blank in the length", LENGTH_LINE("Content-Length: 4 0\r\n")},
+    {"a parameter of the length", LENGTH_LINE("Content-Length: 4;a\r\n")},
+    {"a length in quotes", LENGTH_LINE("Content-Length: \"4\"\r\n")},
+    {"two lengths in one line", LENGTH_LINE("Content-Length: 4, 2\r\n")},
+    {"a length and a comma", LENGTH_LINE("Content-Length: 4,\r\n")},
+    {"a length of 40 digits",
+	LENGTH_LINE("Content-Length: 1000000000000000000000000000000000000004"
+		    "\r\n")},
+    {"a length that overflows 64 bits",
+	LENGTH_LINE("Content-Length: 18446744073709551620\r\n")},
+    {"two lengths", LAST_LINE("Content-Length: 2\r\n")},
+    {"a second, broken length", LAST_LINE("Content-Length: x\r\n")},
+    {"a first, broken length", FIRST_LINE("Content-Length: x\r\n")},
+
+    /* Transfer-Encoding: no other than "chunked" was offered */
+    {"chunks in capitals", ENCODED(" CHUNKED"), SOUND},
+    {"chunks without a blank", ENCODED("chunked"), SOUND},
+    {"another encoding", ENCODED(" gzip")},
+    {"an encoding before the chunks", ENCODED(" gzip, chunked")},
+    {"an encoding after the chunks", ENCODED(" chunked, gzip")},
+    {"chunks of chunks", ENCODED(" chunked, chunked")},
+    {"no encoding", ENCODED("")},
+    {"the encoding identity", ENCODED(" identity")},
+    {"the name of an encoding with a prefix", ENCODED(" xchunked")},
+    {"the name of an encoding with a suffix", ENCODED(" chunkedx")},
+    {"an encoding with a parameter", ENCODED(" chunked;q=1")},
+    {"an encoding in quotes", ENCODED(" \"chunked\"")},
+    {"chunks twice", ENCODED(" chunked"),
+	LAST_LINE("Transfer-Encoding: chunked\r\n")},
+    {"chunks and another encoding", ENCODED(" chunked"),
+	LAST_LINE("Transfer-Encoding: gzip\r\n")},
+    {"chunks and a length", ENCODED(" chunked"),
+	LAST_LINE("Content-Length: 4\r\n")},
+    {"a length and chunks", ENCODED(" chunked"),
+	FIRST_LINE("Content-Length: 4\r\n")},
+
+    /* Neither of them: the body ends with the connection */
+    {"no length", NO_LENGTH, SOUND},
+};
+const size_t answer_length_case_count = G_N_ELEMENTS(answer_length_cases);
+
 static void
 append_part(GString *text, slice_t part, const char *ordinary)
 {
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -240,18 +240,24 @@
 	g_string_free(response, TRUE);
 }
 
-#define LINES_TEST(reader)                                                     \
+/* Two tests of each reader. */
+#define READER_TESTS(reader)                                                   \
 	static void lines_##reader(void **state)                               \
 	{                                                                      \
 		check_cases(                                                   \
 		    answer_line_cases, answer_line_case_count, read_##reader); \
+	}                                                                      \
+	static void lengths_##reader(void **state)                             \
+	{                                                                      \
+		check_cases(answer_length_cases, answer_length_case_count,     \
+		    read_##reader);                                            \
 	}
 
-LINES_TEST(whole)
-LINES_TEST(bytewise)
-LINES_TEST(by_daemon)
-LINES_TEST(by_store_client)
-LINES_TEST(by_tool)
+READER_TESTS(whole)
+READER_TESTS(bytewise)
+READER_TESTS(by_daemon)
+READER_TESTS(by_store_client)
+READER_TESTS(by_tool)
 
 static void
 cut_by_tool(void **state)
@@ -264,10 +270,15 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(lines_whole),
+	    cmocka_unit_test(lengths_whole),
 	    cmocka_unit_test(lines_bytewise),
+	    cmocka_unit_test(lengths_bytewise),
 	    cmocka_unit_test(lines_by_daemon),
+	    cmocka_unit_test(lengths_by_daemon),
 	    cmocka_unit_test(lines_by_store_client),
+	    cmocka_unit_test(lengths_by_store_client),
 	    cmocka_unit_test(lines_by_tool),
+	    cmocka_unit_test(lengths_by_tool),
 	    cmocka_unit_test(cut_by_tool),
 	};
 
--- a/tests/test_process_gateway_broken.c
+++ b/tests/test_process_gateway_broken.c
@@ -73,37 +73,54 @@
 	    http_reply_header(result, "x-a") == NULL;
 }
 
+/* Both servers send such an answer; the request is not repeated. */
+static bool
+is_passed_on_rightly(gateway_world_t *world, const answer_case_t *row)
+{
+	http_reply_t result;
+	bool right;
+
+	wait_until_answered(world, row);
+	for (int i = 0; i < WORLD_REPLICAS; i++)
+		set_case(world_replica(world, WORLD_ONE, i), row);
+	result = world_request(world, "GET", "/once/x", DEADLINE_MS, NULL);
+	right = row->sound ? is_the_servers(row, &result)
+			   : is_a_gateway_error(&result);
+	if (!right)
+		print_error("%s: status %d, a body of %zu bytes\n", row->name,
+		    result.status, result.body != NULL ? result.body->len : 0);
+	http_reply_clear(&result);
+	return right;
+}
+
 static void
-clients_get_sound_answers_only(void **state)
+check_cases(harness_t *harness, const answer_case_t *rows, size_t count)
 {
-	gateway_world_t *world = world_create(*state);
+	gateway_world_t *world = world_create(harness);
 	int failures = 0, broken = 0;
 
-	for (size_t i = 0; i < answer_line_case_count; i++) {
-		const answer_case_t *row = &answer_line_cases[i];
-		http_reply_t result;
-
-		broken += !row->sound;
-		wait_until_answered(world, row);
-		for (int j = 0; j < WORLD_REPLICAS; j++)
-			set_case(world_replica(world, WORLD_ONE, j), row);
-		result =
-		    world_request(world, "GET", "/once/x", DEADLINE_MS, NULL);
-		if (row->sound ? !is_the_servers(row, &result)
-			       : !is_a_gateway_error(&result)) {
-			print_error("%s: status %d, a body of %zu bytes\n",
-			    row->name, result.status,
-			    result.body != NULL ? result.body->len : 0);
-			failures++;
-		}
-		http_reply_clear(&result);
+	for (size_t i = 0; i < count; i++) {
+		broken += !rows[i].sound;
+		failures += !is_passed_on_rightly(world, &rows[i]);
 	}
 	if (failures > 0)
-		fail_msg("%d of %zu answers", failures, answer_line_case_count);
+		fail_msg("%d of %zu answers", failures, count);
 	assert_int_equal(world_metric(world, MALFORMED_EVENTS), broken);
 	world_destroy(world);
 }
 
+static void
+clients_get_sound_lines_only(void **state)
+{
+	check_cases(*state, answer_line_cases, answer_line_case_count);
+}
+
+static void
+clients_get_sound_lengths_only(void **state)
+{
+	check_cases(*state, answer_length_cases, answer_length_case_count);
+}
+
 static uint32_t
 request_count(plain_server_t *server)
 {
@@ -169,7 +186,8 @@
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
-	    HARNESS_TEST(clients_get_sound_answers_only),
+	    HARNESS_TEST(clients_get_sound_lines_only),
+	    HARNESS_TEST(clients_get_sound_lengths_only),
 	    HARNESS_TEST(broken_answers_are_repeated_elsewhere),
 	};
 
