Read no body after the head of a 204, 304 or interim answer

What callers saw: a server that sent 204 with a Content-Length had the bytes after its head passed on, behind a head without a length: to the client, the start of an answer to its next request. A sound 304 with a Content-Length, as a server sends it to a conditional request, was never answered: 502, or 504 at the deadline; so was an answer behind an interim one with a length.

Cause: http_parser reads a body of the stated length whatever the status is; http_message left that to it. libcurl knows these statuses.

Change: such a response ends with its head (RFC 9112, section 6.3), as that to HEAD does; its length isn't held against the limit of bodies. Bytes behind it are no answer and close the connection.

--- a/include/bulrushwell/http_framing.h
+++ b/include/bulrushwell/http_framing.h
@@ -30,4 +30,8 @@
  */
 bool http_framing_is_sound(const http_framing_t *framing);
 
+/** http_status_has_body() - Whether a response with this status may have a body
+ * at all, whatever its fields say. */
+bool http_status_has_body(int status);
+
 #endif
--- a/source/http/http_framing.c
+++ b/source/http/http_framing.c
@@ -41,3 +41,9 @@
 {
 	return !framing->broken && framing->lengths + framing->encodings <= 1;
 }
+
+bool
+http_status_has_body(int status)
+{
+	return status / 100 != 1 && status != 204 && status != 304;
+}
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -100,15 +100,12 @@
 	return http_framing_is_sound(&framing);
 }
 
-/* Whether the body ends with the connection (RFC 9112, section 6.3): it has
- * neither a length nor chunks. */
 static bool
-ends_at_close(const http_parser *parser)
+may_have_body(const http_message_t *message)
 {
-	if (parser->status_code / 100 == 1 || parser->status_code == 204 ||
-	    parser->status_code == 304)
-		return false;
-	return (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+	return message->parser.type == HTTP_REQUEST ||
+	    (!message->no_body &&
+		http_status_has_body(message->parser.status_code));
 }
 
 static int
@@ -122,11 +119,13 @@
 	parser->upgrade = 0;
 	if (is_response && !is_framing_sound(message))
 		return stop_parsing(message, HTTP_FEED_BAD);
+	if (!may_have_body(message))
+		return SKIP_BODY;
 	if (has_length && parser->content_length > message->max_body_bytes)
 		return stop_parsing(message, HTTP_FEED_BODY_TOO_LARGE);
-	if (is_response && !message->no_body)
-		message->ends_at_close = ends_at_close(parser);
-	return message->no_body ? SKIP_BODY : 0;
+	message->ends_at_close =
+	    is_response && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+	return 0;
 }
 
 /* After the size of the last chunk, trailers follow. The parser stops there, as
--- a/tests/lib/answer_cases.c
+++ b/tests/lib/answer_cases.c
@@ -310,6 +310,23 @@
 
     /* Neither of them: the body ends with the connection */
     {"no length", NO_LENGTH, SOUND},
+
+    /* Responses that have no body, whatever their fields say */
+    {"status 204", STATUS_LINE("HTTP/1.1 204 No\r\n"), NO_LENGTH, NO_BODY,
+	SOUND, .status = 204},
+    {"status 304", STATUS_LINE("HTTP/1.1 304 Old\r\n"), NO_LENGTH, NO_BODY,
+	SOUND, .status = 304},
+    {"status 304 and a length", STATUS_LINE("HTTP/1.1 304 Old\r\n"), NO_BODY,
+	SOUND, .status = 304},
+    {"status 304 and a long length", STATUS_LINE("HTTP/1.1 304 Old\r\n"),
+	LENGTH_LINE("Content-Length: 999999999\r\n"), NO_BODY, SOUND,
+	.status = 304},
+    {"status 304 and chunks", STATUS_LINE("HTTP/1.1 304 Old\r\n"), CHUNKED,
+	NO_BODY, SOUND, .status = 304},
+    {"an interim response with a length",
+	STATUS_LINE("HTTP/1.1 103 Early\r\nContent-Length: 4\r\n\r\n"
+		    "HTTP/1.1 200 OK\r\n"),
+	SOUND},
 };
 const size_t answer_length_case_count = G_N_ELEMENTS(answer_length_cases);
 
--- a/tests/test_process_gateway_broken.c
+++ b/tests/test_process_gateway_broken.c
@@ -4,7 +4,9 @@
 #include "lib/gateway_world.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define DEADLINE_MS 1500
 #define RECOVERY_MS 5000 /* longer than a server is left out */
@@ -121,6 +123,36 @@
 	check_cases(*state, answer_length_cases, answer_length_case_count);
 }
 
+/* A response with this status ends with its head: what follows is no answer. */
+static void
+bytes_after_a_response_without_a_body_reach_no_client(void **state)
+{
+	static const answer_case_t rows[] = {
+	    {"204", .status_line = {"HTTP/1.1 204 No\r\n", 17}},
+	    {"304", .status_line = {"HTTP/1.1 304 Old\r\n", 18}},
+	};
+	gateway_world_t *world = world_create(*state);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *received;
+		int fd;
+
+		wait_until_answered(world, &rows[i]);
+		for (int j = 0; j < WORLD_REPLICAS; j++)
+			set_case(world_replica(world, WORLD_ONE, j), &rows[i]);
+		fd = world_connect(world);
+		world_send_text(fd,
+		    WORLD_REQUEST("GET", "/once/x", "Connection: close\r\n"));
+		received = world_receive(fd, NULL, DEADLINE_MS);
+		if (strstr(received, rows[i].name) == NULL ||
+		    strstr(received, ANSWER_BODY) != NULL)
+			fail_msg("%s: %s", rows[i].name, received);
+		free(received);
+		close(fd);
+	}
+	world_destroy(world);
+}
+
 static uint32_t
 request_count(plain_server_t *server)
 {
@@ -188,6 +220,7 @@
 	static const struct CMUnitTest tests[] = {
 	    HARNESS_TEST(clients_get_sound_lines_only),
 	    HARNESS_TEST(clients_get_sound_lengths_only),
+	    HARNESS_TEST(bytes_after_a_response_without_a_body_reach_no_client),
 	    HARNESS_TEST(broken_answers_are_repeated_elsewhere),
 	};
 
