Refuse chunks whose line ends are other bytes

What callers saw: the body of an answer whose chunks are not followed by line ends, cut where the server's framing had broken: it counted as whole.

Cause: http_parser is built without its strict mode and takes any two bytes for the line end after a chunk, and any byte for the LF after its size. libcurl checks these.

Evidence, before the change: "other bytes after a chunk" and "a CR and another byte after the size" in test_broken_answers/lengths_whole, lengths_by_store_client and test_process_gateway_broken/clients_get_sound_lengths_only, 2 of 54.

Change: the parser stops after the size of a chunk and after its data, and what it took last must be a line end. The last chunk's is a part of the trailers, which pass the grammar.

--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -128,21 +128,36 @@
 	return 0;
 }
 
-/* After the size of the last chunk, trailers follow. The parser stops there, as
- * they pass the grammar first. */
+/*
+ * The parser takes any two bytes for the line ends in a chunk, so it stops
+ * after them. After the size of the last chunk, trailers follow.
+ */
 static int
 on_chunk_header(http_parser *parser)
 {
 	http_message_t *message = parser->data;
 
-	if (parser->type != HTTP_RESPONSE || parser->content_length > 0)
+	if (parser->type != HTTP_RESPONSE)
 		return 0;
-	http_grammar_start(&message->grammar, HTTP_LINES_TRAILERS);
-	message->part = HTTP_PART_LINES;
+	if (parser->content_length == 0) {
+		http_grammar_start(&message->grammar, HTTP_LINES_TRAILERS);
+		message->part = HTTP_PART_LINES;
+		message->last_chunk = true;
+	}
 	http_parser_pause(parser, 1);
 	return 0;
 }
 
+static int
+on_chunk_complete(http_parser *parser)
+{
+	const http_message_t *message = parser->data;
+
+	if (parser->type == HTTP_RESPONSE && !message->last_chunk)
+		http_parser_pause(parser, 1);
+	return 0;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t size)
 {
@@ -174,6 +189,7 @@
     .on_header_value = on_header_value,
     .on_headers_complete = on_headers_complete,
     .on_chunk_header = on_chunk_header,
+    .on_chunk_complete = on_chunk_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
@@ -219,6 +235,8 @@
 	message->no_body = false;
 	message->interims = 0;
 	message->in_value = false;
+	message->last_chunk = false;
+	message->last_byte = '\0';
 }
 
 void
@@ -262,15 +280,30 @@
 	return true;
 }
 
-/* Return: false when the parser has refused the bytes. */
+/* Whether the last of the bytes that were parsed are a line end. */
+static bool
+ends_a_line(const http_message_t *message, const char *data, size_t size)
+{
+	char before = size > 1 ? data[size - 2] : message->last_byte;
+
+	return size > 0 && before == '\r' && data[size - 1] == '\n';
+}
+
+/* Return: false when the bytes are refused. */
 static bool
 parse(http_message_t *message, const char *data, size_t size, size_t *used)
 {
 	http_parser *parser = &message->parser;
+	size_t parsed = http_parser_execute(parser, &callbacks, data, size);
 
-	*used += http_parser_execute(parser, &callbacks, data, size);
-	if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED && !message->complete)
+	*used += parsed;
+	if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED && !message->complete) {
+		if (!ends_a_line(message, data, parsed))
+			return false;
 		http_parser_pause(parser, 0);
+	}
+	if (parsed > 0)
+		message->last_byte = data[parsed - 1];
 	return message->complete || HTTP_PARSER_ERRNO(parser) == HPE_OK;
 }
 
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -60,6 +60,8 @@
 	bool no_body;	    /* response to HEAD; set by the user after reset */
 	uint32_t interims;  /* interim responses (1xx) that were skipped */
 	bool in_value;	    /* the parser is in a header value */
+	bool last_chunk;    /* the size of the last chunk was read */
+	char last_byte;	    /* that was parsed */
 } http_message_t;
 
 /**
--- a/tests/lib/answer_cases.c
+++ b/tests/lib/answer_cases.c
@@ -327,6 +327,22 @@
 	STATUS_LINE("HTTP/1.1 103 Early\r\nContent-Length: 4\r\n\r\n"
 		    "HTTP/1.1 200 OK\r\n"),
 	SOUND},
+
+    /* chunk-size [ chunk-ext ] CRLF chunk-data CRLF */
+    {"a chunk extension", CHUNKED, BODY("4;a=b\r\n[22]\r\n0;c\r\n\r\n"), SOUND},
+    {"zeros before the size of a chunk", CHUNKED,
+	BODY("0004\r\n[22]\r\n000\r\n\r\n"), SOUND},
+    {"no size of a chunk", CHUNKED, BODY("\r\n[22]\r\n0\r\n\r\n")},
+    {"a sign of the size of a chunk", CHUNKED, BODY("+4\r\n[22]\r\n0\r\n\r\n")},
+    {"a size of a chunk that is no number", CHUNKED,
+	BODY("g\r\n[22]\r\n0\r\n\r\n")},
+    {"a size of a chunk that overflows", CHUNKED,
+	BODY("10000000000000000000000004\r\n[22]\r\n0\r\n\r\n")},
+    {"a chunk longer than its size", CHUNKED, BODY("2\r\n[22]\r\n0\r\n\r\n")},
+    {"a chunk shorter than its size", CHUNKED, BODY("6\r\n[22]\r\n0\r\n\r\n")},
+    {"a CR and another byte after the size", CHUNKED,
+	BODY("4\rX[22]\r\n0\r\n\r\n")},
+    {"other bytes after a chunk", CHUNKED, BODY("4\r\n[22]XY0\r\n\r\n")},
 };
 const size_t answer_length_case_count = G_N_ELEMENTS(answer_length_cases);
 
