--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -10,6 +10,7 @@
 
 #include "../platform/store_call.h"
 #include "../source/http/http_message.h"
+#include "bulrushwell/event.h"
 #include "bulrushwell/http_client.h"
 #include "bulrushwell/tool_http.h"
 #include "lib/answer_cases.h"
@@ -259,6 +260,24 @@
 READER_TESTS(by_store_client)
 READER_TESTS(by_tool)
 
+/* Whoever looks for the cause of a call that failed finds a line. */
+static void
+broken_answers_are_logged(void **state)
+{
+	static const answer_case_t row = {
+	    .last_line = {"X A: b\r\n", sizeof("X A: b\r\n") - 1},
+	};
+	GString *response = answer_case_text(&row, "");
+
+	assert_int_equal(event_count(EVENT_STORE_MALFORMED), 0);
+	assert_int_equal(event_count(EVENT_SERVER_MALFORMED), 0);
+	assert_false(read_by_store_client(response).answered);
+	assert_false(read_by_daemon(response).answered);
+	assert_int_equal(event_count(EVENT_STORE_MALFORMED), 1);
+	assert_int_equal(event_count(EVENT_SERVER_MALFORMED), 1);
+	g_string_free(response, TRUE);
+}
+
 static void
 cut_by_tool(void **state)
 {
@@ -269,6 +288,7 @@
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(broken_answers_are_logged), /* counts from 0 */
 	    cmocka_unit_test(lines_whole),
 	    cmocka_unit_test(lengths_whole),
 	    cmocka_unit_test(lines_bytewise),
