--- a/tests/lib/answer_cases.c
+++ b/tests/lib/answer_cases.c
@@ -346,6 +346,15 @@
 };
 const size_t answer_length_case_count = G_N_ELEMENTS(answer_length_cases);
 
+const answer_case_t *
+answer_line_case(const char *name)
+{
+	for (size_t i = 0; i < answer_line_case_count; i++)
+		if (strcmp(answer_line_cases[i].name, name) == 0)
+			return &answer_line_cases[i];
+	g_error("no row \"%s\"", name);
+}
+
 static void
 append_part(GString *text, slice_t part, const char *ordinary)
 {
--- a/tests/lib/answer_cases.h
+++ b/tests/lib/answer_cases.h
@@ -34,6 +34,10 @@
 extern const answer_case_t answer_line_cases[];
 extern const size_t answer_line_case_count;
 
+/** answer_line_case() - The row of answer_line_cases with this name, which must
+ * exist. */
+const answer_case_t *answer_line_case(const char *name);
+
 /** What says where the body ends (RFC 9112, sections 6 and 7). */
 extern const answer_case_t answer_length_cases[];
 extern const size_t answer_length_case_count;
--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "endless_texts.h"
+
 #define REQUEST_MAX_BYTES 65536
 #define HANG_CHECK_MS 20
 #define ENDLESS_BLOCK_BYTES 8192
@@ -284,29 +286,6 @@
 	g_mutex_unlock(&server->lock);
 }
 
-/* What is sent once, and then again and again. */
-static const struct {
-	const char *begin;
-	const char *repeated;
-} endless_texts[] = {
-    [PLAIN_ENDLESS_HEADER] = {"HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaa"},
-    [PLAIN_ENDLESS_HEADERS] = {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
-    [PLAIN_ENDLESS_INTERIMS] = {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-    [PLAIN_ENDLESS_CHUNK_SIZE] =
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000"},
-    [PLAIN_ENDLESS_CHUNKS] =
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-	    "8\r\nabcdefgh\r\n"},
-    [PLAIN_ENDLESS_BODY] = {"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n"
-			    "\r\n",
-	"abcdefgh"},
-    [PLAIN_ENDLESS_UNFRAMED] = {"HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"},
-    [PLAIN_ENDLESS_TRAILERS] =
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-	    "X-A: b\r\n"},
-    [PLAIN_ENDLESS_LINE] = {"", "abcdefgh"},
-};
-
 static bool
 try_send(const plain_connection_t *connection, const char *text, size_t size)
 {
--- a/tests/test_process_broken.c
+++ b/tests/test_process_broken.c
@@ -102,16 +102,6 @@
 	return (http_reply_t){0};
 }
 
-static const answer_case_t *
-find_line_case(const char *name)
-{
-	for (size_t i = 0; i < answer_line_case_count; i++)
-		if (strcmp(answer_line_cases[i].name, name) == 0)
-			return &answer_line_cases[i];
-	fail_msg("no case \"%s\"", name);
-	return NULL;
-}
-
 static const char *const case_names[] = {"an ordinary response",
     "a name in lower case", "two blanks before the status", "status 000",
     "status 999", "a control byte in the name", "a blank in the name",
@@ -125,7 +115,7 @@
 	world_t world = start_world(*state);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(case_names); i++) {
-		const answer_case_t *row = find_line_case(case_names[i]);
+		const answer_case_t *row = answer_line_case(case_names[i]);
 		http_reply_t reply;
 		bool answered;
 
@@ -147,16 +137,16 @@
 	world_t world = start_world(*state);
 	http_reply_t reply;
 
-	set_answer(&world, find_line_case("an ordinary response"), "");
+	set_answer(&world, answer_line_case("an ordinary response"), "");
 	reply = reserve(&world);
 	assert_int_equal(reply.status, 200);
 	http_reply_clear(&reply);
-	set_answer(
-	    &world, find_line_case("a blank in the name"), "X-Draining: 1\r\n");
+	set_answer(&world, answer_line_case("a blank in the name"),
+	    "X-Draining: 1\r\n");
 	reply = reserve(&world);
 	assert_int_not_equal(reply.status, 200);
 	http_reply_clear(&reply);
-	set_answer(&world, find_line_case("an ordinary response"), "");
+	set_answer(&world, answer_line_case("an ordinary response"), "");
 	reply = reserve(&world);
 	assert_int_equal(reply.status, 200);
 	http_reply_clear(&reply);
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -390,16 +390,6 @@
 	return taken;
 }
 
-static const answer_case_t *
-find_line_case(const char *name)
-{
-	for (size_t i = 0; i < answer_line_case_count; i++)
-		if (strcmp(answer_line_cases[i].name, name) == 0)
-			return &answer_line_cases[i];
-	fail_msg("no case \"%s\"", name);
-	return NULL;
-}
-
 /* What a peer says of shards counts only in a sound answer. */
 static void
 a_broken_answer_of_a_peer_counts_for_nothing(void **state)
@@ -418,7 +408,7 @@
 	for (int i = 0; i < STUBS; i++)
 		plain_server_set_headers(stub_world.stubs[i], shards);
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		const answer_case_t *row = find_line_case(names[i]);
+		const answer_case_t *row = answer_line_case(names[i]);
 
 		if (is_taken_from_a_stub(&stub_world, row) != row->sound)
 			fail_msg("%s: %s", row->name,
