Read no bytes behind a part of a field line

What could happen: libcurl may report a line that the connection has cut. Behind "X:", http_heads took two bytes for a line end that is not there and read on from the start of memory it doesn't have.

Evidence, before the change: AddressSanitizer in test_http_grammar/a_part_of_a_line_completes_no_head, heap-buffer-overflow.

Change: only a line end that is there is left out.

Measured: the test passes, with the sanitizers too.

--- a/source/http/http_heads.c
+++ b/source/http/http_heads.c
@@ -7,20 +7,21 @@
 	http_grammar_start(&heads->grammar, HTTP_LINES_RESPONSE);
 }
 
-/* A line that has passed the grammar has a colon, unless it is a status line or
- * empty; what stands before a colon of these is no name of a field. */
+/* Takes a line that has passed the grammar, perhaps without its end. What
+ * stands before a colon in a status line is no name of a field. */
 static void
 note_field(http_heads_t *heads, const char *line, size_t size)
 {
 	const char *colon = memchr(line, ':', size);
-	slice_t value;
+	slice_t name, value;
 
 	if (colon == NULL)
 		return;
-	value.data = colon + 1;
-	value.size = (size_t)(line + size - strlen("\r\n") - value.data);
-	http_framing_add(
-	    &heads->framing, (slice_t){line, (size_t)(colon - line)}, value);
+	while (line[size - 1] == '\r' || line[size - 1] == '\n')
+		size--; /* stops at the colon */
+	name = (slice_t){line, (size_t)(colon - line)};
+	value = (slice_t){colon + 1, size - name.size - 1};
+	http_framing_add(&heads->framing, name, value);
 }
 
 /*
--- a/tests/test_http_grammar.c
+++ b/tests/test_http_grammar.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "bulrushwell/http_grammar.h"
+#include "bulrushwell/http_heads.h"
 
 #define TOKEN                                                          \
 	"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghi" \
@@ -160,12 +161,38 @@
 		    HTTP_GRAMMAR_MORE);
 }
 
+/* libcurl may report a part of a line, if the connection ends in it. */
+static void
+a_part_of_a_line_completes_no_head(void **state)
+{
+	static const char *const lines[] = {"HTTP/1.1 200 OK\r\n", "X:\r\n",
+	    "Content-Length: 4\r\n", "X-A:  b:c \r\n", "\r\n"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		for (size_t size = 0; size < strlen(lines[i]); size++) {
+			char *part = g_strndup(lines[i], size);
+			http_heads_t heads;
+
+			http_heads_start(&heads);
+			for (size_t j = 0; j < i; j++)
+				assert_int_equal(
+				    http_heads_read(
+					&heads, lines[j], strlen(lines[j])),
+				    HTTP_HEADS_SOUND);
+			assert_int_equal(http_heads_read(&heads, part, size),
+			    HTTP_HEADS_SOUND);
+			assert_false(http_heads_complete(&heads));
+			g_free(part);
+		}
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(each_place_allows_its_bytes_only),
 	    cmocka_unit_test(lines_end_with_the_empty_line),
+	    cmocka_unit_test(a_part_of_a_line_completes_no_head),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
