--- a/tests/test_process_broken.c
+++ b/tests/test_process_broken.c
@@ -1,8 +1,10 @@
-/* Guards the daemon's callers against broken answers of
+/* Guards the daemon's callers, and users of the tool, against broken answers of
  * servers: none is passed on or counts as the outcome of a reservation, and
  * nothing that such an answer says of its server is believed. */
 #include "lib/harness.h"
 #include "lib/plain_server.h"
+#include "lib/raw_server.h"
+#include "lib/tool_run.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -153,12 +155,85 @@
 	plain_server_destroy(world.server);
 }
 
+static uint32_t
+count_health_checks(const world_t *world)
+{
+	plain_server_record_t record;
+
+	plain_server_get_record(world->server, &record);
+	return record.requests - record.with_body;
+}
+
+/* The same for the reports that nodes ask a server for. */
+static void
+a_broken_health_report_does_not_end_a_server(void **state)
+{
+	world_t world = start_world(*state);
+	usec_t until = clock_monotonic() + MS(WAIT_MS);
+	http_reply_t reply;
+	uint32_t before;
+
+	set_answer(&world, answer_line_case("an ordinary response"), "");
+	reply = reserve(&world);
+	assert_int_equal(reply.status, 200);
+	http_reply_clear(&reply);
+	set_answer(&world, answer_line_case("a blank in the name"),
+	    "X-Draining: 1\r\n");
+	before = count_health_checks(&world);
+	while (count_health_checks(&world) < before + 2) {
+		assert_true(clock_monotonic() < until);
+		g_usleep(10 * 1000);
+	}
+	set_answer(&world, answer_line_case("an ordinary response"), "");
+	reply = reserve(&world);
+	assert_int_equal(reply.status, 200);
+	http_reply_clear(&reply);
+	plain_server_destroy(world.server);
+}
+
+/* Runs the tool against a node that answers so; whether it says that this is no
+ * answer. */
+static bool
+is_refused_by_tool(harness_t *harness, const answer_case_t *row)
+{
+	GString *response = answer_case_text(row, "");
+	raw_server_t *server =
+	    raw_server_create((slice_t){response->str, response->len});
+	char *words =
+	    g_strdup_printf("status --node %s", raw_server_address(server));
+	tool_run_t *run = tool_run_start(harness, words);
+	bool refused;
+
+	tool_run_wait(run);
+	refused = strstr(run->err, "does not answer") != NULL;
+	assert_int_not_equal(run->status, 0); /* sound ones aren't a node's */
+	tool_run_free(run);
+	raw_server_destroy(server);
+	g_string_free(response, TRUE);
+	g_free(words);
+	return refused;
+}
+
+static void
+the_tool_refuses_broken_answers(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(case_names); i++) {
+		const answer_case_t *row = answer_line_case(case_names[i]);
+
+		if (is_refused_by_tool(*state, row) == row->sound)
+			fail_msg("%s: %s", row->name,
+			    row->sound ? "refused" : "not refused");
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
 	    HARNESS_TEST(callers_get_sound_answers_only),
 	    HARNESS_TEST(a_broken_answer_does_not_end_a_server),
+	    HARNESS_TEST(a_broken_health_report_does_not_end_a_server),
+	    HARNESS_TEST(the_tool_refuses_broken_answers),
 	};
 
 	return RUN_TESTS(argc, argv, tests);
