Let no late copy of a request meet the broken answer of the next one

Cause, from the gateway's log of that run: the request that waits until the service answers was idempotent and late, so a second attempt was sent and answered (HEDGE_SENT request=q000047); its first attempt reached the other server after the broken answer had been set there, and was refused as it should be. The next row then found that server with no broken answer left.

Change, as strict as before: that request is sent on the route that is never repeated, and each broken row must still cause exactly one event. The stand-in says that it closes the connection, so that no request is sent on it meanwhile.

--- a/tests/lib/plain_server.c
+++ b/tests/lib/plain_server.c
@@ -341,7 +341,8 @@
 	const char *id = connection->request_id;
 	char *fields =
 	    g_strdup_printf("Bulrushwell-Request-Id: %s\r\nX-Request-Id: %s\r\n"
-			    "Bulrushwell-Response-Stamp: %s\r\n%s",
+			    "Bulrushwell-Response-Stamp: %s\r\n"
+			    "Connection: close\r\n%s",
 		id, id, connection->stamp, more);
 
 	g_mutex_lock(&server->lock);
--- a/tests/lib/plain_server.h
+++ b/tests/lib/plain_server.h
@@ -97,7 +97,7 @@
 
 /**
  * plain_server_set_case() - Sets the response of PLAIN_CASE, which has the id
- * of the request and a stamp, and ends the connection in order.
+ * of the request and a stamp, says that the connection ends, and ends it.
  * @row: must outlive the server
  */
 void plain_server_set_case(plain_server_t *server, const answer_case_t *row);
--- a/tests/test_process_gateway_broken.c
+++ b/tests/test_process_gateway_broken.c
@@ -17,12 +17,13 @@
 	"events_total{number=\"607\",name=\"SERVER_MALFORMED\"}"
 #define STAMP_HEADER "bulrushwell-response-stamp"
 
-/* Return: the replica that answers now; -1: none. */
+/* Return: the replica that answers now; -1: none. The request is sent once, so
+ * that no late copy of it meets a broken answer which is set afterwards. */
 static int
 answering_replica(gateway_world_t *world)
 {
 	http_reply_t result =
-	    world_request(world, "GET", "/one/x", DEADLINE_MS, NULL);
+	    world_request(world, "GET", "/once/x", DEADLINE_MS, NULL);
 	int replica = -1;
 
 	for (int i = 0; i < WORLD_REPLICAS && result.status == 200; i++)
