Keep no state of a message that its grammar and parser have

http_message remembered whether it was in lines, which the grammar knows, and whether the last chunk had begun, which the parser knows (F_TRAILING).

--- a/include/bulrushwell/http_grammar.h
+++ b/include/bulrushwell/http_grammar.h
@@ -62,6 +62,9 @@
 http_grammar_result_t http_grammar_read(
     http_grammar_t *grammar, const char *data, size_t size, size_t *used);
 
+/** http_grammar_ended() - Whether the empty line after the lines was read. */
+bool http_grammar_ended(const http_grammar_t *grammar);
+
 /** http_grammar_is_interim() - Whether the status line that was read is that of
  * an interim response. */
 bool http_grammar_is_interim(const http_grammar_t *grammar);
--- a/source/http/http_grammar.c
+++ b/source/http/http_grammar.c
@@ -163,6 +163,12 @@
 					       : HTTP_GRAMMAR_MORE;
 }
 
+bool
+http_grammar_ended(const http_grammar_t *grammar)
+{
+	return grammar->state == GRAMMAR_ENDED;
+}
+
 bool
 http_grammar_is_interim(const http_grammar_t *grammar)
 {
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -137,11 +137,8 @@
 {
 	http_message_t *message = parser->data;
 
-	if (parser->content_length == 0) {
+	if (parser->flags & F_TRAILING)
 		http_grammar_start(&message->grammar, HTTP_LINES_TRAILERS);
-		message->part = HTTP_PART_LINES;
-		message->last_chunk = true;
-	}
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -149,9 +146,7 @@
 static int
 on_chunk_complete(http_parser *parser)
 {
-	const http_message_t *message = parser->data;
-
-	if (!message->last_chunk)
+	if ((parser->flags & F_TRAILING) == 0)
 		http_parser_pause(parser, 1);
 	return 0;
 }
@@ -199,7 +194,6 @@
 	message->parser.data = message;
 	http_grammar_start(&message->grammar,
 	    type == HTTP_RESPONSE ? HTTP_LINES_RESPONSE : HTTP_LINES_REQUEST);
-	message->part = HTTP_PART_LINES;
 }
 
 void
@@ -233,7 +227,6 @@
 	message->no_body = false;
 	message->interims = 0;
 	message->in_value = false;
-	message->last_chunk = false;
 	message->last_byte = '\0';
 }
 
@@ -263,17 +256,11 @@
 {
 	size_t used;
 
-	if (message->part != HTTP_PART_LINES)
+	if (http_grammar_ended(&message->grammar))
 		return true;
-	switch (http_grammar_read(&message->grammar, data, *size, &used)) {
-	case HTTP_GRAMMAR_BROKEN:
+	if (http_grammar_read(&message->grammar, data, *size, &used) ==
+	    HTTP_GRAMMAR_BROKEN)
 		return false;
-	case HTTP_GRAMMAR_END:
-		message->part = HTTP_PART_BODY;
-		break;
-	case HTTP_GRAMMAR_MORE:
-		break;
-	}
 	*size = used;
 	return true;
 }
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -35,14 +35,10 @@
 	uint32_t value_offset, value_size;
 } http_header_t;
 
-/** typedef http_part_t - What the next byte of a message belongs to. */
-typedef enum { HTTP_PART_LINES, HTTP_PART_BODY } http_part_t;
-
 typedef struct {
 	http_parser parser;
-	http_grammar_t grammar;
-	http_part_t part;
-	buffer_t text; /* target, header names and values */
+	http_grammar_t grammar; /* of the head, later of the trailers */
+	buffer_t text;		/* target, header names and values */
 	uint32_t target_size;
 	http_header_t headers[HTTP_MAX_HEADERS];
 	uint32_t header_count;
@@ -59,7 +55,6 @@
 	bool no_body;	    /* response to HEAD; set by the user after reset */
 	uint32_t interims;  /* interim responses (1xx) that were skipped */
 	bool in_value;	    /* the parser is in a header value */
-	bool last_chunk;    /* the size of the last chunk was read */
 	char last_byte;	    /* that was parsed */
 } http_message_t;
 
