Read a request id to its end only when an attempt starts

What callers saw: a gateway that ended, and connections cut with it.

Cause: g_strlcpy() measures its whole source, and a request id is a part of the request's head without a NUL at its end. The copy read on behind the client's bytes, up to the next NUL or to memory that isn't mapped.

Change: slice_to_text() copies the bytes of a slice and no more. The two other places that turned a slice into a text by hand use it, too; no other g_strlcpy() has a slice as its source.

Measured: test_pool_attempt ends with a segmentation fault before and passes now. Sanitizer build, alone: test_process_gateway_broken 2 of 4 failed before (11 s), 0 now (1.6 s); test_process_gateway_groups 9 of 9 pass.

--- a/include/bulrushwell/slice.h
+++ b/include/bulrushwell/slice.h
@@ -50,4 +50,15 @@
 	return text;
 }
 
+/** slice_to_text() - Copies a slice, cut to fit, and ends it with a NUL.
+ * @size: of @text, at least 1 */
+static inline void
+slice_to_text(slice_t slice, char *text, size_t size)
+{
+	size_t length = slice.size < size ? slice.size : size - 1;
+
+	memcpy(text, slice.data, length);
+	text[length] = '\0';
+}
+
 #endif
--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -23,8 +23,7 @@
 	if (!http_message_find(request, GROUP_HEADER, &value) ||
 	    value.size >= sizeof(text))
 		return false;
-	memcpy(text, value.data, value.size);
-	text[value.size] = '\0';
+	slice_to_text(value, text, sizeof(text));
 	if (sscanf(text, "%u %u %llx %lld", &group->group, &group->groups,
 		&hash, &soft_us) != 4)
 		return false;
--- a/source/gateway/pool_connection.c
+++ b/source/gateway/pool_connection.c
@@ -495,8 +495,8 @@
 	attempt->fingerprint = request->fingerprint;
 	attempt->crash = request->crash;
 	attempt->connection = connection;
-	g_strlcpy(attempt->request_id, request->request_id.data,
-	    MIN(sizeof(attempt->request_id), request->request_id.size + 1));
+	slice_to_text(request->request_id, attempt->request_id,
+	    sizeof(attempt->request_id));
 	connection->attempt = attempt;
 	pool_cold_started(pool, attempt, now);
 	http_connection_send(
--- a/source/gateway/server_notice.c
+++ b/source/gateway/server_notice.c
@@ -30,8 +30,7 @@
 
 	if (value.size >= sizeof(text))
 		return 0;
-	memcpy(text, value.data, value.size);
-	text[value.size] = '\0';
+	slice_to_text(value, text, sizeof(text));
 	if (!is_decimal(text))
 		return 0;
 	seconds = g_ascii_strtod(text, NULL);
