Choose each port only once in the review's cases

Cause: two sockets of one case could be given the same free port, and the case then couldn't start (exit 2, one run of case 9).

Change: ports that were given out are remembered.

--- a/review/kit.c
+++ b/review/kit.c
@@ -145,6 +145,7 @@
 int
 free_port(void)
 {
+	static bool is_given[PORTS];
 	static unsigned seed;
 
 	if (seed == 0)
@@ -152,9 +153,11 @@
 	for (int i = 0; i < 200; i++) {
 		struct sockaddr_in address;
 		int port = FIRST_PORT + rand_r(&seed) % PORTS;
-		int tcp = listen_on(port, &port);
-		int udp;
+		int tcp, udp;
 
+		if (is_given[port - FIRST_PORT])
+			continue;
+		tcp = listen_on(port, &port);
 		if (tcp < 0)
 			continue;
 		address = loopback(port);
@@ -164,8 +167,10 @@
 			port = -1;
 		close(udp);
 		close(tcp);
-		if (port > 0)
-			return port;
+		if (port < 0)
+			continue;
+		is_given[port - FIRST_PORT] = true;
+		return port;
 	}
 	cannot_run("no free port");
 	return -1;
