Forget the processes of the review's cases that have ended

Cause: case 9 waits for gateways that it stops, and the kit would have signalled their process numbers once more at the end.

Change: gateway_stop() in the kit.

--- a/review/9/case.c
+++ b/review/9/case.c
@@ -2,11 +2,9 @@
  * that start again then must not send to a cold server beside the senders that
  * were chosen before. */
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
 
 #include "../kit.h"
 
@@ -108,21 +106,10 @@
 	return NULL;
 }
 
-/* Stops a gateway as the platform does, and starts it again. */
 static void *
-restart_gateway(void *context)
+stop_gateway(void *context)
 {
-	gateway_t *gateway = context;
-	int64_t until = now_ms() + GRACE_MS;
-
-	kill(gateway->pid, SIGTERM);
-	record("SIGTERM to %s", gateway->name);
-	while (waitpid(gateway->pid, NULL, WNOHANG) == 0) {
-		if (now_ms() >= until)
-			kill(gateway->pid, SIGKILL);
-		sleep_ms(20);
-	}
-	record("%s has ended", gateway->name);
+	gateway_stop(context, GRACE_MS);
 	return NULL;
 }
 
@@ -192,7 +179,7 @@
 		    (long long)lost);
 	}
 	for (int i = FIRST_RESTARTED; i < GATEWAYS; i++) {
-		pthread_create(&stops[i], NULL, restart_gateway, &gateways[i]);
+		pthread_create(&stops[i], NULL, stop_gateway, &gateways[i]);
 		sleep_ms(TERM_GAP_MS);
 	}
 	for (int i = FIRST_RESTARTED; i < GATEWAYS; i++) {
--- a/review/kit.c
+++ b/review/kit.c
@@ -1215,6 +1215,30 @@
 		free(words[i]);
 }
 
+static void
+forget(pid_t pid)
+{
+	for (int i = 0; i < GATEWAYS_MAX; i++)
+		if (gateway_pids[i] == pid)
+			gateway_pids[i] = 0;
+}
+
+void
+gateway_stop(gateway_t *gateway, int64_t grace_ms)
+{
+	int64_t until = now_ms() + grace_ms;
+
+	record("SIGTERM to %s", gateway->name);
+	kill(gateway->pid, SIGTERM);
+	while (waitpid(gateway->pid, NULL, WNOHANG) == 0) {
+		if (now_ms() >= until)
+			kill(gateway->pid, SIGKILL);
+		sleep_ms(20);
+	}
+	forget(gateway->pid);
+	record("%s has ended", gateway->name);
+}
+
 bool
 gateway_is_ready(const gateway_t *gateway)
 {
--- a/review/kit.h
+++ b/review/kit.h
@@ -118,6 +118,8 @@
  * with a NULL key. */
 void gateway_prepare(gateway_t *gateway, const char *name, const char *zone);
 void gateway_start(gateway_t *gateway, const setting_t *settings);
+/* SIGTERM, and SIGKILL after @grace_ms; returns when the process has ended. */
+void gateway_stop(gateway_t *gateway, int64_t grace_ms);
 bool gateway_is_ready(const gateway_t *gateway);
 void gateway_wait_ready(const gateway_t *gateway, int64_t timeout_ms);
 /* A figure of the metrics page; -1: none. For waiting only, not for verdicts.
