--- a/review/kit.c
+++ b/review/kit.c
@@ -19,6 +19,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#define MAX(a, b) ((a) > (b) ? (a) : (b))
 #define DEPLOY_FILE "deploy/system.toml"
 #define HEARTBEAT_MS 1200
 #define HEAD_MAX 32768
@@ -350,6 +351,7 @@
 
 typedef struct {
 	int64_t revision;
+	int64_t at; /* now_ms() */
 	char kind[NAME_MAX_BYTES];
 	bool tombstone;
 	json_t *object;
@@ -374,7 +376,9 @@
 	int64_t oldest; /* changes up to it are no longer kept */
 	int era;
 	bool away;
-	int generation; /* of the connections */
+	bool silent;
+	int64_t stale_ms; /* of reads that may be old */
+	int generation;	  /* of the connections */
 	int port;
 } store = {.lock = PTHREAD_MUTEX_INITIALIZER, .era = 1};
 
@@ -408,6 +412,7 @@
 	if (store.event_count >= EVENTS_MAX)
 		cannot_run("too many changes");
 	event->revision = object->revision;
+	event->at = now_ms();
 	event->tombstone = tombstone;
 	strcpy(event->kind, object->kind);
 	event->object = format_object(object);
@@ -448,7 +453,7 @@
 
 	pthread_mutex_lock(&store.lock);
 	/* A writer repeats its call until the store answers. */
-	while (store.away) {
+	while (store.away || store.silent) {
 		pthread_mutex_unlock(&store.lock);
 		sleep_ms(10);
 		pthread_mutex_lock(&store.lock);
@@ -538,6 +543,24 @@
 	return lost;
 }
 
+void
+store_silence(int64_t ms)
+{
+	pthread_mutex_lock(&store.lock);
+	store.silent = true;
+	pthread_mutex_unlock(&store.lock);
+	sleep_ms(ms);
+	pthread_mutex_lock(&store.lock);
+	store.silent = false;
+	pthread_mutex_unlock(&store.lock);
+}
+
+void
+store_set_stale(int64_t ms)
+{
+	store.stale_ms = ms;
+}
+
 static bool
 send_json(int fd, int status, json_t *body)
 {
@@ -600,15 +623,29 @@
 	    "at_rev", (json_int_t)store.now.revision);
 }
 
+/* What a read that may be old sees: the revision of @stale_ms ago. */
+static int64_t
+old_revision(int64_t stale_ms)
+{
+	int64_t revision = store.now.revision;
+
+	for (int i = store.event_count - 1; i >= 0; i--) {
+		if (store.events[i].at <= now_ms() - stale_ms)
+			break;
+		revision = store.events[i].revision - 1;
+	}
+	return revision;
+}
+
 static json_t *
-changes_after(const char *kind, int64_t revision)
+changes_between(const char *kind, int64_t revision, int64_t last)
 {
 	json_t *events = json_array();
 
 	for (int i = 0; i < store.event_count; i++) {
 		const event_t *event = &store.events[i];
 
-		if (event->revision > revision &&
+		if (event->revision > revision && event->revision <= last &&
 		    strcmp(event->kind, kind) == 0)
 			json_array_append_new(events,
 			    json_pack("{s:O,s:b}", "object", event->object,
@@ -620,25 +657,28 @@
 /* With the lock held. Return: false if the connection is to be closed. */
 static bool
 answer_watch(int fd, const char *kind, int64_t revision, int64_t wait_ms,
-    int generation, json_t **body, int *status)
+    bool may_be_old, int generation, json_t **body, int *status)
 {
 	int64_t until = now_ms() + wait_ms;
 
 	for (;;) {
 		json_t *events;
+		int64_t last = store.now.revision;
 
 		if (store.away || store.generation != generation)
 			return false;
+		if (may_be_old && store.stale_ms > 0)
+			last = MAX(old_revision(store.stale_ms), revision);
 		if (revision > store.now.revision || revision < store.oldest) {
 			*status = 410;
 			*body = json_pack("{s:s}", "error", "history is gone");
 			return true;
 		}
-		events = changes_after(kind, revision);
+		events = changes_between(kind, revision, last);
 		if (json_array_size(events) > 0 || now_ms() >= until) {
 			*status = 200;
 			*body = json_pack("{s:o,s:I}", "events", events,
-			    "at_rev", (json_int_t)store.now.revision);
+			    "at_rev", (json_int_t)last);
 			return true;
 		}
 		json_decref(events);
@@ -650,6 +690,15 @@
 	}
 }
 
+/* A connection on which a response is lost returns nothing further. */
+static bool
+say_nothing(int fd)
+{
+	while (!has_left(fd))
+		sleep_ms(20);
+	return false;
+}
+
 static bool
 answer_store_call(int fd, const request_t *request, int generation)
 {
@@ -657,10 +706,16 @@
 	json_t *body = NULL;
 	int status = 404;
 	bool is_get = strcmp(request->method, "GET") == 0;
+	bool is_old =
+	    argument(request->target, "stale_ok", text, sizeof(text)) != NULL;
 
 	sscanf(request->target, "/objects/%63[^/?]/%63[^/?]", kind, name);
 	sleep_ms(4); /* the store's usual time for an answer */
 	pthread_mutex_lock(&store.lock);
+	if (store.silent) {
+		pthread_mutex_unlock(&store.lock);
+		return say_nothing(fd);
+	}
 	if (store.away || store.generation != generation) {
 		pthread_mutex_unlock(&store.lock);
 		return false;
@@ -672,8 +727,8 @@
 		if (argument(request->target, "wait_ms", text, sizeof(text)) !=
 		    NULL)
 			wait = atoll(text);
-		if (!answer_watch(
-			fd, kind, revision, wait, generation, &body, &status)) {
+		if (!answer_watch(fd, kind, revision, wait, is_old, generation,
+			&body, &status)) {
 			pthread_mutex_unlock(&store.lock);
 			return false;
 		}
@@ -708,6 +763,11 @@
 		body = object != NULL ? format_object(object) : json_object();
 		json_decref(sent);
 	}
+	if (store.silent) {
+		pthread_mutex_unlock(&store.lock);
+		json_decref(body);
+		return say_nothing(fd);
+	}
 	pthread_mutex_unlock(&store.lock);
 	return send_json(fd, status, body);
 }
--- a/review/kit.h
+++ b/review/kit.h
@@ -45,6 +45,12 @@
  * comes back from the copy. Returns how many changes were lost.
  */
 int64_t store_restore(int64_t away_ms);
+/* The store answers nothing for @ms. Calls that it gets or would answer in that
+ * time are lost, with their connections. */
+void store_silence(int64_t ms);
+/* Reads with stale_ok are so old from now on. */
+void store_set_stale(int64_t ms);
+
 /* A proxy in front of the store, for one gateway. */
 typedef struct {
 	int port;
