--- a/review/kit.c
+++ b/review/kit.c
@@ -1367,6 +1367,9 @@
 	size_t size = 0, wanted = SIZE_MAX;
 	ssize_t n = 0;
 
+	if (request_id != NULL)
+		record("sent %s %s%s as %s to port %d", method, host, target,
+		    request_id, port);
 	if (fd < 0)
 		return reply;
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
--- a/review/kit.h
+++ b/review/kit.h
@@ -21,7 +21,7 @@
 
 /* Opens record.txt in the folder of the case. */
 void record_open(const char *folder);
-/* Writes a line with the time; also to standard output. */
+/* Writes a line with the time. */
 void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
 /* Ends the program with "couldn't run". */
