--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,8 @@
 GATEWAY_SRC := tools/bulrushwell-gateway.c $(wildcard source/gateway/*.c \
     source/http/*.c source/peers/*.c platform/*.c) \
     $(addprefix source/base/,buffer.c clock.c codec.c \
-    error.c event.c histogram.c json_partial.c log_sink.c loop_clock.c name.c) source/net/net_address.c source/query/limiter.c \
+    error.c event.c histogram.c json_partial.c log_sink.c loop_clock.c name.c \
+    store_position.c) source/net/net_address.c source/query/limiter.c \
     source/routing/suspect.c
 GATEWAY_OBJ := $(GATEWAY_SRC:%.c=$(BUILD)/%.o)
 GATEWAY = $(BUILD)/bin/bulrushwell-gateway
--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -84,6 +84,9 @@
 	    "a server wants no requests from this node for a time")            \
 	X(STORE_MALFORMED, 1025, WARN,                                         \
 	    "an answer of the store is not valid HTTP or too large")           \
+	X(STORE_ERA, 1026, WARN, "the store has come back from an older copy") \
+	X(STORE_ERA_OLD, 1027, WARN,                                           \
+	    "an answer of the store from before it came back was ignored")     \
 	X(EVACUATION_BEGAN, 1030, INFO,                                        \
 	    "the servers of a data centre get no more requests")               \
 	X(EVACUATION_ENDED, 1031, INFO,                                        \
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -55,6 +55,7 @@
 	usec_t stopping_since; /* 0: no stop has begun */
 	uint64_t store_calls;
 	uint64_t store_failures;
+	int64_t store_era; /* 0: the store states none */
 };
 
 static usec_t
@@ -114,6 +115,7 @@
 		frontend_max_connections(gateway->peer_frontend),
 	    .store_calls = gateway->store_calls,
 	    .store_failures = gateway->store_failures,
+	    .store_era = (uint64_t)gateway->store_era,
 	    .peers = gateway->peers,
 	    .now = gateway_now(gateway),
 	};
@@ -549,6 +551,12 @@
 	    engine_pool(gateway->engine), answered, gateway_now(gateway));
 }
 
+void
+gateway_set_store_era(gateway_t *gateway, int64_t era)
+{
+	gateway->store_era = era;
+}
+
 void
 gateway_record_store_call(gateway_t *gateway, bool answered)
 {
--- a/source/gateway/gateway.h
+++ b/source/gateway/gateway.h
@@ -107,6 +107,10 @@
  */
 void gateway_reconcile_evacuations(gateway_t *gateway, GHashTable *present);
 
+/** gateway_set_store_era() - The era of the platform's store, for the metrics.
+ */
+void gateway_set_store_era(gateway_t *gateway, int64_t era);
+
 /** gateway_record_registry_call() - Records whether the registry answered. */
 void gateway_record_registry_call(gateway_t *gateway, bool answered);
 
--- a/source/gateway/gateway_metrics.h
+++ b/source/gateway/gateway_metrics.h
@@ -15,6 +15,7 @@
 	uint32_t gateway_connections_limit;
 	uint64_t store_calls;
 	uint64_t store_failures;
+	uint64_t store_era;	  /* 0: the store states none */
 	const peer_link_t *peers; /* NULL: no link to other gateways */
 	usec_t now;
 } gateway_metrics_input_t;
--- a/source/peers/peer_batch.c
+++ b/source/peers/peer_batch.c
@@ -8,6 +8,7 @@
 #define CONTENT_MAX_BYTES ((size_t)1024 * 1024)
 
 struct peer_batch {
+	int64_t era;
 	int64_t from; /* revision after which the changes begin */
 	int64_t to;   /* revision of the last change */
 	uint32_t parts;
@@ -39,6 +40,7 @@
 static void
 begin_batch(peer_batch_t *batch, const peer_changes_t *changes)
 {
+	batch->era = changes->era;
 	batch->from = changes->from;
 	batch->to = changes->to;
 	batch->parts = changes->parts;
@@ -50,16 +52,31 @@
 static bool
 is_next_part(const peer_batch_t *batch, const peer_changes_t *changes)
 {
-	return changes->from == batch->from && changes->to == batch->to &&
-	    changes->parts == batch->parts && changes->part == batch->next_part;
+	return changes->era == batch->era && changes->from == batch->from &&
+	    changes->to == batch->to && changes->parts == batch->parts &&
+	    changes->part == batch->next_part;
+}
+
+/* Whether the changes continue what is known. All objects of an era are no
+ * changes to those of another one, so they continue anything. */
+static bool
+are_news(const peer_changes_t *changes, store_position_t known)
+{
+	store_position_t from = {changes->era, changes->from};
+	store_position_t to = {changes->era, changes->to};
+	bool lists_all = changes->from == 0;
+	bool continues = changes->era == known.era &&
+	    store_position_compare(from, known) <= 0;
+
+	return store_position_compare(to, known) > 0 &&
+	    (lists_all || continues);
 }
 
 bool
 peer_batch_add_part(
-    peer_batch_t *batch, const peer_changes_t *changes, int64_t revision)
+    peer_batch_t *batch, const peer_changes_t *changes, store_position_t known)
 {
-	/* The changes before these are missing, or these are all known. */
-	if (changes->from > revision || changes->to <= revision)
+	if (!are_news(changes, known))
 		return false;
 	if (changes->part == 0)
 		begin_batch(batch, changes);
--- a/source/peers/peer_batch.h
+++ b/source/peers/peer_batch.h
@@ -23,13 +23,14 @@
 /**
  * peer_batch_add_part() - Adds a part that was received. Part 0 starts a new
  * batch.
- * @revision: up to which all changes of the topic are known here. Parts are
- * ignored if changes before them are missing or all of them are known.
+ * @known: up to where all changes of the topic are known here. Parts are
+ * ignored if changes before them are missing or all of them are known. Those of
+ * a later era are taken only if they list all objects.
  *
  * Return: whether the batch is now complete, for peer_batch_uncompress().
  */
 bool peer_batch_add_part(
-    peer_batch_t *batch, const peer_changes_t *changes, int64_t revision);
+    peer_batch_t *batch, const peer_changes_t *changes, store_position_t known);
 
 /**
  * peer_batch_uncompress() - Uncompresses a complete batch and resets @batch.
--- a/source/peers/peer_group.c
+++ b/source/peers/peer_group.c
@@ -23,6 +23,7 @@
 struct peer_group {
 	name_t own_name;
 	int topics;	     /* that this node follows */
+	int64_t era;	     /* of the store, as far as this node has read it */
 	GArray *peers;	     /* group_peer_t, in the order of their names */
 	usec_t behind_since; /* changes are missing here; 0: none */
 	usec_t relays_missing_since; /* fewer than PEER_RELAYS; 0: enough */
@@ -124,11 +125,24 @@
 	return &g_array_index(group->peers, group_peer_t, index);
 }
 
-/* Whether the peer is a relay that has reached the store recently. */
+/* The latest era of which any topic was read. */
+static int64_t
+latest_era(const peer_position_t positions[PEER_TOPICS])
+{
+	int64_t era = 0;
+
+	for (int i = 0; i < PEER_TOPICS; i++)
+		era = MAX(era, positions[i].known.era);
+	return era;
+}
+
+/* Whether the peer is a relay that has reached the store recently, in the era
+ * of this node or a later one. */
 static bool
-is_active_relay(const group_peer_t *peer, usec_t now)
+is_active_relay(const peer_group_t *group, const group_peer_t *peer, usec_t now)
 {
-	return now < peer->relay_until;
+	return now < peer->relay_until &&
+	    latest_era(peer->positions) >= group->era;
 }
 
 /* A relay of an earlier version knows nothing of the later topics, and one that
@@ -137,7 +151,7 @@
 states_all_topics(const peer_group_t *group, const peer_status_t *status)
 {
 	for (int i = PEER_COMMON_TOPICS; i < group->topics; i++)
-		if (status->positions[i].revision == 0)
+		if (!store_position_is_set(status->positions[i].known))
 			return false;
 	return true;
 }
@@ -174,7 +188,7 @@
 
 		if (strcmp(peer->node.name, group->own_name) > 0)
 			continue;
-		if (is_active_relay(peer, now))
+		if (is_active_relay(group, peer, now))
 			active++;
 		else
 			silent++;
@@ -196,8 +210,9 @@
 	for (guint i = 0; i < group->peers->len; i++) {
 		const group_peer_t *peer = peer_group_at(group, i);
 
-		if (is_active_relay(peer, now) &&
-		    peer->positions[topic].last_change > own->revision)
+		if (is_active_relay(group, peer, now) &&
+		    store_position_compare(
+			peer->positions[topic].last_change, own->known) > 0)
 			return true;
 	}
 	return false;
@@ -207,7 +222,7 @@
 has_active_relay(const peer_group_t *group, usec_t now)
 {
 	for (guint i = 0; i < group->peers->len; i++)
-		if (is_active_relay(peer_group_at(group, i), now))
+		if (is_active_relay(group, peer_group_at(group, i), now))
 			return true;
 	return false;
 }
@@ -236,7 +251,7 @@
 	bool missing_changes = false;
 
 	for (int i = 0; i < group->topics; i++) {
-		if (own[i].revision == 0)
+		if (!store_position_is_set(own[i].known))
 			return false;
 		missing_changes |=
 		    peer_group_has_newer(group, (peer_topic_t)i, &own[i], now);
@@ -252,8 +267,10 @@
 {
 	bool reaches_store =
 	    store_answered_at != 0 && now - store_answered_at < STORE_TIMEOUT;
-	bool relay = should_be_relay(group, now);
+	bool relay;
 
+	group->era = latest_era(own);
+	relay = should_be_relay(group, now);
 	if (group->peers->len + 1 < RELAY_MIN_NODES)
 		group->role = PEER_ALONE;
 	else if (relay && reaches_store)
@@ -266,14 +283,15 @@
 }
 
 bool
-peer_group_knows(
-    const peer_group_t *group, peer_topic_t topic, int64_t revision, usec_t now)
+peer_group_knows(const peer_group_t *group, peer_topic_t topic,
+    store_position_t position, usec_t now)
 {
 	for (guint i = 0; i < group->peers->len; i++) {
 		const group_peer_t *peer = peer_group_at(group, i);
 
-		if (is_active_relay(peer, now) &&
-		    peer->positions[topic].last_change >= revision)
+		if (is_active_relay(group, peer, now) &&
+		    store_position_compare(
+			peer->positions[topic].last_change, position) >= 0)
 			return true;
 	}
 	return false;
--- a/source/peers/peer_group.h
+++ b/source/peers/peer_group.h
@@ -21,7 +21,8 @@
  * The others are followers as long as a relay is active and no change that it
  * knows is missing here; otherwise they read the store themselves. The nodes
  * need not agree on the roles: too many or too few relays only cause
- * superfluous calls.
+ * superfluous calls. A relay that is in an earlier era of the store than this
+ * node, or of a version of the program that states none, is none for it.
  */
 
 #define PEER_GROUP_MAX 256 /* peers; more are ignored */
@@ -113,9 +114,9 @@
 
 /**
  * peer_group_knows() - Whether another active relay has read the changes of a
- * topic up to @revision, and therefore has sent them to the others.
+ * topic up to @position, and therefore has sent them to the others.
  */
 bool peer_group_knows(const peer_group_t *group, peer_topic_t topic,
-    int64_t revision, usec_t now);
+    store_position_t position, usec_t now);
 
 #endif
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -158,8 +158,8 @@
 	event_log(EVENT_PEER_ROLE,
 	    "role=%s before=%s peers=%u config=%lld servers=%lld", names[role],
 	    names[link->role], peer_group_count(link->group),
-	    (long long)link->positions[PEER_CONFIG].revision,
-	    (long long)link->positions[PEER_SERVERS].revision);
+	    (long long)link->positions[PEER_CONFIG].known.revision,
+	    (long long)link->positions[PEER_SERVERS].known.revision);
 	link->role = role;
 	link->handlers.role(link->handlers.context, role);
 	if (role == PEER_ALONE)
@@ -186,12 +186,12 @@
 	ev_timer_start(loop, timer);
 }
 
-/* Records that all changes up to @revision are known. */
+/* Records that all changes up to @position are known. */
 static void
-set_known(peer_link_t *link, peer_topic_t topic, int64_t revision)
+set_known(peer_link_t *link, peer_topic_t topic, store_position_t position)
 {
-	link->positions[topic].revision = revision;
-	link->handlers.known(link->handlers.context, topic, revision);
+	link->positions[topic].known = position;
+	link->handlers.known(link->handlers.context, topic, position);
 }
 
 /* Sends the first part in the queue to the next peer, and removes it after the
@@ -236,7 +236,27 @@
 	send_paced(timer->data);
 }
 
-/* If nothing has changed since this node's revision, the relay's revision holds
+/*
+ * Whether nothing has changed since this node's position. A relay that is in an
+ * earlier era, or a later one, can't tell.
+ */
+static bool
+confirms_position(const peer_position_t *theirs, store_position_t own)
+{
+	return store_position_is_set(own) && own.era == theirs->known.era &&
+	    store_position_compare(own, theirs->last_change) >= 0;
+}
+
+static void
+report_era(const peer_link_t *link, const peer_status_t *status)
+{
+	for (int i = 0; i < PEER_TOPICS; i++)
+		if (status->positions[i].known.era != 0)
+			link->handlers.era(link->handlers.context,
+			    status->positions[i].known.era);
+}
+
+/* If nothing has changed since this node's position, the relay's position holds
  * here, too. */
 static void
 handle_status(
@@ -244,16 +264,17 @@
 {
 	peer_group_update_status(
 	    link->group, peer, status, loop_clock_now(link->loop));
+	report_era(link, status);
 	for (int i = 0; i < peer_group_topics(link->group); i++) {
 		const peer_position_t *theirs = &status->positions[i];
-		int64_t own = link->positions[i].revision;
+		store_position_t own = link->positions[i].known;
 
-		if (own == 0 || own < theirs->last_change)
+		if (!confirms_position(theirs, own))
 			continue;
 		link->handlers.confirmed(
 		    link->handlers.context, (peer_topic_t)i);
-		if (own < theirs->revision)
-			set_known(link, (peer_topic_t)i, theirs->revision);
+		if (store_position_compare(own, theirs->known) < 0)
+			set_known(link, (peer_topic_t)i, theirs->known);
 	}
 }
 
@@ -263,17 +284,18 @@
 	peer_topic_t topic = changes->topic;
 	peer_position_t *own = &link->positions[topic];
 	peer_batch_t *batch = link->batches[topic];
+	store_position_t to = {changes->era, changes->to};
 	slice_t content;
 
-	if (own->revision == 0 ||
-	    !peer_batch_add_part(batch, changes, own->revision))
+	if (!store_position_is_set(own->known) ||
+	    !peer_batch_add_part(batch, changes, own->known))
 		return;
 	content = peer_batch_uncompress(batch);
 	if (!link->handlers.changes(link->handlers.context, topic,
-		changes->from, changes->to, content))
+		changes->from == 0, changes->to, content))
 		return;
-	own->last_change = changes->to;
-	set_known(link, topic, changes->to);
+	own->last_change = to;
+	set_known(link, topic, to);
 }
 
 /* The node of any data centre that has this address, or NULL. */
@@ -542,12 +564,13 @@
 }
 
 void
-peer_link_no_changes(peer_link_t *link, peer_topic_t topic, int64_t revision)
+peer_link_no_changes(
+    peer_link_t *link, peer_topic_t topic, store_position_t position)
 {
 	peer_position_t *own = &link->positions[topic];
 
 	peer_link_store_answered(link);
-	own->revision = MAX(own->revision, revision);
+	own->known = store_position_later(own->known, position);
 }
 
 static void
@@ -563,37 +586,39 @@
 relay_changes(peer_link_t *link, const peer_changes_t *changes, slice_t content)
 {
 	usec_t now = loop_clock_now(link->loop);
+	store_position_t to = {changes->era, changes->to};
 	uint32_t parts;
 
-	if (peer_group_knows(link->group, changes->topic, changes->to, now))
+	if (peer_group_knows(link->group, changes->topic, to, now))
 		return;
 	parts = peer_batch_split(changes, content, queue_part, link);
 	event_log(EVENT_PEERS_TOLD,
-	    "topic=%d from=%lld to=%lld bytes=%zu parts=%u", changes->topic,
-	    (long long)changes->from, (long long)changes->to, content.size,
-	    parts);
+	    "topic=%d era=%lld from=%lld to=%lld bytes=%zu parts=%u",
+	    changes->topic, (long long)changes->era, (long long)changes->from,
+	    (long long)changes->to, content.size, parts);
 	if (!ev_is_active(&link->pace))
 		send_paced(link);
 }
 
 void
 peer_link_changes_read(peer_link_t *link, peer_topic_t topic, bool complete,
-    int64_t to, slice_t content)
+    store_position_t to, slice_t content)
 {
 	peer_position_t *own = &link->positions[topic];
 	const peer_changes_t changes = {
 	    .topic = topic,
-	    .from = complete ? 0 : own->last_change,
-	    .to = to,
+	    .era = to.era,
+	    .from = complete ? 0 : own->last_change.revision,
+	    .to = to.revision,
 	};
 
 	peer_link_store_answered(link);
-	if (to <= own->revision)
+	if (store_position_compare(to, own->known) <= 0)
 		return;
 	if (link->role == PEER_RELAY && content.size > 0)
 		relay_changes(link, &changes, content);
 	own->last_change = to;
-	own->revision = to;
+	own->known = to;
 }
 
 peer_role_t
--- a/source/peers/peer_link.h
+++ b/source/peers/peer_link.h
@@ -20,16 +20,20 @@
 
 typedef struct {
 	/**
-	 * Applies the changes of a topic after @from, up to @to, that a relay
-	 * has sent. @content is valid during the call.
+	 * Applies all objects of a topic (@whole) or the changes up to
+	 * revision @to that a relay has sent. @content is valid during the
+	 * call.
 	 *
 	 * Return: whether they were applied; if not, they count as missing and
 	 * are read from the store.
 	 */
-	bool (*changes)(void *context, peer_topic_t topic, int64_t from,
+	bool (*changes)(void *context, peer_topic_t topic, bool whole,
 	    int64_t to, slice_t content);
-	/** All changes of a topic up to @revision are known. */
-	void (*known)(void *context, peer_topic_t topic, int64_t revision);
+	/** All changes of a topic up to @position are known. */
+	void (*known)(
+	    void *context, peer_topic_t topic, store_position_t position);
+	/** A relay has read the store in era @era. */
+	void (*era)(void *context, int64_t era);
 	/** A relay has stated that this node lacks no changes of a topic. */
 	void (*confirmed)(void *context, peer_topic_t topic);
 	/**
@@ -123,20 +127,20 @@
 
 /**
  * peer_link_no_changes() - Records that the store has answered this node and
- * has no further changes of the topic up to @revision.
+ * has no further changes of the topic up to @position.
  */
 void peer_link_no_changes(
-    peer_link_t *link, peer_topic_t topic, int64_t revision);
+    peer_link_t *link, peer_topic_t topic, store_position_t position);
 
 /**
  * peer_link_changes_read() - Records that this node has read changes of a topic
  * from the store.
- * @to: the revision up to which all changes are known now
+ * @to: the position up to which all changes are known now
  * @complete: all objects were read, not only changes
  * @content: sent to the others if this node is a relay, unless it is empty
  */
 void peer_link_changes_read(peer_link_t *link, peer_topic_t topic,
-    bool complete, int64_t to, slice_t content);
+    bool complete, store_position_t to, slice_t content);
 
 peer_role_t peer_link_role(const peer_link_t *link);
 const peer_link_counters_t *peer_link_counters(const peer_link_t *link);
--- a/source/peers/peer_message.c
+++ b/source/peers/peer_message.c
@@ -7,7 +7,7 @@
 #define PROTOCOL_VERSION 1
 #define HEADER_FIELDS 2
 #define POSITION_FIELDS 2
-#define CHANGES_FIELDS 7
+#define CHANGES_FIELDS 7 /* without the era */
 #define SUSPECT_FIELDS 2
 #define LEAVING_FIELDS 2
 #define RATE_REQUEST_FIELDS 8
@@ -17,14 +17,24 @@
 #define AGE_MAX SECONDS(3600) /* of a relay's last reply from the store */
 #define UNCOMPRESSED_SIZE_MAX (1024u * 1024u)
 
-/* Earlier versions expect the common topics and ignore what follows. */
+static bool
+states_eras(const peer_status_t *status)
+{
+	for (int i = 0; i < PEER_TOPICS; i++)
+		if (status->positions[i].known.era != 0)
+			return true;
+	return false;
+}
+
+/* Earlier versions expect the common topics and ignore what follows. Eras are
+ * behind all topics, so that none is taken for a position. */
 static int
 stated_topics(const peer_status_t *status)
 {
 	int count = PEER_TOPICS;
 
-	while (count > PEER_COMMON_TOPICS &&
-	    status->positions[count - 1].revision == 0)
+	while (count > PEER_COMMON_TOPICS && !states_eras(status) &&
+	    !store_position_is_set(status->positions[count - 1].known))
 		count--;
 	return count;
 }
@@ -32,7 +42,9 @@
 static size_t
 status_fields(const peer_status_t *status)
 {
-	return 1 + POSITION_FIELDS * (size_t)stated_topics(status);
+	size_t eras = states_eras(status) ? PEER_TOPICS : 0;
+
+	return 1 + POSITION_FIELDS * (size_t)stated_topics(status) + eras;
 }
 
 static void
@@ -40,9 +52,11 @@
 {
 	writer_int(writer, status->age);
 	for (int i = 0; i < stated_topics(status); i++) {
-		writer_int(writer, status->positions[i].last_change);
-		writer_int(writer, status->positions[i].revision);
+		writer_int(writer, status->positions[i].last_change.revision);
+		writer_int(writer, status->positions[i].known.revision);
 	}
+	for (int i = 0; states_eras(status) && i < PEER_TOPICS; i++)
+		writer_int(writer, status->positions[i].known.era);
 }
 
 static void
@@ -55,6 +69,8 @@
 	writer_uint(writer, changes->parts);
 	writer_uint(writer, changes->uncompressed_size);
 	writer_bytes(writer, (slice_t){changes->bytes, changes->size});
+	if (changes->era != 0)
+		writer_int(writer, changes->era);
 }
 
 static void
@@ -116,7 +132,8 @@
 		write_status(writer, &message->status);
 		break;
 	case PEER_CHANGES:
-		write_header(writer, PEER_CHANGES, CHANGES_FIELDS);
+		write_header(writer, PEER_CHANGES,
+		    CHANGES_FIELDS + (message->changes.era != 0));
 		write_changes(writer, &message->changes);
 		break;
 	case PEER_SUSPECT:
@@ -157,6 +174,13 @@
 	return (int64_t)read_bounded(reader, INT64_MAX);
 }
 
+/* Earlier versions state no era. */
+static int64_t
+read_era(reader_t *reader)
+{
+	return reader_remaining(reader) > 0 ? read_revision(reader) : 0;
+}
+
 static int
 read_status(reader_t *reader, peer_status_t *status)
 {
@@ -167,11 +191,17 @@
 		*position = (peer_position_t){0};
 		if (i >= PEER_COMMON_TOPICS && reader_remaining(reader) == 0)
 			continue;
-		position->last_change = read_revision(reader);
-		position->revision = read_revision(reader);
-		if (position->last_change > position->revision)
+		position->last_change.revision = read_revision(reader);
+		position->known.revision = read_revision(reader);
+		if (position->last_change.revision > position->known.revision)
 			reader->error = BW_E_PROTOCOL;
 	}
+	for (int i = 0; i < PEER_TOPICS; i++) {
+		int64_t era = read_era(reader);
+
+		status->positions[i].last_change.era = era;
+		status->positions[i].known.era = era;
+	}
 	return reader_error(reader);
 }
 
@@ -188,6 +218,7 @@
 	changes->uncompressed_size =
 	    (uint32_t)read_bounded(reader, UNCOMPRESSED_SIZE_MAX);
 	bytes = reader_bytes(reader);
+	changes->era = read_era(reader);
 	if (reader_error(reader) != 0 || bytes.size > PEER_PART_MAX_BYTES ||
 	    changes->from >= changes->to || changes->part >= changes->parts)
 		return BW_E_PROTOCOL;
--- a/source/peers/peer_message.h
+++ b/source/peers/peer_message.h
@@ -6,6 +6,7 @@
 #include "bulrushwell/clock.h"
 #include "bulrushwell/codec.h"
 #include "bulrushwell/slice.h"
+#include "bulrushwell/store_position.h"
 
 /**
  * DOC: Datagrams between gateways
@@ -34,11 +35,11 @@
 
 /**
  * typedef peer_position_t - How far a topic has been read: all changes up to
- * @revision are known.
+ * @known. Both positions are of the same era.
  */
 typedef struct {
-	int64_t last_change; /* no changes after this, up to @revision */
-	int64_t revision;    /* 0: the topic was never read */
+	store_position_t last_change; /* no changes after this, up to @known */
+	store_position_t known;	      /* not set: the topic was never read */
 } peer_position_t;
 
 typedef enum {
@@ -53,15 +54,22 @@
 /**
  * typedef peer_status_t - How far a relay has read the store. Topics that it
  * has not read are left out after the common ones; later ones are ignored.
+ * Eras follow after all topics, unless all are 0. A status without them, as of
+ * an earlier version of the program, is one of era 0.
  */
 typedef struct {
 	peer_position_t positions[PEER_TOPICS];
 	usec_t age; /* time since the store last answered the relay */
 } peer_status_t;
 
-/** typedef peer_changes_t - A part of the changes after @from, up to @to. */
+/**
+ * typedef peer_changes_t - A part of the changes after @from, up to @to, in one
+ * era. Earlier versions of the program send none, which is era 0, and ignore
+ * it.
+ */
 typedef struct {
 	peer_topic_t topic;
+	int64_t era;
 	int64_t from;  /* revision; 0: all objects, not only changes */
 	int64_t to;    /* revision */
 	uint32_t part; /* counted from 0 */
--- a/tests/lib/fuzz_targets.c
+++ b/tests/lib/fuzz_targets.c
@@ -303,7 +303,8 @@
 	if (message.kind != PEER_CHANGES)
 		return failure;
 	batch = peer_batch_create();
-	if (peer_batch_add_part(batch, &message.changes, message.changes.from))
+	if (peer_batch_add_part(batch, &message.changes,
+		(store_position_t){message.changes.era, message.changes.from}))
 		peer_batch_uncompress(batch);
 	peer_batch_destroy(batch);
 	return failure;
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -44,6 +44,10 @@
 	GHashTable *write_counts; /* by kind: calls, refused ones included */
 	GPtrArray *old_objects;	  /* stored_object_t; NULL: lists are current */
 	json_int_t old_revision;
+	GPtrArray *copied_objects; /* stored_object_t */
+	json_int_t copied_revision;
+	int era;
+	const char *era_text; /* NULL: no era is stated; "": its number is */
 };
 
 static void
@@ -230,9 +234,12 @@
 	json_int_t at_rev;
 	json_t *events;
 	bool is_long;
+	int era;
 
 	g_mutex_lock(&store->lock);
-	if (revision < store->expired_for_new_watches) {
+	era = store->era;
+	if (revision < store->expired_for_new_watches ||
+	    revision > store->revision) {
 		g_mutex_unlock(&store->lock);
 		fake_reply_text(reply, 410, "{}");
 		return;
@@ -244,6 +251,7 @@
 	for (;;) {
 		events = changes_since(store, kind, revision, &at_rev);
 		if (fake_server_is_stopping(store->http_server) ||
+		    store->era != era ||
 		    (store->fault != STORE_HOLDING_WATCHES &&
 			(revision < store->expired_revision ||
 			    json_array_size(events) > 0 ||
@@ -262,7 +270,10 @@
 		    request->connection, clock_monotonic() + LATE_REPORT_DELAY);
 		g_mutex_lock(&store->lock);
 	}
-	if (revision < store->expired_revision) {
+	if (store->era != era) {
+		json_decref(events);
+		reply->status = 0;
+	} else if (revision < store->expired_revision) {
 		json_decref(events);
 		fake_reply_text(reply, 410, "{}");
 	} else {
@@ -360,11 +371,36 @@
 	return false;
 }
 
+/* Return: the era in which the call has begun. */
+static int
+begin_call(object_store_t *store)
+{
+	int era;
+
+	g_mutex_lock(&store->lock);
+	era = store->era;
+	g_mutex_unlock(&store->lock);
+	return era;
+}
+
 static void
-handle_request(
-    void *context, const fake_request_t *request, fake_reply_t *reply)
+state_era(object_store_t *store, int era, fake_reply_t *reply)
+{
+	const char *text;
+
+	g_mutex_lock(&store->lock);
+	text = store->era_text;
+	g_mutex_unlock(&store->lock);
+	if (text != NULL && text[0] != '\0')
+		fake_reply_add_header(reply, "Store-Era", "%s", text);
+	else if (text != NULL)
+		fake_reply_add_header(reply, "Store-Era", "%d", era);
+}
+
+static void
+answer_call(
+    object_store_t *store, const fake_request_t *request, fake_reply_t *reply)
 {
-	object_store_t *store = context;
 	char **parts = g_strsplit(request->path, "/", 4);
 	guint count = g_strv_length(parts);
 
@@ -384,12 +420,24 @@
 	g_strfreev(parts);
 }
 
+static void
+handle_request(
+    void *context, const fake_request_t *request, fake_reply_t *reply)
+{
+	object_store_t *store = context;
+	int era = begin_call(store);
+
+	answer_call(store, request, reply);
+	state_era(store, era, reply);
+}
+
 object_store_t *
 object_store_create(uint32_t page_size)
 {
 	object_store_t *store = g_new0(object_store_t, 1);
 
 	g_mutex_init(&store->lock);
+	store->era = 1;
 	store->objects = g_ptr_array_new_with_free_func(free_object);
 	store->watch_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -427,6 +475,8 @@
 	g_hash_table_destroy(store->write_counts);
 	if (store->old_objects != NULL)
 		g_ptr_array_free(store->old_objects, TRUE);
+	if (store->copied_objects != NULL)
+		g_ptr_array_free(store->copied_objects, TRUE);
 	g_mutex_clear(&store->lock);
 	g_free(store);
 }
@@ -531,27 +581,69 @@
 	return read_count(store, store->watch_counts, kind);
 }
 
-void
-object_store_freeze_old(object_store_t *store)
+static GPtrArray *
+copy_objects(const GPtrArray *objects)
 {
-	g_mutex_lock(&store->lock);
-	if (store->old_objects != NULL)
-		g_ptr_array_free(store->old_objects, TRUE);
-	store->old_objects = g_ptr_array_new_with_free_func(free_object);
-	store->old_revision = store->revision;
-	for (guint i = 0; i < store->objects->len; i++) {
-		const stored_object_t *stored = store->objects->pdata[i];
+	GPtrArray *copies = g_ptr_array_new_with_free_func(free_object);
+
+	for (guint i = 0; i < objects->len; i++) {
+		const stored_object_t *stored = objects->pdata[i];
 		stored_object_t *copy = g_memdup2(stored, sizeof(*stored));
 
 		copy->kind = g_strdup(stored->kind);
 		copy->name = g_strdup(stored->name);
 		copy->spec_text = g_strdup(stored->spec_text);
 		copy->spec = json_incref(stored->spec);
-		g_ptr_array_add(store->old_objects, copy);
+		g_ptr_array_add(copies, copy);
 	}
+	return copies;
+}
+
+void
+object_store_freeze_old(object_store_t *store)
+{
+	g_mutex_lock(&store->lock);
+	if (store->old_objects != NULL)
+		g_ptr_array_free(store->old_objects, TRUE);
+	store->old_objects = copy_objects(store->objects);
+	store->old_revision = store->revision;
+	g_mutex_unlock(&store->lock);
+}
+
+void
+object_store_state_era(object_store_t *store, const char *text)
+{
+	g_mutex_lock(&store->lock);
+	store->era_text = text;
 	g_mutex_unlock(&store->lock);
 }
 
+void
+object_store_copy(object_store_t *store)
+{
+	g_mutex_lock(&store->lock);
+	if (store->copied_objects != NULL)
+		g_ptr_array_free(store->copied_objects, TRUE);
+	store->copied_objects = copy_objects(store->objects);
+	store->copied_revision = store->revision;
+	g_mutex_unlock(&store->lock);
+}
+
+void
+object_store_restore(object_store_t *store, int away_ms)
+{
+	object_store_set_fault(store, STORE_CLOSING);
+	g_mutex_lock(&store->lock);
+	g_ptr_array_free(store->objects, TRUE);
+	store->objects = copy_objects(store->copied_objects);
+	store->revision = store->copied_revision;
+	store->era++;
+	g_mutex_unlock(&store->lock);
+	fake_server_wake_all(store->http_server);
+	g_usleep((gulong)away_ms * 1000);
+	object_store_set_fault(store, STORE_SERVING);
+}
+
 uint32_t
 object_store_list_count(object_store_t *store, const char *kind)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -75,6 +75,24 @@
  */
 void object_store_freeze_old(object_store_t *store);
 
+/**
+ * object_store_state_era() - From now on, all answers state an era, in the
+ * header Store-Era. Before, and with NULL, they state none.
+ * @text: the header's value instead of the era's number, valid for good; ""
+ * for the number
+ */
+void object_store_state_era(object_store_t *store, const char *text);
+
+/** object_store_copy() - Keeps a copy for object_store_restore(). */
+void object_store_copy(object_store_t *store);
+
+/**
+ * object_store_restore() - The store comes back from its copy, in a new era.
+ * Ends all calls without a response and refuses further ones for @away_ms. What
+ * was written since the copy is gone; a watch from a later revision gets 410.
+ */
+void object_store_restore(object_store_t *store, int away_ms);
+
 /** object_store_list_count() - Number of list calls of a kind since the start
  * that may not be old. */
 uint32_t object_store_list_count(object_store_t *store, const char *kind);
--- a/tests/lib/store_model.c
+++ b/tests/lib/store_model.c
@@ -3,8 +3,10 @@
 #include <glib.h>
 #include <string.h>
 
-/* Beyond it the machine asks again and again without a pause. */
+/* Beyond these the machine asks again and again without a pause: outputs after
+ * an input, and inputs at one time. */
 #define OUTPUTS_MAX 64
+#define INPUTS_MAX 256
 #define LATE_REPORT MS(200)
 /* A fact may be older than it says by the way of a response and by this. */
 #define AGE_TOLERANCE (LATE_REPORT + MS(50))
@@ -166,6 +168,23 @@
 	uint32_t page;
 } model_answer_t;
 
+/* A fact must be of the store's present history. */
+static void
+check_fact_era(store_model_t *model, int64_t era)
+{
+	if (era != model->era)
+		set_failure(model, "a fact of an era that has ended");
+}
+
+/* Content may be of a former era only as long as the client knows of no later
+ * one; then it is no fact yet, as more has to be read. */
+static void
+check_content_era(store_model_t *model, int64_t era)
+{
+	if (era < store_machine_era(model->machine))
+		set_failure(model, "content of an era that has ended");
+}
+
 static void
 apply_page(
     store_model_t *model, store_channel_id_t kind, const model_answer_t *answer)
@@ -213,12 +232,16 @@
 	model->call_counts[output->channel]++;
 }
 
+/* A poll is lost if it has not reported @found; a change that the store has
+ * lost with its era is not reported by any. */
 static void
-check_lost(store_model_t *model, store_channel_id_t kind)
+check_lost(
+    store_model_t *model, store_channel_id_t kind, store_position_t found)
 {
 	const model_call_t *call = &model->calls[kind];
 
-	if (call->running && !call->lost && knows_latency(model))
+	if (call->running && !call->lost && knows_latency(model) &&
+	    found.era == model->era)
 		set_failure(model, "a poll counts as lost that is not");
 }
 
@@ -228,8 +251,9 @@
 	static const char *const channels[] = {
 	    "config", "servers", "evacuations", "probe"};
 	static const char *const types[] = {"cancel", "call", "ended",
-	    "reached", "lost", "poll-lost", "no-news-yet", "list-begins",
-	    "page", "changes", "list-ends", "known", "no-changes"};
+	    "reached", "lost", "new-era", "old-era", "poll-lost", "no-news-yet",
+	    "list-begins", "page", "changes", "list-ends", "known",
+	    "no-changes"};
 
 	if (model->trace == NULL)
 		return;
@@ -264,10 +288,13 @@
 		memset(mirror->listed, 0, sizeof(mirror->listed));
 		break;
 	case STORE_APPLY_PAGE:
+		check_content_era(model, answer->response.era);
 		apply_page(model, kind, answer);
 		break;
 	case STORE_APPLY_CHANGES:
-		if (answer->revision < mirror->told)
+		check_content_era(model, answer->response.era);
+		if (model->era == mirror->told.era &&
+		    answer->revision < mirror->told.revision)
 			set_failure(model, "older changes are applied");
 		apply_changes(model, kind, answer->after, answer->revision);
 		break;
@@ -276,19 +303,27 @@
 		break;
 	case STORE_KNOWN:
 	case STORE_NO_CHANGES:
-		mirror->told = MAX(mirror->told, output->fact.revision);
-		check_mirror(model, kind, output->fact.revision);
-		check_age(model, kind, output->fact.revision, output->fact.age);
+		mirror->told =
+		    store_position_later(mirror->told, output->fact.position);
+		check_fact_era(model, output->fact.position.era);
+		check_mirror(model, kind, output->fact.position.revision);
+		check_age(model, kind, output->fact.position.revision,
+		    output->fact.age);
 		break;
 	case STORE_NO_NEWS_YET:
 		check_no_news(model, kind, answer->after);
 		break;
 	case STORE_POLL_LOST:
-		check_lost(model, kind);
+		check_lost(model, kind, output->fact.position);
+		break;
+	case STORE_NEW_ERA:
+		if (output->fact.position.era > model->era)
+			set_failure(model, "an era that the store never had");
 		break;
 	case STORE_CALL_ENDED:
 	case STORE_REACHED:
 	case STORE_LOST:
+	case STORE_OLD_ERA:
 		break;
 	}
 }
@@ -353,6 +388,13 @@
 	return query->may_be_old && model->now < model->old_until;
 }
 
+/* Whether the call is answered as the store was before it came back. */
+static bool
+reads_old_era(const store_model_t *model, const store_query_t *query)
+{
+	return reads_old(model, query) && model->old_era != model->era;
+}
+
 /* The latest revision that a call may be answered with. */
 static int64_t
 newest_revision(const store_model_t *model, const store_query_t *query)
@@ -392,7 +434,8 @@
 is_history_gone(const store_model_t *model, const model_call_t *call)
 {
 	return call->query.type == QUERY_POLL &&
-	    call->query.revision < model->first_kept;
+	    (call->query.revision < model->first_kept ||
+		call->query.revision > model->revision);
 }
 
 /* When the answer to a call arrives if nothing else happens until then. */
@@ -404,7 +447,8 @@
 	usec_t late = model->answers_late ? LATE_REPORT : 0;
 	int64_t news;
 
-	if (call->query.type != QUERY_POLL || is_history_gone(model, call))
+	if (call->query.type != QUERY_POLL || is_history_gone(model, call) ||
+	    reads_old_era(model, &call->query))
 		return end;
 	news = first_news(model, channel);
 	if (news == 0)
@@ -474,10 +518,13 @@
 	    .revision = answer_revision(model, &call->query)};
 
 	answer.response.status = STATUS_OK;
+	answer.response.era = model->era;
 	answer.response.revision = answer.revision;
-	if (is_history_gone(model, call))
-		answer.response =
-		    (store_response_t){.status = STATUS_HISTORY_GONE};
+	if (reads_old_era(model, &call->query))
+		answer.response.era = model->old_era;
+	else if (is_history_gone(model, call))
+		answer.response = (store_response_t){
+		    .status = STATUS_HISTORY_GONE, .era = model->era};
 	else if (call->query.type == QUERY_POLL)
 		fill_poll_answer(model, channel, &answer);
 	else
@@ -530,6 +577,9 @@
 	bool timeout = false;
 	store_channel_id_t channel = first_to_end(model, &next, &timeout);
 
+	model->inputs = next == model->now ? model->inputs + 1 : 0;
+	if (model->inputs > INPUTS_MAX)
+		set_failure(model, "wakes up without a pause");
 	model->now = next;
 	if (channel == STORE_CHANNELS && next >= end)
 		return false;
@@ -573,13 +623,15 @@
 {
 	model_answer_t nothing = {0};
 
-	*model = (store_model_t){.settings = *settings, .now = SECONDS(100)};
+	*model = (store_model_t){
+	    .settings = *settings, .now = SECONDS(100), .era = 1};
 	add_change(model, STORE_CONFIG, 0, true);
 	for (uint32_t i = 0; i < MODEL_SERVERS; i++)
 		add_change(model, STORE_SERVERS, i, true);
 	model->first_kept = 1;
 	model->old_revision = model->revision;
 	model->old_until = model->now + OLD_TIME;
+	model->old_era = model->era;
 	model->now += LEAVE_TIME;
 	add_change(model, STORE_SERVERS, MODEL_SERVERS - 1, false);
 	if (store_model_follows(model, STORE_EVACUATIONS)) {
@@ -588,6 +640,7 @@
 		add_change(model, STORE_EVACUATIONS, 1, false);
 	}
 	model->now += SINCE_LEAVE;
+	store_model_copy(model);
 	model->machine = store_machine_create(&settings->machine, model->now);
 	run_outputs(model, &nothing);
 }
@@ -634,7 +687,8 @@
 void
 store_model_end_calls(store_model_t *model, int status)
 {
-	model_answer_t answer = {.response = {.status = status}};
+	model_answer_t answer = {
+	    .response = {.status = status, .era = model->era}};
 	bool was_running[STORE_CHANNELS];
 
 	for (int i = 0; i < STORE_CHANNELS; i++)
@@ -650,6 +704,29 @@
 	model->first_kept = model->revision;
 }
 
+void
+store_model_copy(store_model_t *model)
+{
+	model->copied_revision = model->revision;
+}
+
+void
+store_model_restore(store_model_t *model)
+{
+	model->revision = model->copied_revision;
+	model->first_kept = MIN(model->first_kept, model->revision);
+	model->era++;
+	store_model_lose_calls(model);
+}
+
+void
+store_model_set_old(store_model_t *model, usec_t time)
+{
+	model->old_revision = model->revision;
+	model->old_era = model->era;
+	model->old_until = model->now + time;
+}
+
 void
 store_model_set_source(store_model_t *model, store_source_t source)
 {
@@ -664,17 +741,39 @@
 static bool
 is_told_all(const store_model_t *model, store_channel_id_t kind)
 {
-	int64_t told = model->mirrors[kind].told;
+	store_position_t told = model->mirrors[kind].told;
 
-	for (int64_t i = told; i < model->revision; i++)
+	if (told.era != model->era)
+		return false;
+	for (int64_t i = told.revision; i < model->revision; i++)
 		if (model->changes[i].kind == kind)
 			return false;
-	return told > 0;
+	return store_position_is_set(told);
+}
+
+/* Other nodes send the changes after what is known here; all objects if that is
+ * of an earlier era. */
+static void
+send_changes(store_model_t *model, store_channel_id_t kind)
+{
+	store_position_t known = store_machine_position(model->machine, kind);
+	model_mirror_t *mirror = &model->mirrors[kind];
+
+	if (known.era == model->era) {
+		apply_changes(model, kind, known.revision, model->revision);
+		return;
+	}
+	memset(mirror->listed, 0, sizeof(mirror->listed));
+	apply_changes(model, kind, 0, model->revision);
+	end_list(mirror);
 }
 
 void
 store_model_tell(store_model_t *model)
 {
+	const store_position_t current = {model->era, model->revision};
+	model_answer_t nothing = {0};
+
 	for (int i = 0; i < STORE_KINDS; i++) {
 		store_channel_id_t kind = (store_channel_id_t)i;
 		bool accepts = store_machine_accepts(model->machine, kind);
@@ -682,11 +781,11 @@
 		if (!accepts && !is_told_all(model, kind))
 			continue;
 		if (accepts)
-			apply_changes(model, kind,
-			    store_machine_revision(model->machine, kind),
-			    model->revision);
-		model->mirrors[kind].told = model->revision;
-		store_machine_peers_know(model->machine, kind, model->revision);
+			send_changes(model, kind);
+		model->mirrors[kind].told = current;
+		store_machine_peers_know(
+		    model->machine, kind, current, model->now);
+		run_outputs(model, &nothing);
 	}
 }
 
--- a/tests/lib/store_model.h
+++ b/tests/lib/store_model.h
@@ -11,9 +11,10 @@
  * DOC: A store and its client without I/O
  *
  * Drives a store machine against a store that is simulated: with latency, lost
- * calls, resets, outages, lost history and reads that are old. What the client
- * knows is compared with what the store has after each fact that it reports. A
- * model is copied with its machine, so that orders of events can branch.
+ * calls, resets, outages, lost history, reads that are old, and returns from an
+ * older copy. What the client knows is compared with what the store has after
+ * each fact that it reports. A model is copied with its machine, so that orders
+ * of events can branch.
  */
 
 #define MODEL_SERVERS 3
@@ -53,7 +54,7 @@
 	int64_t revisions[MODEL_SERVERS]; /* of the objects */
 	bool listed[MODEL_SERVERS];
 	uint32_t next_page;
-	int64_t told; /* revision that other nodes know it to have */
+	store_position_t told; /* that other nodes know it to have */
 } model_mirror_t;
 
 /** typedef store_model_t - A run. */
@@ -63,10 +64,13 @@
 	usec_t now;
 	model_change_t changes[MODEL_CHANGES_MAX]; /* by revision - 1 */
 	int64_t revision;			   /* of the store */
+	int64_t era;				   /* the same */
+	int64_t copied_revision; /* up to where its copy goes */
 	int64_t first_kept; /* polls from before it are answered with 410 */
 	bool is_away;	    /* loses all calls */
-	usec_t old_until;   /* old reads show the state of old_revision */
+	usec_t old_until;   /* old reads show the state of old_revision... */
 	int64_t old_revision;
+	int64_t old_era; /* ...in this era */
 	bool is_slow;
 	usec_t slowness_changed_at;
 	bool answers_late; /* polls report a change 200 ms later */
@@ -74,6 +78,7 @@
 	model_call_t calls[STORE_CHANNELS];
 	model_mirror_t mirrors[STORE_KINDS];
 	uint64_t call_counts[STORE_CHANNELS];
+	uint32_t inputs;     /* since time has passed */
 	FILE *trace;	     /* outputs are written to it; NULL: they are not */
 	const char *failure; /* NULL: none */
 } store_model_t;
@@ -115,6 +120,17 @@
 /** store_model_drop_history() - Ends polls from before this moment with 410. */
 void store_model_drop_history(store_model_t *model);
 
+/** store_model_copy() - The copy from which the store may come back. */
+void store_model_copy(store_model_t *model);
+
+/** store_model_restore() - The store comes back from its copy, in a new era; it
+ * has lost the running calls and all that was written since. */
+void store_model_restore(store_model_t *model);
+
+/** store_model_set_old() - Old reads show this moment from now on, for @time.
+ */
+void store_model_set_old(store_model_t *model, usec_t time);
+
 /** store_model_set_source() - Who reads the store for the client. */
 void store_model_set_source(store_model_t *model, store_source_t source);
 
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -122,13 +122,14 @@
 }
 
 static void
-on_store_response(void *context, int status, json_t *body)
+on_store_response(void *context, const store_reply_t *reply)
 {
 	call_t *call = context;
-	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
+	char *text =
+	    reply->body != NULL ? json_dumps(reply->body, JSON_COMPACT) : NULL;
 
-	if (status != 0)
-		set_reading(&call->reading, status, text,
+	if (reply->status != 0)
+		set_reading(&call->reading, reply->status, text,
 		    text != NULL ? strlen(text) : 0);
 	free(text);
 	ev_break(call->loop, EVBREAK_ALL);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -21,9 +21,19 @@
 #define MAX_BURST 10	 /* datagrams */
 #define TICKS 4		 /* of a link; more than a second datagram needs */
 
+/* A position of a topic. */
+#define READ_UP_TO(era, change, revision) \
+	{                                 \
+		{era, change},            \
+		{                         \
+			era, revision     \
+		}                         \
+	}
+
 static const peer_message_t status = {
     .kind = PEER_STATUS,
-    .status = {.positions = {{4, 9}, {7, 7}}, .age = MS(20)},
+    .status = {.positions = {READ_UP_TO(0, 4, 9), READ_UP_TO(0, 7, 7)},
+	.age = MS(20)},
 };
 
 static const peer_message_t suspect = {
@@ -90,20 +100,60 @@
 	assert_int_equal(received.changes.part, 1);
 	assert_int_equal(received.changes.size, PEER_PART_MAX_BYTES);
 	assert_memory_equal(received.changes.bytes, sent.changes.bytes, 5);
+	assert_int_equal(received.changes.era, 0);
+	sent.changes.era = INT64_MAX;
+	assert_int_equal(encode_and_decode(&sent, &received), 0);
+	assert_int_equal(received.changes.era, INT64_MAX);
+}
+
+static void
+set_eras(peer_status_t *sent)
+{
+	static const int64_t eras[PEER_TOPICS] = {3, 3, 2};
+
+	for (int i = 0; i < PEER_TOPICS; i++) {
+		sent->positions[i].last_change.era = eras[i];
+		sent->positions[i].known.era = eras[i];
+	}
+}
+
+/* A datagram as an earlier version reads it: what follows its last field is
+ * ignored. Guards against eras that it takes for positions. */
+static void
+eras_follow_what_earlier_versions_read(void **state)
+{
+	peer_message_t sent = {.kind = PEER_STATUS, .status.age = 5};
+	const char expected[] =
+	    "\x9c\x01\x01\x05\x04\x09\x07\x07\x00\x00\x03\x03\x02";
+	writer_t writer;
+
+	sent.status.positions[PEER_CONFIG] =
+	    (peer_position_t)READ_UP_TO(0, 4, 9);
+	sent.status.positions[PEER_SERVERS] =
+	    (peer_position_t)READ_UP_TO(0, 7, 7);
+	set_eras(&sent.status);
+	writer_init(&writer);
+	peer_message_encode(&sent, &writer);
+	assert_int_equal(writer.buffer.size, sizeof(expected) - 1);
+	assert_memory_equal(writer.buffer.data, expected, sizeof(expected) - 1);
+	writer_free(&writer);
 }
 
-/* Statuses of the previous version, of this one with evacuations, and of one
- * with a further topic. Guards against a version that misreads another. */
+/* Statuses without evacuations, with them, with the eras of the store, and with
+ * a further field. Guards against a version that misreads another. */
 static void
 statuses_of_other_versions_are_read(void **state)
 {
 	static const slice_t bytes[] = {{"\x97\x01\x01\x05\x04\x09\x07\x07", 8},
 	    {"\x99\x01\x01\x05\x04\x09\x07\x07\x02\x08", 10},
-	    {"\x9b\x01\x01\x05\x04\x09\x07\x07\x02\x08\x01\x01", 12}};
+	    {"\x9c\x01\x01\x05\x04\x09\x07\x07\x02\x08\x03\x03\x02", 13},
+	    {"\x9d\x01\x01\x05\x04\x09\x07\x07\x02\x08\x03\x03\x02\x01", 14}};
 	peer_message_t sent = {.kind = PEER_STATUS, .status.age = 5};
 
-	sent.status.positions[PEER_CONFIG] = (peer_position_t){4, 9};
-	sent.status.positions[PEER_SERVERS] = (peer_position_t){7, 7};
+	sent.status.positions[PEER_CONFIG] =
+	    (peer_position_t)READ_UP_TO(0, 4, 9);
+	sent.status.positions[PEER_SERVERS] =
+	    (peer_position_t)READ_UP_TO(0, 7, 7);
 	for (size_t i = 0; i < G_N_ELEMENTS(bytes); i++) {
 		peer_message_t received;
 		writer_t writer;
@@ -111,13 +161,15 @@
 		memset(&received, 0xff, sizeof(received));
 		if (i == 1)
 			sent.status.positions[PEER_EVACUATIONS] =
-			    (peer_position_t){2, 8};
+			    (peer_position_t)READ_UP_TO(0, 2, 8);
+		if (i == 2)
+			set_eras(&sent.status);
 		assert_int_equal(peer_message_decode(bytes[i], &received), 0);
 		assert_memory_equal(
 		    &received.status, &sent.status, sizeof(sent.status));
 		writer_init(&writer);
 		peer_message_encode(&sent, &writer);
-		if (i < 2)
+		if (i < 3)
 			assert_memory_equal(
 			    writer.buffer.data, bytes[i].data, bytes[i].size);
 		writer_free(&writer);
@@ -284,18 +336,20 @@
 	static const struct {
 		const char *name;
 		int order[6]; /* of the parts; ends with -1 */
-		int64_t revision;
+		store_position_t known;
 		bool complete;
 	} cases[] = {
-	    {"all parts", {0, 1, 2, -1}, 10, true},
-	    {"some changes are known", {0, 1, 2, -1}, 15, true},
-	    {"a part twice", {0, 1, 1, 2, -1}, 10, true},
-	    {"started again", {0, 1, 0, 1, 2, -1}, 10, true},
-	    {"the first part is lost", {1, 2, -1}, 10, false},
-	    {"a part is lost", {0, 2, -1}, 10, false},
-	    {"out of order", {0, 2, 1, -1}, 10, false},
-	    {"changes before the batch are missing", {0, 1, 2, -1}, 9, false},
-	    {"all changes are known", {0, 1, 2, -1}, 20, false},
+	    {"all parts", {0, 1, 2, -1}, {0, 10}, true},
+	    {"some changes are known", {0, 1, 2, -1}, {0, 15}, true},
+	    {"a part twice", {0, 1, 1, 2, -1}, {0, 10}, true},
+	    {"started again", {0, 1, 0, 1, 2, -1}, {0, 10}, true},
+	    {"the first part is lost", {1, 2, -1}, {0, 10}, false},
+	    {"a part is lost", {0, 2, -1}, {0, 10}, false},
+	    {"out of order", {0, 2, 1, -1}, {0, 10}, false},
+	    {"changes before the batch are missing", {0, 1, 2, -1}, {0, 9},
+		false},
+	    {"all changes are known", {0, 1, 2, -1}, {0, 20}, false},
+	    {"changes in an earlier era", {0, 1, 2, -1}, {1, 10}, false},
 	};
 	GString *content = make_content(5000);
 
@@ -307,7 +361,7 @@
 		for (const int *at = cases[i].order; *at >= 0; at++)
 			complete |= peer_batch_add_part(fixture.batch,
 			    &g_array_index(fixture.parts, peer_changes_t, *at),
-			    cases[i].revision);
+			    cases[i].known);
 		if (complete != cases[i].complete)
 			fail_msg("%s: %d", cases[i].name, complete);
 		if (complete)
@@ -319,6 +373,40 @@
 	g_string_free(content, TRUE);
 }
 
+/* Guards against a node that continues from a revision which the store has
+ * given out anew, and against a late list of an era that has ended. */
+static void
+a_list_of_a_later_era_replaces_what_is_known(void **state)
+{
+	static const struct {
+		const char *name;
+		int64_t era;
+		int64_t from; /* 0: all objects */
+		bool complete;
+	} cases[] = {
+	    {"all objects of a later era", 3, 0, true},
+	    {"changes of a later era", 3, 10, false},
+	    {"all objects of the same era, known already", 2, 0, false},
+	    {"all objects of an earlier era", 1, 0, false},
+	    {"all objects of a store that states no era", 0, 0, false},
+	};
+	GString *content = make_content(300);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		batch_fixture_t fixture = begin_batch(content);
+		peer_changes_t *part =
+		    &g_array_index(fixture.parts, peer_changes_t, 0);
+
+		part->era = cases[i].era;
+		part->from = cases[i].from;
+		if (peer_batch_add_part(fixture.batch, part,
+			(store_position_t){2, 25}) != cases[i].complete)
+			fail_msg("%s", cases[i].name);
+		end_batch(&fixture);
+	}
+	g_string_free(content, TRUE);
+}
+
 static void
 refuses_content_that_cannot_be_unpacked(void **state)
 {
@@ -327,11 +415,13 @@
 	peer_changes_t *part = &g_array_index(fixture.parts, peer_changes_t, 0);
 
 	part->uncompressed_size += 1;
-	assert_true(peer_batch_add_part(fixture.batch, part, 10));
+	assert_true(peer_batch_add_part(
+	    fixture.batch, part, (store_position_t){0, 10}));
 	assert_int_equal(peer_batch_uncompress(fixture.batch).size, 0);
 	part->uncompressed_size -= 1;
 	part->bytes[part->size / 2] ^= 0x55;
-	assert_true(peer_batch_add_part(fixture.batch, part, 10));
+	assert_true(peer_batch_add_part(
+	    fixture.batch, part, (store_position_t){0, 10}));
 	assert_int_equal(peer_batch_uncompress(fixture.batch).size, 0);
 	end_batch(&fixture);
 	g_string_free(content, TRUE);
@@ -366,37 +456,47 @@
 	peer_role_t before;	    /* PEER_FOLLOWER, or PEER_ALONE */
 	peer_role_t at_once;
 	peer_role_t later; /* after two seconds */
+	int64_t own_era;   /* n4's */
+	int64_t era;	   /* of the relays */
 } role_case_t;
 
 static const role_case_t role_cases[] = {
     {"too few nodes for relays", 3, {false}, {0}, {0}, 10, false, PEER_ALONE,
-	PEER_ALONE, PEER_ALONE},
+	PEER_ALONE, PEER_ALONE, 0, 0},
     {"no relay is active; the nodes before n4 have precedence", 5, {false}, {0},
-	{0}, 10, false, PEER_ALONE, PEER_ALONE, PEER_RELAY},
+	{0}, 10, false, PEER_ALONE, PEER_ALONE, PEER_RELAY, 0, 0},
     {"a second relay is missing", 5, {true}, {0}, {0}, 10, false, PEER_FOLLOWER,
-	PEER_FOLLOWER, PEER_RELAY},
+	PEER_FOLLOWER, PEER_RELAY, 0, 0},
     {"two relays are active", 5, {true, true}, {0}, {0}, 10, false, PEER_ALONE,
-	PEER_FOLLOWER, PEER_FOLLOWER},
+	PEER_FOLLOWER, PEER_FOLLOWER, 0, 0},
     {"any two of the nodes before n4 are relays", 5, {false, false, true, true},
-	{0}, {0}, 10, false, PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER},
+	{0}, {0}, 10, false, PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER, 0, 0},
     {"one relay does not reach the store", 5, {true, true}, {0, SECONDS(2)},
-	{0}, 10, false, PEER_FOLLOWER, PEER_FOLLOWER, PEER_RELAY},
+	{0}, 10, false, PEER_FOLLOWER, PEER_FOLLOWER, PEER_RELAY, 0, 0},
     {"no relay reaches the store", 5, {true, true}, {SECONDS(2), SECONDS(2)},
-	{0}, 10, false, PEER_FOLLOWER, PEER_ALONE, PEER_RELAY},
+	{0}, 10, false, PEER_FOLLOWER, PEER_ALONE, PEER_RELAY, 0, 0},
     {"no node reaches the store", 5, {false}, {0}, {0}, 10, true, PEER_ALONE,
-	PEER_ALONE, PEER_ALONE},
+	PEER_ALONE, PEER_ALONE, 0, 0},
     {"only relays reach the store", 5, {true, true}, {0}, {0}, 10, true,
-	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER},
+	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER, 0, 0},
     {"only one relay reaches the store", 5, {true}, {0}, {0}, 10, true,
-	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER},
+	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER, 0, 0},
     {"nothing was read yet", 5, {true, true}, {0}, {0}, 0, false, PEER_ALONE,
-	PEER_ALONE, PEER_ALONE},
+	PEER_ALONE, PEER_ALONE, 0, 0},
     {"it lacks changes and reads the store already", 5, {true, true}, {0},
-	{11, 11}, 10, false, PEER_ALONE, PEER_ALONE, PEER_ALONE},
+	{11, 11}, 10, false, PEER_ALONE, PEER_ALONE, PEER_ALONE, 0, 0},
     {"changes may still arrive", 5, {true, true}, {0}, {11, 11}, 10, false,
-	PEER_FOLLOWER, PEER_FOLLOWER, PEER_ALONE},
+	PEER_FOLLOWER, PEER_FOLLOWER, PEER_ALONE, 0, 0},
     {"it knows more than the relays", 5, {true, true}, {0}, {9, 8}, 10, false,
-	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER},
+	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER, 0, 0},
+    {"the relays have listed all after the store came back", 5, {true, true},
+	{0}, {8, 8}, 10, false, PEER_FOLLOWER, PEER_FOLLOWER, PEER_ALONE, 1, 2},
+    {"it has done so before the relays", 5, {true, true}, {0}, {12, 12}, 10,
+	false, PEER_ALONE, PEER_ALONE, PEER_RELAY, 2, 1},
+    {"relays of an earlier version, which states no era", 5, {true, true}, {0},
+	{10, 10}, 10, false, PEER_ALONE, PEER_ALONE, PEER_RELAY, 2, 0},
+    {"all are in the same era", 5, {true, true}, {0}, {10, 10}, 10, false,
+	PEER_ALONE, PEER_FOLLOWER, PEER_FOLLOWER, 2, 2},
 };
 
 static peer_node_t
@@ -424,8 +524,8 @@
 }
 
 static void
-receive_status(
-    peer_group_t *group, int i, usec_t age, int64_t last_change, usec_t now)
+receive_status(peer_group_t *group, int i, usec_t age, int64_t era,
+    int64_t last_change, usec_t now)
 {
 	peer_node_t node = node_address(i);
 	group_peer_t *peer = peer_group_find(group, &node.address);
@@ -435,15 +535,15 @@
 		return;
 	for (int topic = 0; topic < PEER_TOPICS; topic++)
 		received.positions[topic] =
-		    (peer_position_t){last_change, last_change};
+		    (peer_position_t)READ_UP_TO(era, last_change, last_change);
 	peer_group_update_status(group, peer, &received, now);
 }
 
 static void
 become_follower(peer_group_t *group, const peer_position_t *own, usec_t now)
 {
-	receive_status(group, 0, 0, 0, now);
-	receive_status(group, 1, 0, 0, now);
+	receive_status(group, 0, 0, own->known.era, 0, now);
+	receive_status(group, 1, 0, own->known.era, 0, now);
 	assert_int_equal(
 	    peer_group_update_role(group, own, now, now), PEER_FOLLOWER);
 }
@@ -454,15 +554,15 @@
     peer_group_t *group, const role_case_t *row, usec_t from, usec_t until)
 {
 	const peer_position_t own[PEER_TOPICS] = {
-	    {row->own_revision, row->own_revision},
-	    {row->own_revision, row->own_revision}};
+	    READ_UP_TO(row->own_era, row->own_revision, row->own_revision),
+	    READ_UP_TO(row->own_era, row->own_revision, row->own_revision)};
 	peer_role_t role = PEER_ALONE;
 
 	for (usec_t now = from; now <= until; now += MS(100)) {
 		for (int i = 0; i < NODES; i++)
 			if (row->relay[i])
 				receive_status(group, i, row->store_age[i],
-				    row->last_change[i], now);
+				    row->era, row->last_change[i], now);
 		role = peer_group_update_role(
 		    group, own, row->store_lost ? 0 : now, now);
 	}
@@ -475,8 +575,10 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(role_cases); i++) {
 		const role_case_t *row = &role_cases[i];
 		const peer_position_t own[PEER_TOPICS] = {
-		    {row->own_revision, row->own_revision},
-		    {row->own_revision, row->own_revision}};
+		    READ_UP_TO(
+			row->own_era, row->own_revision, row->own_revision),
+		    READ_UP_TO(
+			row->own_era, row->own_revision, row->own_revision)};
 		peer_group_t *group = make_group(row->nodes);
 		peer_role_t at_once, later;
 
@@ -497,8 +599,10 @@
 static void
 follows_only_relays_that_read_its_topics(void **state)
 {
-	const peer_position_t own[PEER_TOPICS] = {{10, 10}, {10, 10}, {10, 10}};
-	const peer_status_t earlier = {.positions = {{10, 10}, {10, 10}}};
+	const peer_position_t own[PEER_TOPICS] = {READ_UP_TO(0, 10, 10),
+	    READ_UP_TO(0, 10, 10), READ_UP_TO(0, 10, 10)};
+	const peer_status_t earlier = {
+	    .positions = {READ_UP_TO(0, 10, 10), READ_UP_TO(0, 10, 10)}};
 
 	for (int topics = PEER_COMMON_TOPICS; topics <= PEER_TOPICS; topics++) {
 		peer_node_t relay = node_address(0);
@@ -509,7 +613,7 @@
 		    peer_group_find(group, &relay.address), &earlier, NOW);
 		assert_int_equal(peer_group_update_role(group, own, NOW, NOW),
 		    topics == PEER_TOPICS ? PEER_ALONE : PEER_FOLLOWER);
-		receive_status(group, 0, 0, 10, NOW);
+		receive_status(group, 0, 0, 0, 10, NOW);
 		assert_int_equal(peer_group_update_role(group, own, NOW, NOW),
 		    PEER_FOLLOWER);
 		peer_group_destroy(group);
@@ -520,7 +624,8 @@
 static void
 one_node_takes_the_place_of_a_relay(void **state)
 {
-	const peer_position_t own[PEER_TOPICS] = {{10, 10}, {10, 10}};
+	const peer_position_t own[PEER_TOPICS] = {
+	    READ_UP_TO(0, 10, 10), READ_UP_TO(0, 10, 10)};
 	peer_node_t addresses[NODES];
 	peer_group_t *groups[NODES];
 	peer_role_t roles[NODES] = {PEER_ALONE};
@@ -544,7 +649,7 @@
 			for (int j = first; j < NODES; j++)
 				if (j != i && roles[i] == PEER_RELAY)
 					receive_status(
-					    groups[j], i, 0, 10, now);
+					    groups[j], i, 0, 0, 10, now);
 		}
 		max_relays = MAX(max_relays, relays);
 	}
@@ -563,17 +668,19 @@
 a_follower_that_lacks_changes_asks_soon(void **state)
 {
 	peer_group_t *group = make_group(NODES);
-	peer_position_t own[PEER_TOPICS] = {{10, 10}, {10, 10}};
+	peer_position_t own[PEER_TOPICS] = {
+	    READ_UP_TO(0, 10, 10), READ_UP_TO(0, 10, 10)};
 	usec_t now = NOW;
 
 	become_follower(group, own, now);
 	while (peer_group_update_role(group, own, now, now) == PEER_FOLLOWER) {
 		now += MS(50);
-		receive_status(group, 0, 0, 11, now);
-		receive_status(group, 1, 0, 10, now);
+		receive_status(group, 0, 0, 0, 11, now);
+		receive_status(group, 1, 0, 0, 10, now);
 		assert_true(now < NOW + MS(500));
 	}
-	own[PEER_CONFIG].revision = own[PEER_SERVERS].revision = 11;
+	own[PEER_CONFIG].known.revision = 11;
+	own[PEER_SERVERS].known.revision = 11;
 	assert_int_equal(
 	    peer_group_update_role(group, own, now, now), PEER_FOLLOWER);
 	peer_group_destroy(group);
@@ -633,8 +740,8 @@
 	loop_clock_start(&clock, loop);
 	link = create_relay(loop);
 	before = peer_link_counters(link)->sent;
-	peer_link_changes_read(
-	    link, PEER_CONFIG, true, 10, (slice_t){content->str, content->len});
+	peer_link_changes_read(link, PEER_CONFIG, true,
+	    (store_position_t){0, 10}, (slice_t){content->str, content->len});
 	assert_true(peer_link_counters(link)->sent > before);
 	assert_true(peer_link_counters(link)->sent <= before + MAX_BURST);
 	while (peer_link_counters(link)->sent < before + 3 * MANY_NODES)
@@ -659,8 +766,8 @@
 	loop_clock_start(&clock, loop);
 	link = create_link(loop);
 	assert_int_equal(peer_link_role(link), PEER_ALONE);
-	peer_link_changes_read(
-	    link, PEER_SERVERS, false, 10, slice_from(content));
+	peer_link_changes_read(link, PEER_SERVERS, false,
+	    (store_position_t){0, 10}, slice_from(content));
 	assert_int_equal(peer_link_role(link), PEER_RELAY);
 	assert_true(peer_link_counters(link)->sent > 0);
 	peer_link_destroy(link);
@@ -693,6 +800,8 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(messages_arrive_as_sent),
 	    cmocka_unit_test(statuses_of_other_versions_are_read),
+	    cmocka_unit_test(eras_follow_what_earlier_versions_read),
+	    cmocka_unit_test(a_list_of_a_later_era_replaces_what_is_known),
 	    cmocka_unit_test(follows_only_relays_that_read_its_topics),
 	    cmocka_unit_test(refuses_changes_that_make_no_sense),
 	    cmocka_unit_test(refuses_servers_with_long_names),
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -530,7 +530,8 @@
 {
 	const peer_message_t forged = {
 	    .kind = PEER_STATUS,
-	    .status = {.positions = {{1, INT64_MAX}, {1, INT64_MAX}}},
+	    .status = {.positions = {{{0, 1}, {0, INT64_MAX}},
+			   {{0, 1}, {0, INT64_MAX}}}},
 	};
 	gateway_world_t *world = world_create(*state);
 	gateway_fleet_t fleet = {0};
--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -1,8 +1,9 @@
 /*
  * Explores the orders of events between the store and its client: changes, lost
- * calls, resets, outages, lost history, old reads, and changes that other nodes
- * send. Guards against news that stay unheard, a removed server that is back, a
- * fact that is older than it says, a state that nothing leads out of, and calls
+ * calls, resets, outages, lost history, old reads, returns of the store from an
+ * older copy, and changes that other nodes send. Guards against news that stay
+ * unheard, a removed server that is back, a fact that is older than it says or
+ * of a history that has ended, a state that nothing leads out of, and calls
  * without a pause. All is played by a client that follows evacuations, too.
  *
  * BW_DEPTH is the number of events of the exhaustive search, BW_SEED and
@@ -31,9 +32,10 @@
  * longer; z: the store becomes slow, or fast
  * m: this node reads for itself, r: for others too, f: others read for it
  * k: others tell it all changes
+ * v: the store is copied; y: it comes back from its copy, in a new era
  * e, i: an evacuation begins or is revoked, if the client follows them
  */
-#define EVENTS "cabwstlpxuoghdzmrfkei"
+#define EVENTS "cabwstlpxuoghdzmrfkeivy"
 #define DEFAULT_DEPTH 3
 #define DEFAULT_RANDOM_ORDERS 8000
 #define RANDOM_DEPTH 24
@@ -160,8 +162,13 @@
 		store_model_drop_history(model);
 		break;
 	case 'h':
-		model->old_revision = model->revision;
-		model->old_until = model->now + OLD_TIME;
+		store_model_set_old(model, OLD_TIME);
+		break;
+	case 'v':
+		store_model_copy(model);
+		break;
+	case 'y':
+		store_model_restore(model);
 		break;
 	case 'z':
 		store_model_set_slow(model, !model->is_slow);
@@ -377,6 +384,10 @@
     {"zwfawml", "a poll of a slow store does not count as held"},
     {"-lcmzplxl", "a slow report does not count as lost"},
     {"czrplutt", "a refusal says nothing about the latency"},
+    {"+uzckohyolp", "no probe asks for what follows a revision of another era"},
+    {"+hfyk", "an answer of the era before shows that the store is back"},
+    {"-hy", "an old list of the era before is not completed"},
+    {"+-wxy", "an era that begins during a list begins it again"},
     {"-wcc", "an answer that the store has cut does not date what follows"},
 };
 
