List at once when the store has dropped a poll's history

Cause: after a 410 a watch waited 0.1 s before it listed, as after a failed call. A node that had just found the store after an outage heard of an evacuation 6.3 s later, where its calls and waits allow 6.2.

Change: it lists at once, unless no poll was answered since the last list; a store that drops its history each time is not asked in a loop.

--- a/tests/test_store_orders.c
+++ b/tests/test_store_orders.c
@@ -384,6 +384,7 @@
     {"zwfawml", "a poll of a slow store does not count as held"},
     {"-lcmzplxl", "a slow report does not count as lost"},
     {"czrplutt", "a refusal says nothing about the latency"},
+    {"+lfomullwbg", "a list does not wait when the history is gone"},
     {"+uzckohyolp", "no probe asks for what follows a revision of another era"},
     {"+hfyk", "an answer of the era before shows that the store is back"},
     {"-hy", "an old list of the era before is not completed"},
