Say in a request between gateways all that its answer depends on

Cause: a gateway that asks a peer for a group of shards named the shards only. The peer kept as many records as its own route says, and the asker merged them as if they were all. Attempts a shard, the time-out and the priority were the peer's as well, and a peer without the route answered 404, which counted against its health.

Change: the request states records, attempts, priority and time left; the peer applies these, or refuses as not run. The answer states what it is an answer to; one that doesn't fit, or whose records are too many or out of order, is not merged. The form of the request has changed, so that older programs refuse it and theirs is refused. Rows of group_requests_that_make_no_sense_are_refused have the new form, plus one of the former; the stand-ins of a_broken_answer_of_a_peer_... state what they answer, as their sound answers would not count otherwise.

--- a/source/gateway/exchange_group_response.c
+++ b/source/gateway/exchange_group_response.c
@@ -72,6 +72,26 @@
 	return !next_element(&stamps, &stamp);
 }
 
+/*
+ * Whether the response answers what was asked. A peer that has kept fewer
+ * records than this node needs may have left out some that belong to the
+ * answer.
+ */
+static bool
+answers_request(const group_attempt_t *group, const http_message_t *response,
+    slice_t records)
+{
+	const exchange_t *exchange = group->exchange;
+	char expected[SERVED_TEXT_MAX];
+	slice_t served;
+
+	group_served_text(
+	    exchange, group->group, exchange->group_count, expected);
+	return http_message_find(response, SERVED_HEADER, &served) &&
+	    slice_is(served, expected) &&
+	    gather_records_are_greatest(records, exchange->top_records);
+}
+
 /* Returns false, without effect, for a response that makes no sense. */
 static bool
 take_shards(const group_attempt_t *group, const http_message_t *response,
@@ -84,7 +104,8 @@
 	if (!http_message_find(response, SHARDS_HEADER, &shards))
 		return false;
 	http_message_find(response, names->part_stamps, &stamps);
-	if (!walk_shards(group, shards, stamps, false))
+	if (!answers_request(group, response, records) ||
+	    !walk_shards(group, shards, stamps, false))
 		return false;
 	if (!exchange_hold(exchange,
 		gather_records_growth(exchange->records, records.size)))
--- a/source/gateway/exchange_groups.c
+++ b/source/gateway/exchange_groups.c
@@ -7,7 +7,7 @@
 
 /* Peers with a higher recent share of failed requests are not asked. */
 #define MAX_PEER_FAILURE_RATE 0.3
-#define GROUP_TEXT_MAX 96
+#define GROUP_TEXT_MAX 160
 /* A peer that has not accepted a request after this time is not waited for: at
  * least, in usual delays of a timer, and as a part of the time until the soft
  * deadline. */
@@ -25,6 +25,7 @@
 {
 	return http_header_is(name, GROUP_HEADER) ||
 	    http_header_is(name, CUSTOMER_HEADER) ||
+	    http_header_is(name, SERVED_HEADER) ||
 	    http_header_is(name, SHARDS_HEADER) ||
 	    http_header_is(name, RECORDS_HEADER) ||
 	    http_header_is(name, SERVING_PEERS_NOT_RUN_HEADER);
@@ -34,13 +35,13 @@
 add_group_header(const exchange_t *exchange, uint32_t group,
     usec_t report_allowance, buffer_t *head)
 {
-	const route_t *route = exchange->route;
 	char text[GROUP_TEXT_MAX];
 
-	snprintf(text, sizeof(text), GROUP_HEADER ": %u %u %llx %lld\r\n",
+	snprintf(text, sizeof(text), GROUP_HEADER ": " GROUP_FORMAT "\r\n",
 	    group, exchange->group_count,
-	    (unsigned long long)route->targets_hash,
-	    (long long)report_allowance);
+	    (unsigned long long)exchange->route->targets_hash,
+	    (long long)report_allowance, exchange->top_records,
+	    exchange->max_attempts, (unsigned)MAX(exchange->priority, 0));
 	buffer_append_text(head, text);
 }
 
--- a/source/gateway/exchange_private.h
+++ b/source/gateway/exchange_private.h
@@ -5,6 +5,7 @@
 #include "bulrushwell/suspect.h"
 #include "client_timing.h"
 #include "exchange.h"
+#include "group_headers.h"
 #include "report_timing.h"
 #include "retry_schedule.h"
 #include "serving_peers.h"
@@ -60,8 +61,12 @@
 	uint32_t group;
 	uint32_t groups;
 	uint64_t targets_hash; /* of the route's shards */
-	usec_t
-	    soft_allowance; /* until the receiving node needs what there is */
+	/* Until the receiving node needs what there is. */
+	usec_t soft_allowance;
+	/* Of the route as the receiving node knows it. */
+	uint32_t records;
+	uint32_t max_attempts;
+	uint32_t priority;
 } group_request_t;
 
 /** typedef group_attempt_t - A request of a receiving node to a peer. */
@@ -121,6 +126,9 @@
 	uint32_t shard_first;
 	uint32_t shard_step;
 	double min_share; /* of these, for a response at the soft deadline */
+	/* Of the route, or as the receiving node states it. */
+	uint32_t top_records;
+	uint32_t max_attempts;
 	bool peer_failed; /* a serving node failed, which shows no overload */
 	bool is_for_peer; /* the client is a receiving node */
 	bool admitted;	  /* counted as running by the limiter */
@@ -321,6 +329,11 @@
  */
 void group_reply_if_due(exchange_t *exchange, usec_t now);
 
+/** group_served_text() - What a response to a receiving node answers, as
+ * SERVED_HEADER states it. */
+void group_served_text(const exchange_t *exchange, uint32_t group,
+    uint32_t groups, char text[SERVED_TEXT_MAX]);
+
 /** group_response_add() - Appends the headers that name the shards in a
  * response to a receiving node. */
 void group_response_add(const exchange_t *exchange, buffer_t *head);
--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -1,11 +1,13 @@
 /* The serving node: the shards that a receiving node asks for. */
+#include <limits.h>
 #include <stdio.h>
 
 #include "bulrushwell/error.h"
 #include "exchange_private.h"
 #include "group_headers.h"
 
-#define GROUP_TEXT_MAX 96
+#define GROUP_TEXT_MAX 128
+#define RECORDS_MAX 1000000		 /* more make no sense */
 #define SOFT_ALLOWANCE_MAX SECONDS(3600) /* more makes no sense */
 /* Fewer than HTTP_MAX_INTERIMS, as one says that the request was accepted. */
 #define MAX_INTERIMS (HTTP_MAX_INTERIMS - 2)
@@ -24,22 +26,37 @@
 	    value.size >= sizeof(text))
 		return false;
 	slice_to_text(value, text, sizeof(text));
-	if (sscanf(text, "%u %u %llx %lld", &group->group, &group->groups,
-		&hash, &soft_us) != 4)
+	if (sscanf(text, GROUP_FORMAT, &group->group, &group->groups, &hash,
+		&soft_us, &group->records, &group->max_attempts,
+		&group->priority) != GROUP_FIELDS)
 		return false;
 	group->targets_hash = hash;
 	group->soft_allowance = soft_us;
 	return group->groups > 0 && group->group < group->groups &&
-	    soft_us >= 0 && soft_us <= SOFT_ALLOWANCE_MAX;
+	    soft_us >= 0 && soft_us <= SOFT_ALLOWANCE_MAX &&
+	    group->records <= RECORDS_MAX && group->priority <= INT_MAX;
+}
+
+void
+group_served_text(const exchange_t *exchange, uint32_t group, uint32_t groups,
+    char text[SERVED_TEXT_MAX])
+{
+	snprintf(text, SERVED_TEXT_MAX, SERVED_FORMAT, group, groups,
+	    (unsigned long long)exchange->route->targets_hash,
+	    exchange->top_records);
 }
 
 void
 group_response_add(const exchange_t *exchange, buffer_t *head)
 {
 	const header_names_t *names = &exchange->engine->settings.headers;
+	char served[SERVED_TEXT_MAX];
 	bool first = true;
 
 	head_add_field(head, names->request_id, exchange->request_id);
+	group_served_text(
+	    exchange, exchange->shard_first, exchange->shard_step, served);
+	head_add_field(head, SERVED_HEADER, slice_from(served));
 	buffer_append_text(head, SHARDS_HEADER ": ");
 	for (uint32_t i = 0; i < exchange->task_count; i++) {
 		const task_t *task = &exchange->tasks[i];
--- a/source/gateway/exchange_start.c
+++ b/source/gateway/exchange_start.c
@@ -15,6 +15,7 @@
 #define DEADLINE_MARGIN_RATIO 0.04
 #define DEADLINE_MARGIN_MIN MS(8)
 #define DEADLINE_MARGIN_MAX MS(100)
+#define PEER_WAIT_MAX SECONDS(3600) /* more makes no sense */
 
 /* How long the client still waits; negative when it does not state that. */
 static int64_t
@@ -69,8 +70,8 @@
 {
 	int64_t wait_ms = stated_wait_ms(exchange);
 
-	exchange->deadline = exchange->received_at +
-	    MIN(exchange->route->timeout, MS(MAX(wait_ms, 1)));
+	exchange->deadline =
+	    exchange->received_at + CLAMP(MS(wait_ms), MS(1), PEER_WAIT_MAX);
 	exchange->soft_deadline = MIN(
 	    exchange->received_at + group->soft_allowance, exchange->deadline);
 }
@@ -219,9 +220,13 @@
 	if (exchange->route == NULL || exchange->route->target_count == 0) {
 		exchange->route = NULL;
 		*cause = "no_route";
-		return BW_E_NOT_FOUND;
+		/* Another gateway may have a version that adds the route. */
+		return exchange->is_for_peer ? BW_E_NOT_READY : BW_E_NOT_FOUND;
 	}
 	exchange->priority = exchange->route->priority;
+	exchange->min_share = exchange->route->min_share;
+	exchange->top_records = exchange->route->top_records;
+	exchange->max_attempts = exchange->route->max_attempts;
 	return 0;
 }
 
@@ -256,8 +261,10 @@
 }
 
 /*
- * Limits the exchange to the shards that a receiving node asks for. Returns 0,
- * or the error with which to refuse it.
+ * Limits the exchange to the shards that a receiving node asks for. The two
+ * nodes may have different versions of the configuration, so all but the shards
+ * themselves is as the receiving node states it. Returns 0, or the error with
+ * which to refuse it.
  */
 static int
 select_group(
@@ -275,6 +282,9 @@
 	exchange->shard_step = group->groups;
 	/* The receiving node decides which share is enough. */
 	exchange->min_share = 0.0;
+	exchange->top_records = group->records;
+	exchange->max_attempts = group->max_attempts;
+	exchange->priority = (int)group->priority;
 	exchange->engine->counters.groups_served++;
 	return 0;
 }
@@ -336,7 +346,7 @@
 {
 	if (exchange->route->kind == ROUTE_FANOUT)
 		exchange->records =
-		    gather_records_create(exchange->route->top_records);
+		    gather_records_create(exchange->top_records);
 	head_build_common(exchange);
 	groups_ask(exchange, now);
 	for (uint32_t i = 0; i < exchange->task_count; i++)
@@ -480,10 +490,8 @@
 	error = find_route(exchange, &cause);
 	if (error == 0)
 		error = find_customer(exchange, &cause);
-	if (error == 0) {
+	if (error == 0)
 		exchange->task_count = task_count;
-		exchange->min_share = exchange->route->min_share;
-	}
 	if (error == 0 && connection->is_peer)
 		error = select_group(exchange, group, &cause);
 	if (error == 0)
--- a/source/gateway/exchange_task.c
+++ b/source/gateway/exchange_task.c
@@ -18,7 +18,7 @@
 static uint32_t
 max_attempts(const task_t *task)
 {
-	uint32_t limit = task->exchange->route->max_attempts;
+	uint32_t limit = task->exchange->max_attempts;
 
 	/* A suspect request may crash each server that it is sent to. */
 	if (task->exchange->is_suspect)
--- a/source/gateway/gather.c
+++ b/source/gateway/gather.c
@@ -134,3 +134,16 @@
 		part.size -= GATHER_RECORD_BYTES;
 	}
 }
+
+bool
+gather_records_are_greatest(slice_t part, uint32_t wanted)
+{
+	size_t count = part.size / GATHER_RECORD_BYTES;
+
+	for (size_t i = 1; i < count; i++)
+		if (memcmp(part.data + (i - 1) * GATHER_RECORD_BYTES,
+			part.data + i * GATHER_RECORD_BYTES,
+			GATHER_RECORD_BYTES) < 0)
+			return false;
+	return count <= wanted;
+}
--- a/source/gateway/gather.h
+++ b/source/gateway/gather.h
@@ -59,6 +59,10 @@
  */
 gather_records_t *gather_records_create(uint32_t wanted);
 
+/** gather_records_are_greatest() - Whether @part can be the greatest @wanted
+ * records of a list: no more than these, in descending order. */
+bool gather_records_are_greatest(slice_t part, uint32_t wanted);
+
 /** gather_records_clear() - Removes all records. */
 void gather_records_clear(gather_records_t *records);
 
--- a/tests/lib/gateway_world.c
+++ b/tests/lib/gateway_world.c
@@ -191,6 +191,25 @@
 	return list;
 }
 
+/* Routes with random names, which no compression makes shorter. */
+static void
+add_more_routes(const gateway_world_t *world, json_t *routes)
+{
+	GRand *random = g_rand_new_with_seed(1);
+
+	for (int i = 0; i < world->more_routes; i++) {
+		char prefix[40];
+		json_t *route;
+
+		snprintf(prefix, sizeof(prefix), "/%08x%08x%08x%08x/",
+		    g_rand_int(random), g_rand_int(random), g_rand_int(random),
+		    g_rand_int(random));
+		route = build_single_route(world, prefix, "idempotent");
+		json_array_append_new(routes, route);
+	}
+	g_rand_free(random);
+}
+
 void
 world_configure(gateway_world_t *world)
 {
@@ -200,6 +219,7 @@
 	    build_split_route(world));
 	json_t *spec;
 
+	add_more_routes(world, routes);
 	world->version += 3; /* versions may skip numbers */
 	spec = json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version",
 	    world->version, "routes", routes, "services", build_services(world),
--- a/tests/lib/gateway_world.h
+++ b/tests/lib/gateway_world.h
@@ -37,6 +37,7 @@
 	double warm_up_rate;   /* of all services; 0: none */
 	int warm_up_left_ms;   /* of the servers that are registered next */
 	int top_k;	       /* records in the answers of /all/ */
+	int more_routes;       /* beside those that tests use */
 	int max_connections;   /* that each server accepts from all gateways */
 	const char *tenants;   /* JSON of the configuration; NULL: none */
 	uint32_t polls_before; /* the store's poll count before a check */
--- a/tests/test_gateway_decisions.c
+++ b/tests/test_gateway_decisions.c
@@ -168,6 +168,34 @@
 	g_rand_free(random);
 }
 
+/* Guards against a peer's list that leaves out greater records, or is longer
+ * than what was asked for. */
+static void
+only_falling_records_are_the_greatest(void **state)
+{
+	static const struct {
+		const char *records; /* the last byte of each; others are 0 */
+		uint32_t wanted;
+		bool expected;
+	} cases[] = {{"", 0, true}, {"a", 1, true}, {"a", 0, false},
+	    {"cba", 3, true}, {"ccb", 3, true}, {"cba", 2, false},
+	    {"bca", 3, false}, {"cab", 3, false}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char bytes[4 * GATHER_RECORD_BYTES] = {0};
+		size_t count = strlen(cases[i].records);
+
+		for (size_t j = 0; j < count; j++)
+			bytes[(j + 1) * GATHER_RECORD_BYTES - 1] =
+			    cases[i].records[j];
+		if (gather_records_are_greatest(
+			(slice_t){bytes, count * GATHER_RECORD_BYTES},
+			cases[i].wanted) != cases[i].expected)
+			fail_msg(
+			    "\"%s\" of %u", cases[i].records, cases[i].wanted);
+	}
+}
+
 /* A route may want more records than fit into any fixed list. */
 static void
 no_wanted_record_is_left_out(void **state)
@@ -595,6 +623,7 @@
 	    cmocka_unit_test(a_fanout_answers_when_it_should),
 	    cmocka_unit_test(too_many_missing_shards_fail_a_fanout),
 	    cmocka_unit_test(records_are_the_greatest_in_falling_order),
+	    cmocka_unit_test(only_falling_records_are_the_greatest),
 	    cmocka_unit_test(no_wanted_record_is_left_out),
 	    cmocka_unit_test(the_best_server_is_chosen),
 	    cmocka_unit_test(an_ejected_server_comes_back_after_a_connection),
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -19,6 +19,13 @@
 #define QUERIES 60
 #define QUERIES_WITHOUT_ONE (QUERIES / GATEWAYS * (GATEWAYS - 1))
 #define CLIENTS 4
+#define RECORD_BYTES 16
+#define SERVER_RECORDS 3 /* in the answer of each server */
+#define FEW_RECORDS 2
+#define ALL_RECORDS (WORLD_SHARDS * SERVER_RECORDS)
+/* Too many for the datagrams of a relay, so that each node reads a new version
+ * from the store. */
+#define MANY_ROUTES 3000
 
 static gateway_world_t *
 create_world(harness_t *harness)
@@ -390,6 +397,45 @@
 	return taken;
 }
 
+/* What a stand-in has to say that it answers: the request of the gateway names
+ * it. The caller frees it. */
+static char *
+served_header(stub_world_t *stub_world)
+{
+	unsigned group, groups, records;
+	unsigned long long hash;
+	long long soft_us;
+
+	set_stub_faults(stub_world, PLAIN_OVERLOADED);
+	for (int i = 0; i < QUERIES; i++) {
+		http_reply_t result = world_request(
+		    &stub_world->view, "GET", "/all/x", DEADLINE_MS, NULL);
+
+		http_reply_clear(&result);
+		for (int j = 0; j < STUBS; j++) {
+			plain_server_record_t record;
+			const char *header;
+
+			plain_server_get_record(stub_world->stubs[j], &record);
+			header =
+			    strstr(record.last_head, "Gateway-Shard-Group");
+			if (header == NULL)
+				continue;
+			assert_int_equal(
+			    sscanf(header,
+				"Gateway-Shard-Group: v2 %u %u "
+				"%llx %lld %u",
+				&group, &groups, &hash, &soft_us, &records),
+			    5);
+			return g_strdup_printf(
+			    "Gateway-Served-Group: %u %u %llx %u\r\n", group,
+			    groups, hash, records);
+		}
+	}
+	fail_msg("no stand-in was asked");
+	return NULL;
+}
+
 /* What a peer says of shards counts only in a sound answer. */
 static void
 a_broken_answer_of_a_peer_counts_for_nothing(void **state)
@@ -397,6 +443,7 @@
 	static const char shards[] =
 	    "Gateway-Shards: 0,1\r\n"
 	    "Bulrushwell-Part-Stamps: forged, forged\r\n";
+	char *served, *headers;
 	static const char *const names[] = {"an ordinary response",
 	    "status 000", "two blanks before the status",
 	    "a control byte in the name", "a blank in the name",
@@ -405,8 +452,10 @@
 	stub_world_t stub_world;
 
 	start_among_stubs(&stub_world, *state);
+	served = served_header(&stub_world);
+	headers = g_strconcat(served, shards, NULL);
 	for (int i = 0; i < STUBS; i++)
-		plain_server_set_headers(stub_world.stubs[i], shards);
+		plain_server_set_headers(stub_world.stubs[i], headers);
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		const answer_case_t *row = answer_line_case(names[i]);
 
@@ -415,6 +464,96 @@
 			    row->sound ? "not taken" : "taken");
 	}
 	stop_among_stubs(&stub_world);
+	g_free(headers);
+	g_free(served);
+}
+
+/* Guards against an answer that is merged although it is one to another
+ * question: of fewer records, of other shards, or of a version of the program
+ * that does not say. */
+static void
+an_answer_to_another_question_counts_for_nothing(void **state)
+{
+	static const char *const served[] = {"",
+	    "Gateway-Served-Group: 1 2 0 5\r\n", "Gateway-Served-Group: x\r\n"};
+	static const char shards[] =
+	    "Gateway-Shards: 0,1\r\n"
+	    "Bulrushwell-Part-Stamps: forged, forged\r\n";
+	stub_world_t stub_world;
+
+	start_among_stubs(&stub_world, *state);
+	for (size_t i = 0; i < G_N_ELEMENTS(served); i++) {
+		char *headers = g_strconcat(served[i], shards, NULL);
+
+		for (int j = 0; j < STUBS; j++)
+			plain_server_set_headers(stub_world.stubs[j], headers);
+		if (is_taken_from_a_stub(
+			&stub_world, answer_line_case("an ordinary response")))
+			fail_msg("\"%s\" is taken", served[i]);
+		g_free(headers);
+	}
+	stop_among_stubs(&stub_world);
+}
+
+static bool
+has_version(gateway_world_t *view)
+{
+	return world_metric(view, "config_version") == view->version;
+}
+
+/* Writes a version that only the first gateway can read. */
+static void
+configure_first_only(gateway_fleet_t *fleet)
+{
+	gateway_world_t view;
+
+	for (int i = 1; i < fleet->count; i++)
+		proxy_set_mode(fleet->gateways[i].store_proxy, PROXY_HOLD);
+	fleet->world->top_k = ALL_RECORDS;
+	world_configure(fleet->world);
+	view = fleet_gateway_world(fleet, 0);
+	assert_true(world_wait(has_version, &view, SETTLE_TIMEOUT_MS));
+	view = fleet_gateway_world(fleet, 1);
+	assert_false(has_version(&view));
+}
+
+/*
+ * Callers got answers without records that belong to them: a peer with an older
+ * version kept as many as that one says.
+ */
+static void
+peers_with_an_older_version_keep_all_records(void **state)
+{
+	gateway_fleet_t fleet = {0};
+	gateway_world_t *world = create_world(*state);
+	gateway_world_t view;
+	int64_t asked;
+
+	world->more_routes = MANY_ROUTES;
+	world->top_k = FEW_RECORDS;
+	world_configure(world);
+	fleet_prepare(&fleet, world, GATEWAYS);
+	fleet_start_all(&fleet);
+	wait_for_groups(&fleet);
+	configure_first_only(&fleet);
+	view = fleet_gateway_world(&fleet, 0);
+	asked = world_metric(&view, "groups_asked_total");
+	for (int i = 0; i < QUERIES; i++) {
+		http_reply_t result =
+		    world_request(&view, "GET", "/all/x", DEADLINE_MS, NULL);
+
+		assert_int_equal(result.status, 200);
+		assert_string_equal(
+		    http_reply_header(&result, "bulrushwell-missing-parts"),
+		    "0");
+		if (result.body->len != ALL_RECORDS * RECORD_BYTES)
+			fail_msg("%u bytes of records", result.body->len);
+		http_reply_clear(&result);
+	}
+	assert_true(world_metric(&view, "groups_asked_total") > asked);
+	assert_int_equal(world_metric(&view, "groups_resumed_total"), 0);
+	fleet_destroy(&fleet);
+	world_destroy(world);
 }
 
 /*
@@ -465,13 +604,18 @@
 	    "",
 	    "Gateway-Shard-Group: \r\n",
 	    "Gateway-Shard-Group: x\r\n",
-	    "Gateway-Shard-Group: 0 0 0 0\r\n",
-	    "Gateway-Shard-Group: 2 2 0 0\r\n",
-	    "Gateway-Shard-Group: 0 2 0 -5\r\n",
-	    "Gateway-Shard-Group: 0 2 abc 1000\r\n", /* other shards */
-	    "Gateway-Shard-Group: 0 2\r\n",
-	    "Gateway-Shard-Group: 0 2 0 9223372036854775807\r\n",
-	    "Gateway-Shard-Group: 99999999999 99999999999 1 1\r\n",
+	    "Gateway-Shard-Group: v2 0 0 0 0 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 2 2 0 0 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 -5 5 2 1\r\n",
+	    /* other shards */
+	    "Gateway-Shard-Group: v2 0 2 abc 1000 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 1000 5 2\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 1000 4000000000 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 9223372036854775807 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 99999999999 99999999999 1 1 5 2 1\r\n",
+	    /* of an earlier version of the program */
+	    "Gateway-Shard-Group: 0 2 abc 1000\r\n",
 	    "Gateway-Shard-Group: 0 2 11111111111111111111111111111111111111"
 	    "111111111111111111111111111111111111111111111111111 1000\r\n",
 	};
@@ -499,8 +643,8 @@
 	char *response;
 
 	world_send_text(fd,
-	    WORLD_REQUEST(
-		"GET", "/all/x", "Gateway-Shard-Group: 0 2 0 100000\r\n"));
+	    WORLD_REQUEST("GET", "/all/x",
+		"Gateway-Shard-Group: v2 0 2 0 100000 5 2 1\r\n"));
 	response = world_receive(fd, "\r\n\r\n", DEADLINE_MS);
 	assert_non_null(strstr(response, "HTTP/1.1 200"));
 	assert_non_null(strstr(response, "Bulrushwell-Missing-Parts: 0"));
@@ -584,6 +728,8 @@
 	    HARNESS_TEST(a_failing_serving_node_costs_no_answer),
 	    HARNESS_TEST(whatever_a_peer_answers_the_query_is_whole),
 	    HARNESS_TEST(a_broken_answer_of_a_peer_counts_for_nothing),
+	    HARNESS_TEST(an_answer_to_another_question_counts_for_nothing),
+	    HARNESS_TEST(peers_with_an_older_version_keep_all_records),
 	    HARNESS_TEST(a_peer_that_falls_silent_is_not_waited_for),
 	    HARNESS_TEST(group_requests_that_make_no_sense_are_refused),
 	    HARNESS_TEST(clients_can_not_ask_for_a_group),
