--- a/include/bulrushwell/event.h
+++ b/include/bulrushwell/event.h
@@ -103,6 +103,9 @@
 	    "the node can't tell whether its configuration is the store's")    \
 	X(CONFIG_CONFIRMED, 1038, INFO,                                        \
 	    "the node's configuration is the store's again")                   \
+	X(NODE_ENTRY_LOST, 1039, WARN,                                         \
+	    "the store may have lost this node's entry, which is written "     \
+	    "again")                                                           \
 	X(REQUEST_ANSWERED, 1100, INFO, "a request was answered")              \
 	X(REQUEST_FAILED, 1101, WARN, "a request was refused or failed")       \
 	X(ATTEMPT_FAILED, 1102, WARN, "an attempt on a server failed")         \
--- a/source/gateway/cold_senders.c
+++ b/source/gateway/cold_senders.c
@@ -18,6 +18,12 @@
 	sender->lists = listed ? sender->lists + 1 : 0;
 }
 
+void
+cold_sender_unlisted(cold_sender_t *sender)
+{
+	sender->lists = 0;
+}
+
 void
 cold_sender_recalled(
     cold_sender_t *sender, usec_t renewed_at, usec_t returned_at)
--- a/source/gateway/cold_senders.h
+++ b/source/gateway/cold_senders.h
@@ -65,6 +65,10 @@
 void cold_sender_listed(
     cold_sender_t *sender, bool listed, uint32_t entries, uint32_t older);
 
+/** cold_sender_unlisted() - The store may have lost the node's entry; it is no
+ * sender until lists contain it again. */
+void cold_sender_unlisted(cold_sender_t *sender);
+
 /**
  * cold_sender_recalled() - The process before has written the entry at
  * @renewed_at, on the clock of this process.
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -520,6 +520,19 @@
 	fake_server_wake_all(store->http_server);
 }
 
+bool
+object_store_has(object_store_t *store, const char *kind, const char *name)
+{
+	const stored_object_t *stored;
+	bool exists;
+
+	g_mutex_lock(&store->lock);
+	stored = find_object(store, kind, name);
+	exists = stored != NULL && !stored->removed;
+	g_mutex_unlock(&store->lock);
+	return exists;
+}
+
 void
 object_store_remove(object_store_t *store, const char *kind, const char *name)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -53,6 +53,10 @@
 void object_store_put_text(object_store_t *store, const char *kind,
     const char *name, const char *text);
 
+/** object_store_has() - Whether the object exists. */
+bool object_store_has(
+    object_store_t *store, const char *kind, const char *name);
+
 /** object_store_remove() - Removes an object, if it exists. */
 void object_store_remove(
     object_store_t *store, const char *kind, const char *name);
--- a/tests/test_process_gateway_era.c
+++ b/tests/test_process_gateway_era.c
@@ -204,6 +204,67 @@
 	world_destroy(world);
 }
 
+/* All write their entries again within a second, spread, after they have heard
+ * of the era: relays by their probes, others from them. */
+#define ENTRIES_TIMEOUT_MS 4000
+#define LISTS_MS 24000 /* by then each node has read all entries again */
+#define NODES (FLEET_GATEWAYS + 1) /* the world's own gateway is one, too */
+/* Of a node: its renewal is refused, as the entry is gone, and it is created.
+ */
+#define ENTRY_WRITES_MAX (2 * NODES)
+
+static void
+wait_for_entries(const gateway_fleet_t *fleet)
+{
+	gint64 deadline = g_get_monotonic_time() + ENTRIES_TIMEOUT_MS * 1000;
+
+	for (int i = 0; i < fleet->count; i++)
+		while (!object_store_has(
+		    fleet->world->store, "nodes", fleet->gateways[i].name)) {
+			if (g_get_monotonic_time() > deadline)
+				fail_msg(
+				    "g%d has not written its entry again", i);
+			g_usleep(POLL_STEP_MS * 1000);
+		}
+}
+
+/*
+ * A customer got several times its rate: each node took itself for the only one
+ * and granted the whole. Guards against entries that stay lost until their next
+ * renewal, and against a list without them that counts.
+ */
+static void
+nodes_write_their_lost_entries_and_count_each_other(void **state)
+{
+	gateway_world_t *world = create_world(*state);
+	gateway_fleet_t fleet = {0};
+	uint32_t writes;
+
+	object_store_copy(world->store);
+	fleet_create(&fleet, world);
+	wait_for_roles(&fleet);
+	wait_for_entries(&fleet);
+	for (int i = 0; i < fleet.count; i++)
+		assert_int_equal(read_metric(&fleet, i, "nodes"), NODES);
+	writes = object_store_write_count(world->store, "nodes");
+	object_store_restore(world->store, AWAY_MS);
+	for (int i = 0; i < fleet.count; i++)
+		assert_false(object_store_has(
+		    world->store, "nodes", fleet.gateways[i].name));
+	wait_for_entries(&fleet);
+	for (int i = 0; i < LISTS_MS / 500; i++) {
+		for (int j = 0; j < fleet.count; j++)
+			assert_int_equal(
+			    read_metric(&fleet, j, "nodes"), NODES);
+		g_usleep(500 * 1000);
+	}
+	writes = object_store_write_count(world->store, "nodes") - writes;
+	if (writes > ENTRY_WRITES_MAX)
+		fail_msg("%u writes of entries", writes);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
 static bool
 has_adopted_config(gateway_world_t *world)
 {
@@ -236,6 +297,7 @@
 		all_nodes_hear_of_what_is_written_after_the_store_came_back),
 	    HARNESS_TEST(nodes_that_missed_the_return_agree_again),
 	    HARNESS_TEST(a_second_return_is_noticed),
+	    HARNESS_TEST(nodes_write_their_lost_entries_and_count_each_other),
 	    HARNESS_TEST(an_era_that_is_not_stated_hides_nothing),
 	};
 
