Play versions in series through returns of the store, without relays

Reproduced with nodes that read the store themselves: while it is away, a version and other changes are written, so that its revision is past what the nodes know when it comes back. Their polls from there were answered with what follows that number in the new history, without 410.

What process tests of fleets share moved to tests/lib/gateway_fleet.

--- a/tests/lib/gateway_fleet.c
+++ b/tests/lib/gateway_fleet.c
@@ -3,6 +3,12 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "runner.h"
+
+#define ROLES_TIMEOUT_MS 12000
+#define POLL_STEP_MS 20
+#define ROLE_METRIC_MAX 64
+
 void
 fleet_start(gateway_fleet_t *fleet, int gateway)
 {
@@ -64,6 +70,46 @@
 	return view;
 }
 
+int64_t
+fleet_metric(const gateway_fleet_t *fleet, int gateway, const char *name)
+{
+	gateway_world_t view = fleet_gateway_world(fleet, gateway);
+
+	return world_metric(&view, name);
+}
+
+bool
+fleet_has_role(const gateway_fleet_t *fleet, int gateway, const char *role)
+{
+	char name[ROLE_METRIC_MAX];
+
+	snprintf(name, sizeof(name), "peer_role{role=\"%s\"}", role);
+	return fleet_metric(fleet, gateway, name) == 1;
+}
+
+static bool
+have_roles(const gateway_fleet_t *fleet)
+{
+	for (int i = 0; i < fleet->count; i++)
+		if (!fleet_has_role(
+			fleet, i, i < FLEET_RELAYS ? "relay" : "follower"))
+			return false;
+	return true;
+}
+
+void
+fleet_wait_for_roles(const gateway_fleet_t *fleet)
+{
+	gint64 deadline = g_get_monotonic_time() + ROLES_TIMEOUT_MS * 1000;
+
+	while (!have_roles(fleet)) {
+		if (g_get_monotonic_time() > deadline)
+			fail_msg("the nodes did not become relays and "
+				 "followers in time");
+		g_usleep(POLL_STEP_MS * 1000);
+	}
+}
+
 void
 fleet_destroy(gateway_fleet_t *fleet)
 {
--- a/tests/lib/gateway_fleet.h
+++ b/tests/lib/gateway_fleet.h
@@ -14,6 +14,7 @@
  */
 
 #define FLEET_GATEWAYS 5 /* two relays and three followers */
+#define FLEET_RELAYS 2
 #define FLEET_MAX 8
 
 typedef struct {
@@ -59,6 +60,18 @@
  */
 gateway_world_t fleet_gateway_world(const gateway_fleet_t *fleet, int gateway);
 
+/** fleet_metric() - A metric of a gateway, see world_metric(). */
+int64_t fleet_metric(
+    const gateway_fleet_t *fleet, int gateway, const char *name);
+
+/** fleet_has_role() - Whether a gateway is "alone", "relay" or "follower". */
+bool fleet_has_role(
+    const gateway_fleet_t *fleet, int gateway, const char *role);
+
+/** fleet_wait_for_roles() - Waits until the first FLEET_RELAYS gateways are
+ * relays, and the others followers. */
+void fleet_wait_for_roles(const gateway_fleet_t *fleet);
+
 /** fleet_destroy() - Kills all gateways; the world is not destroyed. */
 void fleet_destroy(gateway_fleet_t *fleet);
 
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -659,7 +659,7 @@
 }
 
 void
-object_store_restore(object_store_t *store, int away_ms)
+object_store_begin_restore(object_store_t *store)
 {
 	object_store_set_fault(store, STORE_CLOSING);
 	g_mutex_lock(&store->lock);
@@ -669,6 +669,12 @@
 	store->era++;
 	g_mutex_unlock(&store->lock);
 	fake_server_wake_all(store->http_server);
+}
+
+void
+object_store_restore(object_store_t *store, int away_ms)
+{
+	object_store_begin_restore(store);
 	g_usleep((gulong)away_ms * 1000);
 	object_store_set_fault(store, STORE_SERVING);
 }
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -91,10 +91,14 @@
 void object_store_copy(object_store_t *store);
 
 /**
- * object_store_restore() - The store comes back from its copy, in a new era.
- * Ends all calls without a response and refuses further ones for @away_ms. What
- * was written since the copy is gone; a watch from a later revision gets 410.
+ * object_store_begin_restore() - The store is replaced by its copy, in a new
+ * era. Ends all calls without a response and refuses further ones until its
+ * fault is set again. What was written since the copy is gone; a watch from a
+ * later revision gets 410.
  */
+void object_store_begin_restore(object_store_t *store);
+
+/** object_store_restore() - The same; the store is back after @away_ms. */
 void object_store_restore(object_store_t *store, int away_ms);
 
 /** object_store_hide_news() - From now on, or no longer, watches that may be
--- a/tests/test_process_gateway_era.c
+++ b/tests/test_process_gateway_era.c
@@ -5,6 +5,7 @@
  * revision is higher, and against a flood of calls.
  */
 #include "lib/gateway_fleet.h"
+#include "lib/random.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -14,11 +15,9 @@
 #define APPLY_TIMEOUT_MS 3000
 #define POLL_STEP_MS 20
 #define LOST_CHANGES 30 /* which the store loses with its copy */
-#define ROLES_TIMEOUT_MS 12000
 #define CUT_MS 4500
 #define SETTLED_MS 2500
 #define EVACUATE_FLAG "--evacuate-ms=5000"
-#define RELAYS 2
 /*
  * Of a fleet, from the drill until it has settled: relays probe each 0.5 s,
  * each node lists three kinds in up to three pages and renews its polls, and
@@ -35,37 +34,6 @@
 	return world;
 }
 
-static int64_t
-read_metric(const gateway_fleet_t *fleet, int gateway, const char *name)
-{
-	gateway_world_t view = fleet_gateway_world(fleet, gateway);
-
-	return world_metric(&view, name);
-}
-
-static bool
-has_role(const gateway_fleet_t *fleet, int gateway, const char *role)
-{
-	char name[64];
-
-	snprintf(name, sizeof(name), "peer_role{role=\"%s\"}", role);
-	return read_metric(fleet, gateway, name) == 1;
-}
-
-/* Waits until the first two gateways are relays, and the others followers. */
-static void
-wait_for_roles(const gateway_fleet_t *fleet)
-{
-	gint64 deadline = g_get_monotonic_time() + ROLES_TIMEOUT_MS * 1000;
-
-	for (int i = 0; i < fleet->count; i++)
-		while (!has_role(fleet, i, i < RELAYS ? "relay" : "follower")) {
-			if (g_get_monotonic_time() > deadline)
-				fail_msg("g%d has another role", i);
-			g_usleep(POLL_STEP_MS * 1000);
-		}
-}
-
 /* What a gateway has to know. */
 typedef struct {
 	int version;
@@ -109,6 +77,16 @@
 		world_register(world, i % WORLD_SERVERS, "ready");
 }
 
+/* Starts a fleet whose store will lose what was written just now. */
+static void
+start_fleet(gateway_fleet_t *fleet, gateway_world_t *world)
+{
+	fleet_create(fleet, world);
+	fleet_wait_for_roles(fleet);
+	object_store_copy(world->store);
+	write_lost_changes(world);
+}
+
 /* Writes a version, the leave of a server and an evacuation. */
 static knowledge_t
 write_news(gateway_world_t *world, int drills)
@@ -134,10 +112,7 @@
 	knowledge_t expected;
 	uint64_t calls;
 
-	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
-	object_store_copy(world->store);
-	write_lost_changes(world);
+	start_fleet(&fleet, world);
 	g_usleep(SETTLED_MS * 1000);
 	calls = object_store_call_count(world->store);
 	object_store_restore(world->store, AWAY_MS);
@@ -160,10 +135,7 @@
 	gateway_fleet_t fleet = {0};
 	knowledge_t expected;
 
-	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
-	object_store_copy(world->store);
-	write_lost_changes(world);
+	start_fleet(&fleet, world);
 	g_usleep(SETTLED_MS * 1000);
 	proxy_set_mode(fleet.gateways[0].store_proxy, PROXY_HOLD);
 	proxy_set_mode(fleet.gateways[3].store_proxy, PROXY_HOLD);
@@ -181,18 +153,216 @@
 	world_destroy(world);
 }
 
-/* Guards against one return of the store that hides the next one. */
+/* A data centre in which each node reads the store itself. */
+#define FEW_GATEWAYS 3
+#define REWRITES (LOST_CHANGES + 10)
+
 static void
-a_second_return_is_noticed(void **state)
+start_few(gateway_fleet_t *fleet, gateway_world_t *world)
+{
+	fleet_prepare(fleet, world, FEW_GATEWAYS);
+	fleet_start_all(fleet);
+	for (int i = 0; i < fleet->count; i++)
+		assert_true(fleet_has_role(fleet, i, "alone"));
+}
+
+/*
+ * Callers got answers of an old version until the next one: while the store was
+ * away, the operator wrote a version and the servers their entries, so that its
+ * revision was past what each node knew when it came back. Its answers to polls
+ * from there held none of that, and no 410.
+ */
+static void
+a_version_is_not_hidden_by_revisions_given_out_again(void **state)
 {
 	gateway_world_t *world = create_world(*state);
 	gateway_fleet_t fleet = {0};
 	knowledge_t expected;
 
-	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	start_few(&fleet, world);
 	object_store_copy(world->store);
 	write_lost_changes(world);
+	g_usleep(SETTLED_MS * 1000);
+	object_store_begin_restore(world->store);
+	expected = write_news(world, 1);
+	for (int i = 0; i < REWRITES; i++)
+		world_register(world, 1 + i % (WORLD_SERVERS - 1), "ready");
+	g_usleep(AWAY_MS * 1000);
+	object_store_set_fault(world->store, STORE_SERVING);
+	wait_for_all(&fleet, &expected);
+	fleet_destroy(&fleet);
+	world_destroy(world);
+}
+
+/*
+ * A series of versions through returns of the store, cuts of nodes and changes
+ * of servers, at random moments. BW_SEED is the first seed, BW_STEPS the number
+ * of rounds.
+ */
+#define DEFAULT_SEED 300
+#define DEFAULT_ROUNDS 2
+#define CONFIG_APPLY_FLAG "--config-apply-ms=3000"
+#define APPLY_SLACK_MS 150 /* of reading the metrics of all nodes */
+#define CONTACT_MS 4000
+#define VERSIONS_MAX 512
+
+typedef struct {
+	gateway_world_t *world;
+	gateway_fleet_t fleet;
+	GRand *random;
+	gint64 acked_at[VERSIONS_MAX]; /* of the versions, in their order */
+	int versions[VERSIONS_MAX];
+	int count;
+	int copied_count;     /* of the versions that the copy has */
+	gint64 store_calm_at; /* when it was disturbed last */
+	gint64 node_calm_at[FEW_GATEWAYS];
+	int cut;      /* node that does not reach the store; -1: none */
+	bool is_over; /* no further versions are written */
+} series_t;
+
+static void
+write_version(series_t *series)
+{
+	g_assert(series->count < VERSIONS_MAX);
+	world_configure(series->world);
+	series->versions[series->count] = series->world->version;
+	series->acked_at[series->count++] = g_get_monotonic_time();
+}
+
+/* The least version that a node in touch must have; 0: none. */
+static int
+owed_version(const series_t *series, gint64 now)
+{
+	gint64 before = now - (APPLY_TIMEOUT_MS + APPLY_SLACK_MS) * 1000;
+
+	for (int i = series->count - 1; i >= 0; i--)
+		if (series->acked_at[i] <= before)
+			return series->versions[i];
+	return 0;
+}
+
+static void
+check_versions(const series_t *series)
+{
+	for (int i = 0; i < FEW_GATEWAYS; i++) {
+		gint64 now = g_get_monotonic_time();
+		gint64 calm_at =
+		    MAX(series->store_calm_at, series->node_calm_at[i]);
+		int owed = owed_version(series, now);
+		int64_t version;
+
+		if (i == series->cut || now - calm_at < CONTACT_MS * 1000)
+			continue;
+		version = fleet_metric(&series->fleet, i, "config_version");
+		if (version < owed)
+			fail_msg("g%d has version %lld, owed %d", i,
+			    (long long)version, owed);
+	}
+}
+
+/* Lets time pass, with versions and changes of servers, and checks meanwhile.
+ */
+static void
+play_series(series_t *series, int ms)
+{
+	gint64 end = g_get_monotonic_time() + ms * 1000;
+
+	while (g_get_monotonic_time() < end) {
+		int pause = g_rand_int_range(series->random, 50, 600);
+
+		if (!series->is_over &&
+		    g_rand_int_range(series->random, 0, 2) == 0)
+			write_version(series);
+		for (int i = g_rand_int_range(series->random, 0, 4); i > 0; i--)
+			world_register(series->world,
+			    g_rand_int_range(series->random, 0, WORLD_SERVERS),
+			    "ready");
+		check_versions(series);
+		g_usleep((gulong)pause * 1000);
+	}
+}
+
+static void
+cut_node(series_t *series, int node, bool cut)
+{
+	proxy_set_mode(series->fleet.gateways[node].store_proxy,
+	    cut ? PROXY_HOLD : PROXY_PASS);
+	series->cut = cut ? node : -1;
+	series->node_calm_at[node] = g_get_monotonic_time();
+}
+
+/* What was lost is written again in another order, with a later version. A
+ * version that was lost is owed no more. */
+static void
+play_return(series_t *series)
+{
+	int writes = g_rand_int_range(series->random, 1, 40);
+	int config_at = g_rand_int_range(series->random, 0, writes);
+
+	object_store_begin_restore(series->world->store);
+	series->count = series->copied_count;
+	for (int i = 0; i < writes; i++) {
+		if (i == config_at)
+			write_version(series);
+		world_register(series->world, i % WORLD_SERVERS, "ready");
+	}
+	g_usleep((gulong)g_rand_int_range(series->random, 50, 500) * 1000);
+	object_store_set_fault(series->world->store, STORE_SERVING);
+	series->store_calm_at = g_get_monotonic_time();
+}
+
+static void
+play_round(series_t *series)
+{
+	int node = g_rand_int_range(series->random, 0, FEW_GATEWAYS);
+	bool cuts = g_rand_int_range(series->random, 0, 2) == 0;
+
+	object_store_copy(series->world->store);
+	series->copied_count = series->count;
+	if (cuts)
+		cut_node(series, node, true);
+	play_series(series, g_rand_int_range(series->random, 200, 4000));
+	play_return(series);
+	/* A later version would hide that one was missed. */
+	series->is_over = g_rand_int_range(series->random, 0, 2) == 0;
+	play_series(series, g_rand_int_range(series->random, 100, 2500));
+	if (cuts)
+		cut_node(series, node, false);
+	play_series(series, CONTACT_MS + APPLY_TIMEOUT_MS + 500);
+}
+
+/* Guards against a version in a quick series that a node in touch misses. */
+static void
+a_series_of_versions_is_followed_through_returns(void **state)
+{
+	uint32_t seed = (uint32_t)environment_number("BW_SEED", DEFAULT_SEED);
+	uint64_t rounds = environment_number("BW_STEPS", DEFAULT_ROUNDS);
+
+	for (uint64_t i = 0; i < rounds; i++, seed++) {
+		series_t series = {.random = g_rand_new_with_seed(seed),
+		    .cut = -1,
+		    .world = world_create_with_flag(*state, CONFIG_APPLY_FLAG)};
+
+		print_message("seed %u\n", seed);
+		object_store_state_era(series.world->store, "");
+		series.store_calm_at = g_get_monotonic_time();
+		start_few(&series.fleet, series.world);
+		play_round(&series);
+		fleet_destroy(&series.fleet);
+		world_destroy(series.world);
+		g_rand_free(series.random);
+	}
+}
+
+/* Guards against one return of the store that hides the next one. */
+static void
+a_second_return_is_noticed(void **state)
+{
+	gateway_world_t *world = create_world(*state);
+	gateway_fleet_t fleet = {0};
+	knowledge_t expected;
+
+	start_fleet(&fleet, world);
 	object_store_restore(world->store, AWAY_MS);
 	write_lost_changes(world);
 	write_lost_changes(world);
@@ -242,10 +412,10 @@
 
 	object_store_copy(world->store);
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	wait_for_entries(&fleet);
 	for (int i = 0; i < fleet.count; i++)
-		assert_int_equal(read_metric(&fleet, i, "nodes"), NODES);
+		assert_int_equal(fleet_metric(&fleet, i, "nodes"), NODES);
 	writes = object_store_write_count(world->store, "nodes");
 	object_store_restore(world->store, AWAY_MS);
 	for (int i = 0; i < fleet.count; i++)
@@ -255,7 +425,7 @@
 	for (int i = 0; i < LISTS_MS / 500; i++) {
 		for (int j = 0; j < fleet.count; j++)
 			assert_int_equal(
-			    read_metric(&fleet, j, "nodes"), NODES);
+			    fleet_metric(&fleet, j, "nodes"), NODES);
 		g_usleep(500 * 1000);
 	}
 	writes = object_store_write_count(world->store, "nodes") - writes;
@@ -296,6 +466,8 @@
 	    HARNESS_TEST(
 		all_nodes_hear_of_what_is_written_after_the_store_came_back),
 	    HARNESS_TEST(nodes_that_missed_the_return_agree_again),
+	    HARNESS_TEST(a_version_is_not_hidden_by_revisions_given_out_again),
+	    HARNESS_TEST(a_series_of_versions_is_followed_through_returns),
 	    HARNESS_TEST(a_second_return_is_noticed),
 	    HARNESS_TEST(nodes_write_their_lost_entries_and_count_each_other),
 	    HARNESS_TEST(an_era_that_is_not_stated_hides_nothing),
--- a/tests/test_process_gateway_peers.c
+++ b/tests/test_process_gateway_peers.c
@@ -13,8 +13,6 @@
 
 #include "../source/peers/peer_message.h"
 
-#define RELAYS 2
-#define ROLES_TIMEOUT_MS 12000
 /* A draining server must get no more requests after 5 s. A node needs 1.5 s of
  * this time after it has learned of the change. */
 #define UPDATE_TIMEOUT_MS 3500
@@ -34,38 +32,6 @@
 #define AFTER_START_MS 1000  /* by then a node has entered the registry */
 #define CHANGE_PAUSE_MS 2200 /* exceeds a node's delay after a change */
 
-static int64_t
-read_metric(const gateway_fleet_t *fleet, int gateway, const char *name)
-{
-	gateway_world_t view = fleet_gateway_world(fleet, gateway);
-
-	return world_metric(&view, name);
-}
-
-static bool
-have_roles(const gateway_fleet_t *fleet)
-{
-	for (int i = 0; i < FLEET_GATEWAYS; i++)
-		if (read_metric(fleet, i,
-			i < RELAYS ? "peer_role{role=\"relay\"}"
-				   : "peer_role{role=\"follower\"}") != 1)
-			return false;
-	return true;
-}
-
-static void
-wait_for_roles(const gateway_fleet_t *fleet)
-{
-	gint64 deadline = g_get_monotonic_time() + ROLES_TIMEOUT_MS * 1000;
-
-	while (!have_roles(fleet)) {
-		if (g_get_monotonic_time() > deadline)
-			fail_msg("the nodes did not become relays and "
-				 "followers in time");
-		g_usleep(POLL_STEP_MS * 1000);
-	}
-}
-
 static bool
 is_up_to_date(const gateway_fleet_t *fleet, int gateway, int leaving_count)
 {
@@ -143,13 +109,13 @@
 {
 	/* The first odd entry is reported at once, the others after a pause. */
 	uint32_t changes = CHANGES + (row->has_odd_entries ? 2 : 0);
-	uint32_t max_polls = RELAYS * changes;
+	uint32_t max_polls = FLEET_RELAYS * changes;
 	gateway_world_t *world = world_create(harness);
 	gateway_fleet_t fleet = {0};
 	uint32_t config_polls, server_polls;
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	harness_kill(world->harness, world->gateway);
 	object_store_set_fault(world->store, row->fault);
 	config_polls = object_store_poll_count(world->store, "config");
@@ -261,10 +227,10 @@
 
 	fleet_create(&fleet, world);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		wait_for_roles(&fleet);
+		fleet_wait_for_roles(&fleet);
 		inject_fault(&fleet, &cases[i]);
 		publish_change(&fleet, (int)i);
-		wait_for_update(&fleet, RELAYS, 1, cases[i].situation);
+		wait_for_update(&fleet, FLEET_RELAYS, 1, cases[i].situation);
 		world_register(world, (int)i, "ready");
 		clear_fault(&fleet, &cases[i]);
 		wait_for_update(&fleet, 0, 0, "after the fault");
@@ -315,7 +281,7 @@
 	snprintf(situation, sizeof(situation),
 	    "reconnected to the store after %d ms", disconnect_ms);
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	proxy_set_mode(fleet.gateways[last].store_proxy, PROXY_HOLD);
 	write_many_entries(world);
 	g_usleep((gulong)disconnect_ms * 1000);
@@ -342,14 +308,14 @@
 	gateway_fleet_t fleet = {0};
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	object_store_set_fault(world->store, STORE_SILENT);
 	g_usleep(2500 * 1000);
 	publish_change(&fleet, 0);
 	object_store_compact(world->store);
 	object_store_set_fault(world->store, STORE_SERVING);
 	wait_for_update(&fleet, 0, 1, "after the outage");
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	fleet_destroy(&fleet);
 	world_destroy(world);
 }
@@ -368,11 +334,11 @@
 	uint32_t writes;
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	writes = object_store_write_count(world->store, "nodes");
 	harness_kill(world->harness, last->process);
 	fleet_start(&fleet, FLEET_GATEWAYS - 1);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	assert_int_equal(
 	    object_store_write_count(world->store, "nodes"), writes);
 	harness_kill(world->harness, last->process);
@@ -417,7 +383,7 @@
 	gateway_fleet_t fleet = {0};
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		uint32_t before;
 
@@ -447,7 +413,7 @@
 	gateway_fleet_t fleet = {0};
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	world_fault_service(world, WORLD_ONE, PLAIN_RESET, 3);
 	for (int i = 0; i < 3; i++)
 		request_status(&fleet, 0, "/one/lost");
@@ -491,7 +457,7 @@
 	GThread *clients[CLIENTS];
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	for (int i = 0; i < WORLD_REPLICAS; i++)
 		plain_server_set_delay(world->servers[replica + i], WORK_MS);
 	for (int i = 0; i < CLIENTS; i++)
@@ -540,14 +506,14 @@
 	writer_t writer;
 
 	fleet_create(&fleet, world);
-	wait_for_roles(&fleet);
+	fleet_wait_for_roles(&fleet);
 	writer_init(&writer);
 	peer_message_encode(&forged, &writer);
 	for (int i = 0; i < FLEET_GATEWAYS; i++) {
 		const char *address = fleet.gateways[i].peers;
 
 		rejected[i] =
-		    read_metric(&fleet, i, "peer_datagrams_rejected_total");
+		    fleet_metric(&fleet, i, "peer_datagrams_rejected_total");
 
 		send_datagram(fd, address,
 		    (slice_t){writer.buffer.data, writer.buffer.size});
@@ -557,7 +523,7 @@
 	wait_for_update(&fleet, 0, 1, "after datagrams of unlisted senders");
 	for (int i = 0; i < FLEET_GATEWAYS; i++)
 		assert_int_equal(
-		    read_metric(&fleet, i, "peer_datagrams_rejected_total"),
+		    fleet_metric(&fleet, i, "peer_datagrams_rejected_total"),
 		    rejected[i] + 2);
 	writer_free(&writer);
 	close(fd);
