Read requests between gateways and stated eras strictly

Change: fields of digits only with one blank between them, nothing behind; a header that is there twice counts as none. Eras of a datagram come for all topics and up to what the header can state. The search for several headers of a name is http_message_count() now, for keys as well.

--- a/include/bulrushwell/store_position.h
+++ b/include/bulrushwell/store_position.h
@@ -19,6 +19,9 @@
 /* The store has not stated its era, or in a way that can't be read. */
 #define STORE_ERA_UNKNOWN INT64_C(-1)
 
+/* The greatest era that can be stated. */
+#define STORE_ERA_MAX INT64_C(999999999999999999)
+
 /**
  * typedef store_position_t - A moment in the store's history.
  * @era: 0 for a store that states none
--- a/source/base/store_position.c
+++ b/source/base/store_position.c
@@ -1,6 +1,6 @@
 #include "bulrushwell/store_position.h"
 
-#define ERA_DIGITS_MAX 18 /* fit into an int64_t */
+#define ERA_DIGITS_MAX 18 /* of STORE_ERA_MAX */
 
 int
 store_position_compare(store_position_t a, store_position_t b)
--- a/source/gateway/exchange_customer.c
+++ b/source/gateway/exchange_customer.c
@@ -26,21 +26,6 @@
 		exchange->priority = priority;
 }
 
-/* Finds the last header of this name. Returns how many there are. */
-static uint32_t
-find_last(const http_message_t *request, const char *name, slice_t *value)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < request->header_count; i++) {
-		if (!http_header_is(http_header_name(request, i), name))
-			continue;
-		*value = http_header_value(request, i);
-		count++;
-	}
-	return count;
-}
-
 static int
 refuse_key(exchange_t *exchange, const char *reason, const char **cause)
 {
@@ -60,7 +45,8 @@
 	if (!route_table_has_customers(exchange->table) ||
 	    exchange->route->is_public)
 		return 0;
-	count = find_last(exchange->request, AUTHORIZATION_HEADER, &value);
+	count =
+	    http_message_count(exchange->request, AUTHORIZATION_HEADER, &value);
 	if (count == 0)
 		return refuse_key(exchange, "no_key", cause);
 	if (count > 1 || !customer_key_read(value, &key))
@@ -95,7 +81,8 @@
 {
 	slice_t value, name;
 	int priority;
-	uint32_t count = find_last(exchange->request, CUSTOMER_HEADER, &value);
+	uint32_t count =
+	    http_message_count(exchange->request, CUSTOMER_HEADER, &value);
 
 	choose_dropped_headers(exchange);
 	if (count == 0)
--- a/source/gateway/exchange_group_response.c
+++ b/source/gateway/exchange_group_response.c
@@ -87,7 +87,7 @@
 
 	group_served_text(
 	    exchange, group->group, exchange->group_count, expected);
-	return http_message_find(response, SERVED_HEADER, &served) &&
+	return http_message_find_single(response, SERVED_HEADER, &served) &&
 	    slice_is(served, expected) &&
 	    gather_records_are_greatest(records, exchange->top_records);
 }
--- a/source/gateway/exchange_serving.c
+++ b/source/gateway/exchange_serving.c
@@ -1,12 +1,12 @@
 /* The serving node: the shards that a receiving node asks for. */
 #include <limits.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "bulrushwell/error.h"
 #include "exchange_private.h"
 #include "group_headers.h"
 
-#define GROUP_TEXT_MAX 128
 #define RECORDS_MAX 1000000		 /* more make no sense */
 #define SOFT_ALLOWANCE_MAX SECONDS(3600) /* more makes no sense */
 /* Fewer than HTTP_MAX_INTERIMS, as one says that the request was accepted. */
@@ -14,27 +14,65 @@
 /* A peer keeps idle connections for longer than this. */
 #define KEEP_ALIVE_TEXT "Keep-Alive: timeout=60\r\n"
 
-bool
-group_request_read(const http_message_t *request, group_request_t *group)
+/* Takes the next field of a list of fields with one blank between them. */
+static slice_t
+next_field(slice_t *list)
 {
-	char text[GROUP_TEXT_MAX];
-	unsigned long long hash;
-	long long soft_us;
-	slice_t value;
+	const char *blank = memchr(list->data, ' ', list->size);
+	slice_t field = *list;
+
+	if (blank != NULL)
+		field.size = (size_t)(blank - list->data);
+	list->data += field.size + (blank != NULL);
+	list->size -= field.size + (blank != NULL);
+	return field;
+}
 
-	if (!http_message_find(request, GROUP_HEADER, &value) ||
-	    value.size >= sizeof(text))
+/* Reads a number that consists of digits of @base only; false if it does not,
+ * or is above @max. */
+static bool
+read_number(slice_t *list, int base, uint64_t max, uint64_t *number)
+{
+	slice_t field = next_field(list);
+	size_t digits_max = base == 16 ? 16 : 18; /* fit into 64 bits */
+
+	*number = 0;
+	if (field.size == 0 || field.size > digits_max)
 		return false;
-	slice_to_text(value, text, sizeof(text));
-	if (sscanf(text, GROUP_FORMAT, &group->group, &group->groups, &hash,
-		&soft_us, &group->records, &group->max_attempts,
-		&group->priority) != GROUP_FIELDS)
+	for (size_t i = 0; i < field.size; i++) {
+		int digit = g_ascii_xdigit_value(field.data[i]);
+
+		if (digit < 0 || digit >= base)
+			return false;
+		*number = *number * (uint64_t)base + (uint64_t)digit;
+	}
+	return *number <= max;
+}
+
+bool
+group_request_read(const http_message_t *request, group_request_t *group)
+{
+	uint64_t index, groups, hash, soft_us, records, attempts, priority;
+	slice_t fields;
+
+	if (!http_message_find_single(request, GROUP_HEADER, &fields) ||
+	    !slice_is(next_field(&fields), GROUP_FORM) ||
+	    !read_number(&fields, 10, UINT32_MAX, &index) ||
+	    !read_number(&fields, 10, UINT32_MAX, &groups) ||
+	    !read_number(&fields, 16, UINT64_MAX, &hash) ||
+	    !read_number(&fields, 10, SOFT_ALLOWANCE_MAX, &soft_us) ||
+	    !read_number(&fields, 10, RECORDS_MAX, &records) ||
+	    !read_number(&fields, 10, UINT32_MAX, &attempts) ||
+	    !read_number(&fields, 10, INT_MAX, &priority) || fields.size > 0)
 		return false;
-	group->targets_hash = hash;
-	group->soft_allowance = soft_us;
-	return group->groups > 0 && group->group < group->groups &&
-	    soft_us >= 0 && soft_us <= SOFT_ALLOWANCE_MAX &&
-	    group->records <= RECORDS_MAX && group->priority <= INT_MAX;
+	*group = (group_request_t){.group = (uint32_t)index,
+	    .groups = (uint32_t)groups,
+	    .targets_hash = hash,
+	    .soft_allowance = (usec_t)soft_us,
+	    .records = (uint32_t)records,
+	    .max_attempts = (uint32_t)attempts,
+	    .priority = (uint32_t)priority};
+	return index < groups;
 }
 
 void
--- a/source/gateway/group_headers.h
+++ b/source/gateway/group_headers.h
@@ -11,7 +11,7 @@
  */
 #define GROUP_HEADER "Gateway-Shard-Group"
 #define GROUP_FORMAT "v2 %u %u %llx %lld %u %u %u"
-#define GROUP_FIELDS 7
+#define GROUP_FORM "v2"
 /* In a response: what it answers, as "GROUP GROUPS TARGETS_HASH RECORDS". */
 #define SERVED_HEADER "Gateway-Served-Group"
 #define SERVED_FORMAT "%u %u %llx %u"
--- a/source/http/http_message.c
+++ b/source/http/http_message.c
@@ -400,6 +400,28 @@
 	return false;
 }
 
+uint32_t
+http_message_count(
+    const http_message_t *message, const char *name, slice_t *value)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < message->header_count; i++) {
+		if (!http_header_is(http_header_name(message, i), name))
+			continue;
+		*value = http_header_value(message, i);
+		count++;
+	}
+	return count;
+}
+
+bool
+http_message_find_single(
+    const http_message_t *message, const char *name, slice_t *value)
+{
+	return http_message_count(message, name, value) == 1;
+}
+
 bool
 http_header_is(slice_t header, const char *name)
 {
--- a/source/http/http_message.h
+++ b/source/http/http_message.h
@@ -118,6 +118,16 @@
 bool http_message_find(
     const http_message_t *message, const char *name, slice_t *value);
 
+/** http_message_count() - Counts the headers of a name; case is ignored.
+ * @value: set to the last one, if there is any */
+uint32_t http_message_count(
+    const http_message_t *message, const char *name, slice_t *value);
+
+/** http_message_find_single() - Like http_message_find(), but not if there are
+ * several of this name, which may contradict each other. */
+bool http_message_find_single(
+    const http_message_t *message, const char *name, slice_t *value);
+
 /** http_header_is() - Whether a header has this name; case is ignored. */
 bool http_header_is(slice_t header, const char *name);
 
--- a/source/peers/peer_message.c
+++ b/source/peers/peer_message.c
@@ -174,16 +174,17 @@
 	return (int64_t)read_bounded(reader, INT64_MAX);
 }
 
-/* Earlier versions state no era. */
 static int64_t
 read_era(reader_t *reader)
 {
-	return reader_remaining(reader) > 0 ? read_revision(reader) : 0;
+	return (int64_t)read_bounded(reader, STORE_ERA_MAX);
 }
 
 static int
 read_status(reader_t *reader, peer_status_t *status)
 {
+	bool has_eras;
+
 	status->age = (usec_t)read_bounded(reader, AGE_MAX);
 	for (int i = 0; i < PEER_TOPICS; i++) {
 		peer_position_t *position = &status->positions[i];
@@ -196,7 +197,10 @@
 		if (position->last_change.revision > position->known.revision)
 			reader->error = BW_E_PROTOCOL;
 	}
-	for (int i = 0; i < PEER_TOPICS; i++) {
+	has_eras = reader_remaining(reader) > 0;
+	/* Earlier versions state no eras; those of some topics only make no
+	 * sense. */
+	for (int i = 0; i < PEER_TOPICS && has_eras; i++) {
 		int64_t era = read_era(reader);
 
 		status->positions[i].last_change.era = era;
@@ -218,7 +222,7 @@
 	changes->uncompressed_size =
 	    (uint32_t)read_bounded(reader, UNCOMPRESSED_SIZE_MAX);
 	bytes = reader_bytes(reader);
-	changes->era = read_era(reader);
+	changes->era = reader_remaining(reader) > 0 ? read_era(reader) : 0;
 	if (reader_error(reader) != 0 || bytes.size > PEER_PART_MAX_BYTES ||
 	    changes->from >= changes->to || changes->part >= changes->parts)
 		return BW_E_PROTOCOL;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -80,6 +80,7 @@
 typedef struct {
 	struct ev_loop *loop;
 	reading_t reading;
+	int64_t era; /* of the store's response */
 } call_t;
 
 static void
@@ -135,6 +136,53 @@
 	ev_break(call->loop, EVBREAK_ALL);
 }
 
+static void
+on_era(void *context, const store_reply_t *reply)
+{
+	call_t *call = context;
+
+	call->era = reply->era;
+	ev_break(call->loop, EVBREAK_ALL);
+}
+
+/* Guards against an era that is taken from a header that says two things, or
+ * something else. */
+static void
+an_era_is_stated_once_and_as_a_number(void **state)
+{
+	static const struct {
+		const char *headers;
+		int64_t era;
+	} cases[] = {{"", STORE_ERA_UNKNOWN}, {"Store-Era: 7\r\n", 7},
+	    {"store-era:7\r\n", 7},
+	    {"Store-Era: 7\r\nStore-Era: 8\r\n", STORE_ERA_UNKNOWN},
+	    {"Store-Era: 7\r\nStore-Era: 7\r\n", STORE_ERA_UNKNOWN},
+	    {"Store-Era: 7, 8\r\n", STORE_ERA_UNKNOWN},
+	    {"Store-Era: -7\r\n", STORE_ERA_UNKNOWN},
+	    {"Store-Era: \r\n", STORE_ERA_UNKNOWN}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *response = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\n{}",
+		    cases[i].headers);
+		raw_server_t *server = raw_server_create(slice_from(response));
+		struct sockaddr_in address = raw_server_socket_address(server);
+		call_t call = {.loop = ev_loop_new(EVFLAG_AUTO), .era = -2};
+		store_channel_t *channel =
+		    store_channel_create(call.loop, &address, on_era, &call);
+
+		store_channel_call(channel, "GET", "/", NULL, CALL_TIMEOUT);
+		ev_run(call.loop, 0);
+		if (call.era != cases[i].era)
+			fail_msg("\"%s\": era %lld", cases[i].headers,
+			    (long long)call.era);
+		store_channel_destroy(channel);
+		ev_loop_destroy(call.loop);
+		raw_server_destroy(server);
+		g_free(response);
+	}
+}
+
 static reading_t
 read_by_store_client(const GString *response)
 {
@@ -290,6 +338,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(broken_answers_are_logged), /* counts from 0 */
+	    cmocka_unit_test(an_era_is_stated_once_and_as_a_number),
 	    cmocka_unit_test(lines_whole),
 	    cmocka_unit_test(lengths_whole),
 	    cmocka_unit_test(lines_bytewise),
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -13,6 +13,7 @@
 
 #include "../platform/decode_config.h"
 #include "../platform/decode_server.h"
+#include "../source/gateway/exchange_private.h"
 #include "../source/gateway/gateway_settings.h"
 #include "../source/http/http_message.h"
 #include "../source/peers/peer_group.h"
@@ -511,10 +512,63 @@
 	}
 }
 
+/* Guards against a request of another gateway that is read as something else
+ * than it says. */
+static void
+a_group_request_has_one_form(void **state)
+{
+	static const struct {
+		const char *headers;
+		bool is_valid;
+	} cases[] = {
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 5 2 1\r\n", true},
+	    {"Gateway-Shard-Group: v2 0 1 ffffffffffffffff 0 0 0 0\r\n", true},
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 5 2 1\r\n"
+	     "Gateway-Shard-Group: v2 1 3 9f 1000 9 2 1\r\n",
+		false},
+	    {"", false},
+	    {"Gateway-Shard-Group: v2\r\n", false},
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 5 2\r\n", false},
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 5 2 1 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 5 2 1x\r\n", false},
+	    {"Gateway-Shard-Group: v2 1  3 9f 1000 5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 1 3 9f 1000 -5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 +1 3 9f 1000 5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 1 3 0x9f 1000 5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 4294967297 3 9f 1000 5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: v2 3 3 9f 1000 5 2 1\r\n", false},
+	    {"Gateway-Shard-Group: 1 3 9f 1000\r\n", false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf(
+		    "GET / HTTP/1.1\r\nHost: a\r\n%s\r\n", cases[i].headers);
+		http_message_t message;
+		group_request_t group;
+		size_t used;
+
+		http_message_init(&message, HTTP_REQUEST, 4096, 0);
+		assert_int_equal(
+		    http_message_feed(&message, text, strlen(text), &used),
+		    HTTP_FEED_DONE);
+		if (group_request_read(&message, &group) != cases[i].is_valid)
+			fail_msg("\"%s\"", cases[i].headers);
+		if (i == 0)
+			assert_true(group.group == 1 && group.groups == 3 &&
+			    group.targets_hash == 0x9f &&
+			    group.soft_allowance == 1000 &&
+			    group.records == 5 && group.max_attempts == 2 &&
+			    group.priority == 1);
+		http_message_free(&message);
+		g_free(text);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_group_request_has_one_form),
 	    cmocka_unit_test(settings_are_checked),
 	    cmocka_unit_test(a_lost_poll_is_noticed_within_the_drain_time),
 	    cmocka_unit_test(
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -101,9 +101,11 @@
 	assert_int_equal(received.changes.size, PEER_PART_MAX_BYTES);
 	assert_memory_equal(received.changes.bytes, sent.changes.bytes, 5);
 	assert_int_equal(received.changes.era, 0);
-	sent.changes.era = INT64_MAX;
+	sent.changes.era = STORE_ERA_MAX;
 	assert_int_equal(encode_and_decode(&sent, &received), 0);
-	assert_int_equal(received.changes.era, INT64_MAX);
+	assert_int_equal(received.changes.era, STORE_ERA_MAX);
+	sent.changes.era = STORE_ERA_MAX + 1;
+	assert_int_equal(encode_and_decode(&sent, &received), BW_E_PROTOCOL);
 }
 
 static void
@@ -263,6 +265,10 @@
 	    {"a leave whose server has a NUL",
 		{"\x94\x01\x04\xc4\x02i\x00\x01", 8}},
 	    {"a leave whose server is a number", {"\x94\x01\x04\x07\x01", 5}},
+	    {"eras of some topics only",
+		{"\x9b\x01\x01\x05\x04\x09\x07\x07\x02\x08\x03\x03", 12}},
+	    {"a negative era",
+		{"\x9c\x01\x01\x05\x04\x09\x07\x07\x02\x08\x03\xff\x02", 13}},
 	    {"a negative revision", {"\x97\x01\x01\x00\xff\x01\x00\x00", 8}},
 	};
 	peer_message_t received;
--- a/tests/test_process_gateway_groups.c
+++ b/tests/test_process_gateway_groups.c
@@ -614,6 +614,12 @@
 	    "Gateway-Shard-Group: v2 0 2 0 1000 4000000000 2 1\r\n",
 	    "Gateway-Shard-Group: v2 0 2 0 9223372036854775807 5 2 1\r\n",
 	    "Gateway-Shard-Group: v2 99999999999 99999999999 1 1 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 -0 2 0 1000 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 +2 0 1000 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0x0 1000 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0  2 0 1000 5 2 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 1000 5 2 1 1\r\n",
+	    "Gateway-Shard-Group: v2 0 2 0 1000 5 2 1x\r\n",
 	    /* of an earlier version of the program */
 	    "Gateway-Shard-Group: 0 2 abc 1000\r\n",
 	    "Gateway-Shard-Group: 0 2 11111111111111111111111111111111111111"
