--- a/source/gateway/gateway_settings.c
+++ b/source/gateway/gateway_settings.c
@@ -271,16 +271,16 @@
 	double time = (double)drain;
 	usec_t peer_time = peer_report_time(drain, settings);
 
-	settings->discovery_interval = (usec_t)(DISCOVERY_SHARE * time);
-	settings->registry_poll_wait = poll_wait(time);
-	settings->registry_answer_margin = poll_margin(time);
+	settings->registry_polls = (poll_times_t){.wait = poll_wait(time),
+	    .answer_margin = poll_margin(time),
+	    .change_delay = (usec_t)(DISCOVERY_SHARE * time)};
 	settings->drain_limit = (usec_t)(LAST_RESORT_SHARE * time);
 	settings->may_follow_peers = peer_time >= PEER_CHANGE_DELAY_MAX;
 	settings->peer_return_wait =
 	    CLAMP(peer_time - PEER_CHANGE_DELAY_MAX, 0, PEER_RETURN_WAIT_MAX);
 	if (settings->has_peer_address && settings->may_follow_peers)
-		settings->peer_hello_wait =
-		    MIN(settings->discovery_interval, PEER_HELLO_WAIT_MAX);
+		settings->peer_hello_wait = MIN(
+		    settings->registry_polls.change_delay, PEER_HELLO_WAIT_MAX);
 }
 
 /* An empty value means that evacuations are not followed. */
--- a/source/gateway/gateway_settings.h
+++ b/source/gateway/gateway_settings.h
@@ -47,11 +47,7 @@
 	usec_t store_history; /* the store keeps changes this long */
 	retry_limits_t retries;
 	usec_t drain_limit; /* a leaving server gets no attempts after this */
-	usec_t discovery_interval; /* between reads of the registry */
-	/* How long a poll of the registry waits for changes, and after that for
-	 * its answer. */
-	usec_t registry_poll_wait;
-	usec_t registry_answer_margin;
+	poll_times_t registry_polls; /* no time_max: a slow store gets longer */
 	/*
 	 * Within evacuation_limit of the request to send nothing more to a data
 	 * centre this node follows it; 0: it does not read such requests.
--- a/source/peers/peer_group.c
+++ b/source/peers/peer_group.c
@@ -125,9 +125,8 @@
 	return &g_array_index(group->peers, group_peer_t, index);
 }
 
-/* The latest era of which any topic was read. */
-static int64_t
-latest_era(const peer_position_t positions[PEER_TOPICS])
+int64_t
+peer_latest_era(const peer_position_t positions[PEER_TOPICS])
 {
 	int64_t era = 0;
 
@@ -142,7 +141,7 @@
 is_active_relay(const peer_group_t *group, const group_peer_t *peer, usec_t now)
 {
 	return now < peer->relay_until &&
-	    latest_era(peer->positions) >= group->era;
+	    peer_latest_era(peer->positions) >= group->era;
 }
 
 /* A relay of an earlier version knows nothing of the later topics, and one that
@@ -269,7 +268,7 @@
 	    store_answered_at != 0 && now - store_answered_at < STORE_TIMEOUT;
 	bool relay;
 
-	group->era = latest_era(own);
+	group->era = peer_latest_era(own);
 	relay = should_be_relay(group, now);
 	if (group->peers->len + 1 < RELAY_MIN_NODES)
 		group->role = PEER_ALONE;
--- a/source/peers/peer_group.h
+++ b/source/peers/peer_group.h
@@ -88,6 +88,9 @@
 bool peer_node_has_address(
     const peer_node_t *node, const struct sockaddr_in *address);
 
+/** peer_latest_era() - The latest era of which any topic was read. */
+int64_t peer_latest_era(const peer_position_t positions[PEER_TOPICS]);
+
 /** peer_group_find() - The peer with this address, or NULL. */
 group_peer_t *peer_group_find(
     const peer_group_t *group, const struct sockaddr_in *address);
--- a/source/peers/peer_link.c
+++ b/source/peers/peer_link.c
@@ -41,6 +41,7 @@
 	uint32_t next_peer; /* index of the one to send the first part to */
 	int fd;
 	peer_role_t role;
+	int64_t era; /* latest one that a relay has stated */
 	peer_position_t positions[PEER_TOPICS];
 	/* Sent in the status: not beyond changes in @unsent_parts. */
 	peer_position_t status_positions[PEER_TOPICS];
@@ -248,12 +249,14 @@
 }
 
 static void
-report_era(const peer_link_t *link, const peer_status_t *status)
+report_era(peer_link_t *link, const peer_status_t *status)
 {
-	for (int i = 0; i < PEER_TOPICS; i++)
-		if (status->positions[i].known.era != 0)
-			link->handlers.era(link->handlers.context,
-			    status->positions[i].known.era);
+	int64_t era = peer_latest_era(status->positions);
+
+	if (era <= link->era)
+		return;
+	link->era = era;
+	link->handlers.era(link->handlers.context, era);
 }
 
 /* If nothing has changed since this node's position, the relay's position holds
--- a/tests/lib/fuzz_targets.c
+++ b/tests/lib/fuzz_targets.c
@@ -414,7 +414,7 @@
 	if (gateway_settings_load(
 		count, flags, &settings, message, sizeof(message)) == 0) {
 		if (!settings.check_only && !settings.version_only &&
-		    (settings.registry_poll_wait <= 0 ||
+		    (settings.registry_polls.wait <= 0 ||
 			settings.stop_limit <= 0 || settings.link_mbps <= 0))
 			failure = "settings without a bound are accepted";
 	} else if (message[0] == '\0') {
--- a/tests/test_cold_servers.c
+++ b/tests/test_cold_servers.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../platform/decode_config.h"
+#include "../source/gateway/cold_senders.h"
 #include "../source/gateway/pool_private.h"
 #include "../source/gateway/server_notice.h"
 
@@ -297,10 +298,38 @@
 	}
 }
 
+/* Guards against a node that goes on sending to cold servers although the store
+ * may have lost its entry, so that others take its place. */
+static void
+a_sender_stops_until_lists_have_its_entry_again(void **state)
+{
+	cold_sender_t sender;
+	usec_t now = SECONDS(100);
+
+	cold_sender_init(&sender, now);
+	cold_sender_renewed(&sender, true, now);
+	cold_sender_listed(&sender, true, 6, 0);
+	cold_sender_listed(&sender, true, 6, 0);
+	assert_true(cold_sender_term(&sender).until > now);
+	cold_sender_unlisted(&sender);
+	assert_int_equal(cold_sender_term(&sender).until, 0);
+	cold_sender_listed(&sender, false, 6, 0);
+	cold_sender_renewed(&sender, true, now + SECONDS(1));
+	assert_int_equal(cold_sender_term(&sender).until, 0);
+	cold_sender_listed(&sender, true, 6, 0);
+	assert_int_equal(cold_sender_term(&sender).until, 0);
+	/* Three others may be older. */
+	cold_sender_listed(&sender, true, 6, 3);
+	assert_int_equal(cold_sender_term(&sender).until, 0);
+	cold_sender_listed(&sender, true, 6, 2);
+	assert_true(cold_sender_term(&sender).until > now);
+}
+
 int
 main(int argc, char **argv)
 {
 	static const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_sender_stops_until_lists_have_its_entry_again),
 	    cmocka_unit_test(requests_count_while_they_may_arrive),
 	    cmocka_unit_test(cold_servers_are_left_out),
 	    cmocka_unit_test(a_withdrawn_attempt_does_not_count),
--- a/tests/test_gateway_inputs.c
+++ b/tests/test_gateway_inputs.c
@@ -123,8 +123,9 @@
 
 		assert_int_equal(
 		    load(&row, &settings, message, sizeof(message)), 0);
-		assert_true(settings.registry_poll_wait +
-			settings.registry_answer_margin + MS(RETRY_DELAY_MS) <=
+		assert_true(settings.registry_polls.wait +
+			settings.registry_polls.answer_margin +
+			MS(RETRY_DELAY_MS) <=
 		    MS(cases[i].drain_ms - REST_MS));
 	}
 }
@@ -198,7 +199,7 @@
 		if (cases[i].may_follow)
 			assert_true(
 			    settings.peer_return_wait + PEER_CHANGE_DELAY_MAX <=
-			    settings.registry_poll_wait);
+			    settings.registry_polls.wait);
 	}
 }
 
